--- a/packages/config/src/index.ts
+++ b/packages/config/src/index.ts
@@ -1,5 +1,9 @@
 /**
  * Operator configuration and process settings: parsing, checking and the JSON Schema.
  */
+export * from './configuration-problem.js';
+export * from './load-settings.js';
 export * from './operator-configuration.js';
+export * from './parse-operator-configuration.js';
 export * from './process-settings.js';
+export * from './setting-overrides.js';
