--- a/packages/config/src/load-settings.ts
+++ b/packages/config/src/load-settings.ts
@@ -9,7 +9,7 @@
 import type { ConfigurationProblem } from './configuration-problem.js';
 import { ConfigurationDocument, formatPath } from './document.js';
 import type { DocumentPath } from './document.js';
-import { describeAllowed, describeIssue } from './parse-document.js';
+import { describeAllowed, describeIssue, pathOf } from './parse-document.js';
 import { agentSettingsSchema, entrySettingsSchema } from './process-settings.js';
 import type { AgentSettings, EntrySettings } from './process-settings.js';
 import { AGENT_OVERRIDES, ENTRY_OVERRIDES, readOverride } from './setting-overrides.js';
@@ -115,10 +115,6 @@
   return { ...fields, [head]: withValue(child, rest, value) };
 }
 
-function pathOf(issue: z.core.$ZodIssue): DocumentPath {
-  return issue.path.filter((part): part is string | number => typeof part !== 'symbol');
-}
-
 function startsWith(path: DocumentPath, start: string[]): boolean {
   return start.every((part, index) => path[index] === part);
 }
--- a/packages/config/src/parse-document.ts
+++ b/packages/config/src/parse-document.ts
@@ -3,7 +3,7 @@
  */
 import type { z } from 'zod';
 import type { ConfigurationProblem } from './configuration-problem.js';
-import { ConfigurationDocument, PROBLEMS_MAXIMUM } from './document.js';
+import { ConfigurationDocument, PROBLEMS_MAXIMUM, formatPath } from './document.js';
 import type { DocumentPath } from './document.js';
 
 export type ParsedDocument<Value> =
@@ -22,19 +22,35 @@
   if (result.success) {
     return { value: result.data, document };
   }
-  const problems = result.error.issues
+  const problems = keepNarrowest(result.error.issues)
     .slice(0, PROBLEMS_MAXIMUM)
     .flatMap((issue) => describeIssue(document, issue, schema));
   return { problems: problems.slice(0, PROBLEMS_MAXIMUM) };
 }
 
+/**
+ * The last issue of each kind at each path. A number beyond the safe integers breaks that bound and the
+ * field's own, of which the second is the one that helps.
+ */
+function keepNarrowest(issues: z.core.$ZodIssue[]): z.core.$ZodIssue[] {
+  const byPlace = new Map(
+    issues.map((issue) => [`${issue.code} ${formatPath(pathOf(issue))}`, issue]),
+  );
+  return [...byPlace.values()];
+}
+
+/** The path of an issue within the file. */
+export function pathOf(issue: z.core.$ZodIssue): DocumentPath {
+  return issue.path.filter((part): part is string | number => typeof part !== 'symbol');
+}
+
 /** Positions one issue of the schema; unknown fields are reported one by one. */
 export function describeIssue(
   document: ConfigurationDocument,
   issue: z.core.$ZodIssue,
   schema: z.ZodType,
 ): ConfigurationProblem[] {
-  const path = issue.path.filter((part): part is string | number => typeof part !== 'symbol');
+  const path = pathOf(issue);
   if (issue.code === 'unrecognized_keys') {
     const allowed = describeKeys(schema, path);
     return issue.keys.map((key) => document.locateKey([...path, key], allowed));
