Add fakes of the platform and the worker

Tests and measurements need the platform's table and object store and a worker with targets as separate processes. Both run in memory, keep their own record of what executed, and have switches for faults under /control.

--- a/packages/test-support/src/index.ts
+++ b/packages/test-support/src/index.ts
@@ -1,4 +1,14 @@
 /**
  * Stand-ins for the platform and the worker, a TCP relay and a process harness. Tests only.
  */
-export {};
+export * from './platform/fake-platform.js';
+export * from './platform/memory-services.js';
+export * from './platform/memory-table.js';
+export * from './platform/platform-faults.js';
+export * from './platform/platform-server.js';
+export * from './worker/execution-log.js';
+export { hashBody } from './worker/fake-target.js';
+export type { TargetAnswer } from './worker/fake-target.js';
+export * from './worker/fake-worker.js';
+export * from './worker/worker-faults.js';
+export * from './worker/worker-server.js';
--- /dev/null
+++ b/packages/test-support/src/platform/fake-platform.ts
@@ -0,0 +1,141 @@
+/**
+ * The fake platform without a transport: table, objects, limits, faults and counters. Each call ends in
+ * one of the ways a real call can end; the caller maps that onto its transport.
+ */
+import { SystemClock, sleep } from '@figjunction/time';
+import type { Clock } from '@figjunction/time';
+import type {
+  TableScanParameters,
+  TableScanResult,
+  TableTransaction,
+  TransactionResult,
+  VersionedRow,
+} from '@figjunction/types';
+import { MemoryTable } from './memory-table.js';
+import { RateLimit, createPlatformFaults, createPlatformStats } from './platform-faults.js';
+import type { PlatformFaults, PlatformStats } from './platform-faults.js';
+
+export enum FakeCallEnding {
+  Answered = 'answered',
+  Throttled = 'throttled',
+  Outage = 'outage',
+  /** The call took effect and its answer must not reach the caller. */
+  AnswerLost = 'answer-lost',
+}
+
+export interface FakeCall<Result> {
+  ending: FakeCallEnding;
+  result: Result | null;
+}
+
+export class FakePlatform {
+  readonly faults: PlatformFaults;
+
+  stats: PlatformStats = createPlatformStats();
+
+  private readonly table = new MemoryTable();
+
+  private readonly objects = new Map<string, Buffer>();
+
+  private readonly transactionLimit: RateLimit;
+
+  private readonly readLimit: RateLimit;
+
+  constructor(faults: Partial<PlatformFaults> = {}, clock: Clock = new SystemClock()) {
+    this.faults = createPlatformFaults(faults);
+    this.transactionLimit = new RateLimit(() => this.faults.transactionsPerSecond, clock);
+    this.readLimit = new RateLimit(() => this.faults.readsPerSecond, clock);
+  }
+
+  resetStats(): void {
+    this.stats = createPlatformStats();
+  }
+
+  read(keys: string[]): Promise<FakeCall<(VersionedRow<unknown> | null)[]>> {
+    return this.call(this.readLimit, () => {
+      this.stats.reads += 1;
+      this.stats.rowsRead += keys.length;
+      return this.table.read(keys);
+    });
+  }
+
+  scan(parameters: TableScanParameters): Promise<FakeCall<TableScanResult<unknown>>> {
+    return this.call(this.readLimit, () => {
+      const page = this.table.scan(parameters);
+      this.stats.reads += 1;
+      this.stats.rowsRead += page.rows.length;
+      return page;
+    });
+  }
+
+  async transact(transaction: TableTransaction): Promise<FakeCall<TransactionResult>> {
+    const call = await this.call(this.transactionLimit, () => {
+      const result = this.table.transact(transaction);
+      this.countTransaction(transaction, result);
+      return result;
+    });
+    return this.loseAnswer(call);
+  }
+
+  async putObject(key: string, body: Buffer): Promise<FakeCall<true>> {
+    const call = await this.call<true>(null, () => {
+      this.stats.objectsWritten += 1;
+      this.objects.set(key, Buffer.from(body));
+      return true;
+    });
+    return this.loseAnswer(call);
+  }
+
+  getObject(key: string): Promise<FakeCall<Buffer | null>> {
+    return this.call(null, () => {
+      this.stats.objectsRead += 1;
+      return this.objects.get(key) ?? null;
+    });
+  }
+
+  async removeObject(key: string): Promise<FakeCall<boolean>> {
+    const call = await this.call(null, () => this.objects.delete(key));
+    return this.loseAnswer(call);
+  }
+
+  private async call<Result>(
+    limit: RateLimit | null,
+    run: () => Result,
+  ): Promise<FakeCall<Result>> {
+    if (this.faults.slowMs > 0) {
+      await sleep(this.faults.slowMs);
+    }
+    if (this.faults.outage) {
+      this.stats.refusedInOutage += 1;
+      return { ending: FakeCallEnding.Outage, result: null };
+    }
+    if (limit !== null && !limit.take()) {
+      this.stats.throttled += 1;
+      return { ending: FakeCallEnding.Throttled, result: null };
+    }
+    return { ending: FakeCallEnding.Answered, result: run() };
+  }
+
+  private loseAnswer<Result>(call: FakeCall<Result>): FakeCall<Result> {
+    if (call.ending !== FakeCallEnding.Answered || this.faults.loseAnswers <= 0) {
+      return call;
+    }
+    this.faults.loseAnswers -= 1;
+    this.stats.lostAnswers += 1;
+    return { ending: FakeCallEnding.AnswerLost, result: null };
+  }
+
+  private countTransaction(transaction: TableTransaction, result: TransactionResult): void {
+    this.stats.transactions += 1;
+    if (!result.committed) {
+      this.stats.conflicts += 1;
+      return;
+    }
+    const byPrefix = this.stats.rowsWrittenByPrefix;
+    this.stats.rowsWritten += transaction.writes.length;
+    for (const { key } of transaction.writes) {
+      const prefix = key.split('/', 1)[0] ?? key;
+      byPrefix[prefix] = (byPrefix[prefix] ?? 0) + 1;
+    }
+  }
+}
