Serve interactive requests through entry and agent

An entry answers POST /v1/services/<service>/requests by one attempt at the agent of an instance. The agent keeps a table of attempts, so that an inquiry or a cancellation tells whether an attempt started.

Not measured yet.

--- /dev/null
+++ b/packages/agent/src/attempts/attempt-service.ts
@@ -0,0 +1,189 @@
+/**
+ * Answers `attempt.run`, `attempt.inquire` and `attempt.cancel`.
+ */
+import { ErrorCode } from '@figjunction/errors';
+import { HttpClient } from '@figjunction/http';
+import { inSpan, traceHeaders } from '@figjunction/telemetry';
+import {
+  AgentState,
+  AttemptState,
+  OutcomeCode,
+  REQUEST_ID_HEADER,
+  RequestOutcome,
+} from '@figjunction/types';
+import type {
+  AgentIncarnation,
+  AttemptCancelResult,
+  AttemptInquireResult,
+  AttemptReference,
+  AttemptResult,
+  AttemptRunParameters,
+} from '@figjunction/types';
+import type { AgentContext } from '../agent-context.js';
+import { AgentError } from '../agent-error.js';
+import type { InstanceEntry } from '../instance-table.js';
+import { AttemptTable } from './attempt-table.js';
+import { SlotTable } from './slot-table.js';
+import { callTarget, notRun } from './target-call.js';
+
+/**
+ * Idle connections to targets are closed before a target with the usual idle time of 5 s closes them, so
+ * that no request is sent into a connection that is being closed.
+ */
+const TARGET_IDLE_MS = 2_000;
+
+const CANCELLED = notRun(
+  OutcomeCode.AttemptCancelled,
+  'the attempt was cancelled before it arrived',
+);
+const EXPIRED = notRun(OutcomeCode.AttemptExpired, 'the attempt arrived too late');
+
+/** Headers of a call, as the RPC server hands them over. */
+export type CallHeaders = Record<string, string | string[] | undefined>;
+
+export class AttemptService {
+  readonly slots: SlotTable;
+
+  readonly attempts: AttemptTable;
+
+  private readonly targets = new HttpClient({ idleMs: TARGET_IDLE_MS });
+
+  /** The first incarnation that this process took; 0 until it has one. */
+  private firstIncarnation: AgentIncarnation = 0;
+
+  constructor(private readonly context: AgentContext) {
+    this.slots = new SlotTable(context.clock);
+    this.attempts = new AttemptTable({ clock: context.clock });
+  }
+
+  async run(parameters: AttemptRunParameters, headers: CallHeaders): Promise<AttemptResult> {
+    this.noteIncarnation();
+    const { attempt, incarnation } = parameters;
+    const known = this.attempts.answerOf(attempt);
+    if (known !== null) {
+      return known;
+    }
+    if (incarnation !== this.context.incarnation) {
+      return this.refuse(parameters, OutcomeCode.WrongIncarnation, 'the agent restarted');
+    }
+    if (this.attempts.isExpired(attempt)) {
+      this.countRefusal(OutcomeCode.AttemptExpired);
+      return EXPIRED;
+    }
+    return this.admit(parameters, headers);
+  }
+
+  inquire(reference: AttemptReference): AttemptInquireResult {
+    this.noteIncarnation();
+    const found = this.attempts.inquire(reference.attempt);
+    if (found.state === AttemptState.UnknownHere) {
+      this.requireOwnIncarnation(reference.incarnation);
+    }
+    return found;
+  }
+
+  cancel(reference: AttemptReference): AttemptCancelResult {
+    this.noteIncarnation();
+    if (this.attempts.answerOf(reference.attempt) === null) {
+      this.requireOwnIncarnation(reference.incarnation);
+    }
+    return this.attempts.cancel(reference.attempt, CANCELLED);
+  }
+
+  close(): void {
+    this.targets.close();
+  }
+
+  private admit(parameters: AttemptRunParameters, headers: CallHeaders): Promise<AttemptResult> {
+    const { context } = this;
+    const { attempt, service, taskId, urgency, remainingMs } = parameters;
+    if (context.state !== AgentState.Serving) {
+      return this.refuse(parameters, OutcomeCode.Draining, `the agent is ${context.state}`);
+    }
+    const instance = context.instances.get(taskId);
+    if (instance === undefined || instance.service !== service || instance.targetAddress === null) {
+      return this.refuse(parameters, OutcomeCode.NoTarget, 'the instance is not here');
+    }
+    if (instance.draining) {
+      return this.refuse(parameters, OutcomeCode.Draining, 'the instance is draining');
+    }
+    if (!(remainingMs > 0)) {
+      return this.refuse(parameters, OutcomeCode.DeadlineTooShort, 'no time is left');
+    }
+    const classes = context.configuration.current()?.classes ?? [];
+    if (!this.slots.take(instance, urgency, classes)) {
+      return this.refuse(parameters, OutcomeCode.NoSlot, 'no slot is free for the class');
+    }
+    return this.attempts.start(attempt, () => this.execute(instance, parameters, headers));
+  }
+
+  private async execute(
+    instance: InstanceEntry,
+    parameters: AttemptRunParameters,
+    headers: CallHeaders,
+  ): Promise<AttemptResult> {
+    const { service, urgency } = parameters;
+    const { clock, metrics } = this.context;
+    const startedAt = clock.now();
+    const attributes = { service, urgency, taskId: parameters.taskId };
+    let result: AttemptResult;
+    try {
+      result = await inSpan('agent.attempt', headers, attributes, () =>
+        callTarget(this.targets, {
+          address: instance.targetAddress as string,
+          contentType: parameters.contentType,
+          body: Buffer.from(parameters.bodyBase64, 'base64'),
+          timeoutMs: parameters.remainingMs,
+          headers: { ...traceHeaders(), ...requestIdHeader(headers) },
+        }),
+      );
+    } finally {
+      this.slots.give(instance, urgency);
+    }
+    metrics.count('attempts_total', { service, urgency, outcome: result.outcome });
+    if (result.outcome === RequestOutcome.Completed) {
+      metrics.recordLatency('attempt_ms', clock.now() - startedAt, { service, urgency });
+    }
+    return { ...result, slotsUsed: instance.slotsUsed };
+  }
+
+  private refuse(
+    parameters: AttemptRunParameters,
+    code: OutcomeCode,
+    message: string,
+  ): Promise<AttemptResult> {
+    const slotsUsed = this.context.instances.get(parameters.taskId)?.slotsUsed ?? 0;
+    const result = notRun(code, message, slotsUsed);
+    this.countRefusal(code);
+    this.attempts.refuse(parameters.attempt, result);
+    return Promise.resolve(result);
+  }
+
+  private countRefusal(code: OutcomeCode): void {
+    this.context.metrics.count('attempts_refused_total', { code });
+  }
+
+  private noteIncarnation(): void {
+    if (this.firstIncarnation === 0) {
+      this.firstIncarnation = this.context.incarnation;
+    }
+  }
+
+  /** Only the process that held the incarnation can say that an attempt never arrived. */
+  private requireOwnIncarnation(incarnation: AgentIncarnation): void {
+    const held =
+      this.firstIncarnation !== 0 &&
+      incarnation >= this.firstIncarnation &&
+      incarnation <= this.context.incarnation;
+    if (!held) {
+      throw new AgentError(`incarnation ${incarnation} was held by an earlier process`, {
+        code: ErrorCode.Conflict,
+      });
+    }
+  }
+}
+
+function requestIdHeader(headers: CallHeaders): Record<string, string> {
+  const requestId = headers[REQUEST_ID_HEADER];
+  return typeof requestId === 'string' ? { [REQUEST_ID_HEADER]: requestId } : {};
+}
--- a/packages/agent/src/attempts/index.ts
+++ b/packages/agent/src/attempts/index.ts
@@ -1,10 +1,76 @@
 /**
  * Attempts of requests and watches against the target instances of this VM.
  */
+import { ErrorCode } from '@figjunction/errors';
+import { sleep } from '@figjunction/time';
+import { AGENT_ID_HEADER, AgentState, OutcomeCode, RpcMethod } from '@figjunction/types';
 import type { AgentContext } from '../agent-context.js';
+import { AgentError } from '../agent-error.js';
 import type { AgentModule } from '../agent-module.js';
+import { AttemptService } from './attempt-service.js';
+import type { CallHeaders } from './attempt-service.js';
+import { notRun } from './target-call.js';
+
+const SWEEP_INTERVAL_MS = 1_000;
+const DRAIN_POLL_MS = 20;
+
+/**
+ * A leaving agent goes on answering for this long, so that entries which have not heard of it yet get
+ * "not run" instead of a broken connection. Heartbeats reach them within a second.
+ */
+const LEAVING_LINGER_MS = 1_500;
 
-// eslint-disable-next-line @typescript-eslint/no-unused-vars
 export function createAttemptModule(context: AgentContext): AgentModule {
-  return {};
+  const service = new AttemptService(context);
+  return {
+    rpcHandlers: {
+      [RpcMethod.AttemptRun]: (parameters, { headers }) => {
+        if (!isMeant(context, headers)) {
+          return notRun(OutcomeCode.WrongIncarnation, 'the address belongs to another agent');
+        }
+        return service.run(parameters, headers);
+      },
+      [RpcMethod.AttemptInquire]: (parameters, { headers }) => {
+        requireAgent(context, headers);
+        return service.inquire(parameters);
+      },
+      [RpcMethod.AttemptCancel]: (parameters, { headers }) => {
+        requireAgent(context, headers);
+        return service.cancel(parameters);
+      },
+    },
+    systems: [
+      {
+        name: 'attempt-sweep',
+        intervalMs: SWEEP_INTERVAL_MS,
+        run(): void {
+          service.attempts.sweep();
+          service.slots.retain(new Set(context.instances.all().map(({ taskId }) => taskId)));
+        },
+      },
+    ],
+    stop: () => drain(context, service),
+  };
+}
+
+async function drain(context: AgentContext, service: AttemptService): Promise<void> {
+  context.state = AgentState.Leaving;
+  context.heartbeatDue = true;
+  await sleep(LEAVING_LINGER_MS);
+  while (service.attempts.runningCount() > 0) {
+    await sleep(DRAIN_POLL_MS);
+  }
+  service.close();
+}
+
+/** An address may have passed to another agent, whose incarnations say nothing about this one's. */
+function isMeant(context: AgentContext, headers: CallHeaders): boolean {
+  const meant = headers[AGENT_ID_HEADER];
+  return meant === undefined || meant === context.settings.agentId;
+}
+
+function requireAgent(context: AgentContext, headers: CallHeaders): void {
+  if (!isMeant(context, headers)) {
+    throw new AgentError(`this is agent ${context.settings.agentId}`, { code: ErrorCode.NotFound });
+  }
 }
--- /dev/null
+++ b/packages/decisions/src/admission/index.ts
@@ -0,0 +1,4 @@
+/**
+ * Who may use a slot, a queue or a quota, and in which order.
+ */
+export * from './slot-admission.js';
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -1,4 +1,5 @@
 /**
  * Pure scheduling decisions as systems over tables.
  */
-export {};
+export * from './admission/index.js';
+export * from './routing/index.js';
--- /dev/null
+++ b/packages/decisions/src/routing/index.ts
@@ -0,0 +1,4 @@
+/**
+ * Which instance of a service gets a request.
+ */
+export * from './choose-target.js';
--- a/packages/entry/src/requests/index.ts
+++ b/packages/entry/src/requests/index.ts
@@ -1,10 +1,12 @@
 /**
- * Callers: requests and watches, from admission to the answer.
+ * Interactive requests and standing watches: routing, admission and attempts.
  */
 import type { EntryContext } from '../entry-context.js';
 import type { EntryModule } from '../entry-module.js';
+import { RequestExecutor } from './request-executor.js';
+import { createRequestRoute } from './request-route.js';
 
-// eslint-disable-next-line @typescript-eslint/no-unused-vars
 export function createRequestModule(context: EntryContext): EntryModule {
-  return {};
+  const executor = new RequestExecutor(context);
+  return { routes: [createRequestRoute(context, executor)] };
 }
--- /dev/null
+++ b/packages/entry/src/requests/request-route.ts
@@ -0,0 +1,71 @@
+/**
+ * `POST /v1/services/<service>/requests`.
+ */
+import { toError } from '@figjunction/errors';
+import type { Route, RouteMatch } from '@figjunction/http';
+import { inSpan } from '@figjunction/telemetry';
+import { OutcomeCode } from '@figjunction/types';
+import type { EntryContext } from '../entry-context.js';
+import { notRun } from './interactive-request.js';
+import type { InteractiveRequest, RequestEnd } from './interactive-request.js';
+import { endOfInputError, sendEnd } from './request-answer.js';
+import type { RequestExecutor } from './request-executor.js';
+import { readRequest, requestIdOf } from './request-input.js';
+
+export function createRequestRoute(context: EntryContext, executor: RequestExecutor): Route {
+  return {
+    method: 'POST',
+    pattern: /^\/v1\/services\/(?<service>[^/]+)\/requests$/u,
+    handle: (match) => handleRequest(context, executor, match),
+  };
+}
+
+async function handleRequest(
+  context: EntryContext,
+  executor: RequestExecutor,
+  match: RouteMatch,
+): Promise<void> {
+  const { response } = match;
+  const request = await readOrRefuse(context, match);
+  if (request === null) {
+    return;
+  }
+  const attributes = { service: request.service.name, urgency: request.urgency };
+  const end = await inSpan('entry.request', match.request.headers, attributes, () =>
+    executor.execute(request),
+  );
+  countEnd(context, request, end);
+  sendEnd(response, request.requestId, end);
+}
+
+async function readOrRefuse(
+  context: EntryContext,
+  match: RouteMatch,
+): Promise<InteractiveRequest | null> {
+  const { requestId } = requestIdOf(match.request);
+  if (context.configuration.current() === null) {
+    const message = 'no configuration is in force yet';
+    sendEnd(match.response, requestId, notRun(OutcomeCode.NoTarget, message));
+    return null;
+  }
+  const gone = new AbortController();
+  match.response.on('close', () => gone.abort());
+  try {
+    return await readRequest(context, match, gone.signal);
+  } catch (error) {
+    const end = endOfInputError(toError(error));
+    if (end === null) {
+      throw error;
+    }
+    context.metrics.count('requests_refused_total', { code: end.code });
+    // The rest of the body is not read, so that the connection cannot be used again.
+    sendEnd(match.response, requestId, end, { connection: 'close' });
+    return null;
+  }
+}
+
+function countEnd(context: EntryContext, request: InteractiveRequest, end: RequestEnd): void {
+  const labels = { service: request.service.name, urgency: request.urgency };
+  context.metrics.count('requests_total', { ...labels, outcome: end.outcome, code: end.code });
+  context.metrics.recordLatency('request_ms', context.clock.now() - request.arrivedAt, labels);
+}
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -3,6 +3,7 @@
  */
 export * from './decision-record.js';
 export * from './enums.js';
+export * from './headers.js';
 export * from './identifiers.js';
 export * from './messages.js';
 export * from './platform-messages.js';
