--- /dev/null
+++ b/packages/agent/src/tasks/admission.ts
@@ -0,0 +1,118 @@
+/**
+ * Admits or refuses reservations. This runs to the end without waiting for anything, so that entries
+ * with stale views that place at once are answered one after the other.
+ */
+import { AgentState } from '@figjunction/types';
+import { freeRoom, refusalForRoom } from '@figjunction/decisions';
+import type {
+  Resources,
+  TaskReservation,
+  TaskReserveParameters,
+  TaskReserveResult,
+} from '@figjunction/types';
+import { TaskPhase } from './task-table.js';
+import type { NewTaskEntry, TaskEntry } from './task-table.js';
+import { holdsLease, roomLoads } from './task-runtime.js';
+import type { TaskRuntime } from './task-runtime.js';
+
+/** A reservation lasts at most this long, whatever the entry asks for. */
+const RESERVATION_MS_MAXIMUM = 30_000;
+
+export function reserveTasks(
+  runtime: TaskRuntime,
+  parameters: TaskReserveParameters,
+): TaskReserveResult {
+  const general = generalRefusal(runtime, parameters);
+  const refusals = parameters.reservations.map(
+    (reservation) => general ?? reserveTask(runtime, reservation, parameters.remainingMs),
+  );
+  runtime.context.metrics.count(
+    'reservations_refused_total',
+    {},
+    refusals.filter((refusal) => refusal !== null).length,
+  );
+  return { refusals, free: freeOf(runtime) };
+}
+
+/** What is left for new work; negative where tasks use more than they were admitted with. */
+export function freeOf(runtime: TaskRuntime): Resources {
+  return freeRoom(runtime.context.room.capacity, roomLoads(runtime));
+}
+
+/** Reservations whose claim did not arrive in time make room. */
+export function dropExpiredReservations(runtime: TaskRuntime): void {
+  const now = runtime.context.clock.now();
+  for (const entry of runtime.tasks.inPhase(TaskPhase.Reserved)) {
+    if (now >= entry.reservedUntil) {
+      runtime.tasks.remove(entry);
+      runtime.context.metrics.count('reservations_expired_total');
+    }
+  }
+}
+
+function generalRefusal(runtime: TaskRuntime, parameters: TaskReserveParameters): string | null {
+  const { context } = runtime;
+  if (parameters.incarnation !== context.incarnation) {
+    return `the agent is incarnation ${context.incarnation}`;
+  }
+  if (context.state !== AgentState.Serving) {
+    return `the agent is ${context.state}`;
+  }
+  if (!holdsLease(context)) {
+    return 'the agent waits for its lease';
+  }
+  if (!context.configuration.isConfirmed(context.clock.now())) {
+    return 'the configuration is not confirmed here';
+  }
+  if (parameters.revision !== context.configuration.revision()) {
+    return `configuration revision ${context.configuration.revision()} is in force here`;
+  }
+  return null;
+}
+
+function reserveTask(
+  runtime: TaskRuntime,
+  reservation: TaskReservation,
+  remainingMs: number,
+): string | null {
+  const present = runtime.tasks.get(reservation.taskId);
+  if (present !== undefined && !mayReplace(present, reservation)) {
+    return `attempt ${present.attempt} of the task is ${present.phase} here`;
+  }
+  const candidate = describeReservation(runtime, reservation, remainingMs);
+  const others = runtime.tasks
+    .all()
+    .filter((entry) => entry !== present && entry.phase !== TaskPhase.Ended);
+  const refusal = refusalForRoom(
+    runtime.context.room.capacity,
+    others.map((entry) => runtime.loadOf(entry)),
+    { declared: candidate.declared, learnt: null, measured: null },
+  );
+  if (refusal === null) {
+    runtime.tasks.add(candidate);
+  }
+  return refusal;
+}
+
+/** A repeated reservation, or one for a later attempt, replaces one that was never started. */
+function mayReplace(present: TaskEntry, reservation: TaskReservation): boolean {
+  return present.phase === TaskPhase.Reserved && present.attempt <= reservation.attempt;
+}
+
+function describeReservation(
+  runtime: TaskRuntime,
+  reservation: TaskReservation,
+  remainingMs: number,
+): NewTaskEntry {
+  const { taskId, attempt, type, kind, size } = reservation;
+  const durationMs = Math.min(remainingMs, RESERVATION_MS_MAXIMUM);
+  return {
+    taskId,
+    attempt,
+    type,
+    kind,
+    declared: size,
+    phase: TaskPhase.Reserved,
+    reservedUntil: runtime.context.clock.now() + durationMs,
+  };
+}
--- a/packages/agent/src/tasks/index.ts
+++ b/packages/agent/src/tasks/index.ts
@@ -1,10 +1,149 @@
 /**
  * Room, leases and tasks on the worker of this VM.
  */
+import { toError } from '@figjunction/errors';
+import { sleep } from '@figjunction/time';
+import { AgentState, RpcMethod, TaskType } from '@figjunction/types';
 import type { AgentContext } from '../agent-context.js';
 import type { AgentModule } from '../agent-module.js';
+import { dropExpiredReservations, reserveTasks } from './admission.js';
+import { LeaseKeeper } from './lease-keeper.js';
+import { updateRoomReport } from './room-report.js';
+import { backgroundSystem } from './single-flight.js';
+import { noteStopOrders, obeyStopOrders, orderStop } from './stop-orders.js';
+import { adoptTasks } from './task-adopter.js';
+import { taskRuntimeOf } from './task-runtime.js';
+import type { TaskRuntime } from './task-runtime.js';
+import { resumeStarts, startTasks } from './task-starter.js';
+import { TaskPhase } from './task-table.js';
+import { UsagePoller } from './usage-poller.js';
+import { extendBatchLeases, extendInstanceLeases } from './worker-leases.js';
+import { addUnadopted, pollWorker } from './worker-poller.js';
+
+const LOOP_INTERVAL_MS = 50;
+const POLL_INTERVAL_MS = 500;
+const USAGE_INTERVAL_MS = 1_000;
+const INSTANCE_LEASE_INTERVAL_MS = 1_000;
+const RESUME_INTERVAL_MS = 500;
+
+/** Time for the last reports at a planned stop. */
+const LAST_REPORTS_MS = 2_000;
+
+const WAITING_FOR_WORKER = 'worker';
 
-// eslint-disable-next-line @typescript-eslint/no-unused-vars
 export function createTaskModule(context: AgentContext): AgentModule {
-  return {};
+  const runtime = taskRuntimeOf(context);
+  const usage = new UsagePoller(runtime, []);
+  let workerKnown = false;
+  context.waitingFor.add(WAITING_FOR_WORKER);
+
+  /** Counts everything on the worker before the agent takes a lease or any work. */
+  async function learnWorker(): Promise<void> {
+    if (workerKnown) {
+      return;
+    }
+    const { capacity } = await context.worker.describe();
+    const tasks = await context.worker.listTasks();
+    for (const task of tasks) {
+      addUnadopted(runtime, task);
+    }
+    context.room.capacity = capacity;
+    workerKnown = true;
+    context.waitingFor.delete(WAITING_FOR_WORKER);
+    context.logger.info({ tasks: tasks.length }, 'worker found');
+  }
+
+  const lease = new LeaseKeeper(context, {
+    onAcquired: () => {
+      if (context.state === AgentState.Starting) {
+        context.state = AgentState.Serving;
+      }
+      runInBackground(context, extendAllLeases(runtime));
+    },
+    onRenewed: () => runInBackground(context, extendBatchLeases(runtime)),
+    onLost: () => giveUpTasks(runtime),
+  });
+
+  const inBackground = (name: string, intervalMs: number, work: () => Promise<void>) =>
+    backgroundSystem(context, name, intervalMs, async () => {
+      if (workerKnown) {
+        await work();
+      }
+    });
+
+  return {
+    rpcHandlers: {
+      [RpcMethod.TaskReserve]: (parameters) => reserveTasks(runtime, parameters),
+      [RpcMethod.TaskStart]: (parameters) => {
+        runInBackground(context, startTasks(runtime, parameters));
+        return {};
+      },
+      [RpcMethod.TaskStop]: (parameters) => {
+        noteStopOrders(runtime, parameters);
+        return {};
+      },
+    },
+    systems: [
+      backgroundSystem(context, 'learn-worker', POLL_INTERVAL_MS, learnWorker),
+      inBackground('lease', LOOP_INTERVAL_MS, () => lease.keep(context.clock.now())),
+      inBackground('adopt', RESUME_INTERVAL_MS, () => adoptTasks(runtime)),
+      {
+        name: 'reservations',
+        intervalMs: LOOP_INTERVAL_MS,
+        run: () => dropExpiredReservations(runtime),
+      },
+      inBackground('resume-starts', RESUME_INTERVAL_MS, () => resumeStarts(runtime)),
+      inBackground('stop-orders', LOOP_INTERVAL_MS, () => obeyStopOrders(runtime)),
+      inBackground('instance-leases', INSTANCE_LEASE_INTERVAL_MS, () =>
+        extendInstanceLeases(runtime),
+      ),
+      inBackground('poll-worker', POLL_INTERVAL_MS, () => pollWorker(runtime)),
+      inBackground('usage', USAGE_INTERVAL_MS, () => usage.poll()),
+      backgroundSystem(context, 'reports', LOOP_INTERVAL_MS, () => runtime.reports.send()),
+      { name: 'room', intervalMs: LOOP_INTERVAL_MS, run: () => updateRoomReport(runtime) },
+    ],
+    async stop(): Promise<void> {
+      await handOver(runtime);
+      lease.stop();
+    },
+  };
+}
+
+async function extendAllLeases(runtime: TaskRuntime): Promise<void> {
+  await extendBatchLeases(runtime);
+  await extendInstanceLeases(runtime);
+}
+
+function runInBackground(context: AgentContext, work: Promise<void>): void {
+  work.catch((error: unknown) => {
+    context.logger.debug({ error: toError(error).message }, 'background work failed');
+  });
+}
+
+/**
+ * After the lease is fenced, batch runs may already execute elsewhere: they are stopped here and not
+ * reported. Instances may go on when their rows can still be moved to the next incarnation.
+ */
+function giveUpTasks(runtime: TaskRuntime): void {
+  for (const entry of runtime.tasks.all()) {
+    if (entry.phase === TaskPhase.Reserved || entry.phase === TaskPhase.Starting) {
+      runtime.tasks.remove(entry);
+    } else if (entry.phase === TaskPhase.Running && entry.type === TaskType.Instance) {
+      entry.phase = TaskPhase.Unadopted;
+    } else if (entry.phase === TaskPhase.Running) {
+      orderStop(runtime, entry, { checkpoint: false, reason: 'the lease of the agent is lost' });
+    }
+  }
+}
+
+/**
+ * A planned stop that does not drain the VM leaves the tasks on the worker: the next incarnation adopts
+ * them within the lease, which loses no work, while checkpoints and restarts would cost both.
+ */
+async function handOver(runtime: TaskRuntime): Promise<void> {
+  const { context, reports } = runtime;
+  const deadline = context.clock.now() + LAST_REPORTS_MS;
+  while (reports.size() > 0 && context.clock.now() < deadline) {
+    await sleep(LOOP_INTERVAL_MS);
+  }
 }
--- /dev/null
+++ b/packages/agent/src/tasks/report-queue.ts
@@ -0,0 +1,103 @@
+/**
+ * Reports of ended tasks, repeated until an entry says that each is settled.
+ */
+import { toError } from '@figjunction/errors';
+import type { Instant } from '@figjunction/time';
+import { RpcMethod } from '@figjunction/types';
+import type { KnownEntry, TaskReport } from '@figjunction/types';
+import type { AgentContext } from '../agent-context.js';
+
+const REPORTS_PER_CALL_MAXIMUM = 64;
+const REPORT_TIMEOUT_MS = 3_000;
+const RETRY_AFTER_MS = 500;
+
+export type OnSettled = (applied: boolean) => void;
+
+interface PendingReport {
+  report: TaskReport;
+  onSettled: OnSettled;
+}
+
+export class ReportQueue {
+  private readonly pending = new Map<string, PendingReport>();
+
+  private sending = false;
+
+  private nextTry: Instant = Number.NEGATIVE_INFINITY;
+
+  /** Chooses another entry after each failure or unsettled answer. */
+  private turn = 0;
+
+  constructor(private readonly context: AgentContext) {}
+
+  size(): number {
+    return this.pending.size;
+  }
+
+  /** Queues a report; one that is queued already for the same attempt and kind is replaced. */
+  add(report: TaskReport, onSettled: OnSettled): void {
+    this.pending.set(reportKey(report), { report, onSettled });
+  }
+
+  /** Sends what is pending unless a call is under way or the last one just failed. */
+  async send(): Promise<void> {
+    const entry = this.chooseEntry();
+    const now = this.context.clock.now();
+    if (this.sending || this.pending.size === 0 || entry === undefined || now < this.nextTry) {
+      return;
+    }
+    this.sending = true;
+    try {
+      await this.sendTo(entry);
+    } catch (error) {
+      this.postpone();
+      this.context.entries.markFailed(entry.entryId);
+      const { message } = toError(error);
+      this.context.logger.debug({ entry: entry.entryId, error: message }, 'report failed');
+    } finally {
+      this.sending = false;
+    }
+  }
+
+  private async sendTo(entry: KnownEntry): Promise<void> {
+    const batch = [...this.pending.values()].slice(0, REPORTS_PER_CALL_MAXIMUM);
+    const result = await this.context.rpc.call(
+      entry.address,
+      RpcMethod.TaskReport,
+      { agentId: this.context.settings.agentId, reports: batch.map(({ report }) => report) },
+      { timeoutMs: REPORT_TIMEOUT_MS, newConnection: this.turn > 0 },
+    );
+    batch.forEach((item, index) => {
+      if (result.settled[index] === true) {
+        this.settle(item, result.applied[index] === true);
+      }
+    });
+    if (batch.some((item) => this.pending.has(reportKey(item.report)))) {
+      this.postpone();
+    } else {
+      this.turn = 0;
+    }
+  }
+
+  private settle(item: PendingReport, applied: boolean): void {
+    const key = reportKey(item.report);
+    if (this.pending.get(key) === item) {
+      this.pending.delete(key);
+      item.onSettled(applied);
+    }
+  }
+
+  private postpone(): void {
+    this.turn += 1;
+    this.nextTry = this.context.clock.now() + this.context.random.jitter(RETRY_AFTER_MS);
+  }
+
+  private chooseEntry(): KnownEntry | undefined {
+    const entries = this.context.entries.preferred();
+    return entries[this.turn % Math.max(1, entries.length)];
+  }
+}
+
+function reportKey(report: TaskReport): string {
+  return `${report.taskId}#${report.attempt}#${report.kind}`;
+}
--- /dev/null
+++ b/packages/agent/src/tasks/task-adopter.ts
@@ -0,0 +1,139 @@
+/**
+ * Decides about tasks that were found on the worker: after a restart of the agent, after a lost lease, or
+ * left behind by an exchange whose outcome was unknown. A task goes on only when its row can be moved to
+ * this incarnation; every other one is stopped.
+ */
+import { randomUUID } from 'node:crypto';
+import { ErrorCode, errorCodeOf, toError } from '@figjunction/errors';
+import { SHARD_COUNT, TaskState, taskKey } from '@figjunction/types';
+import type { TaskRow, VersionedRow } from '@figjunction/types';
+import { TaskPhase } from './task-table.js';
+import type { TaskEntry } from './task-table.js';
+import { holdsLease } from './task-runtime.js';
+import type { TaskRuntime } from './task-runtime.js';
+
+/** The worker knows only the id of a task, and the key also names the shard: all are read at once. */
+const TASKS_PER_READ = 8;
+
+export async function adoptTasks(runtime: TaskRuntime): Promise<void> {
+  if (!holdsLease(runtime.context)) {
+    return;
+  }
+  const waiting = runtime.tasks.inPhase(TaskPhase.Unadopted).filter((entry) => !entry.busy);
+  for (let first = 0; first < waiting.length; first += TASKS_PER_READ) {
+    await adoptBatch(runtime, waiting.slice(first, first + TASKS_PER_READ));
+  }
+}
+
+async function adoptBatch(runtime: TaskRuntime, entries: TaskEntry[]): Promise<void> {
+  for (const entry of entries) {
+    entry.busy = true;
+  }
+  try {
+    const keys = entries.flatMap(candidateKeys);
+    const rows = await runtime.context.table.read<TaskRow>(keys);
+    const byTask = new Map(
+      rows.filter((row) => row !== null).map((row) => [row.value.taskId, row]),
+    );
+    await Promise.all(
+      entries.map((entry) => adoptTask(runtime, entry, byTask.get(entry.taskId) ?? null)),
+    );
+  } catch (error) {
+    const { message } = toError(error);
+    runtime.context.logger.debug({ error: message }, 'tasks to adopt later');
+  } finally {
+    for (const entry of entries) {
+      entry.busy = false;
+    }
+  }
+}
+
+function candidateKeys(entry: TaskEntry): string[] {
+  if (entry.key !== null) {
+    return [entry.key];
+  }
+  return Array.from({ length: SHARD_COUNT }, (_, shard) => taskKey(shard, entry.taskId));
+}
+
+async function adoptTask(
+  runtime: TaskRuntime,
+  entry: TaskEntry,
+  row: VersionedRow<TaskRow> | null,
+): Promise<void> {
+  const { context } = runtime;
+  if (entry.phase !== TaskPhase.Unadopted || !holdsLease(context)) {
+    return;
+  }
+  const mayGoOn = row !== null && namesEarlierIncarnation(runtime, entry, row.value);
+  if (mayGoOn && (await moveToThisIncarnation(runtime, row))) {
+    adopt(runtime, entry, row);
+    return;
+  }
+  await stopStranger(runtime, entry);
+}
+
+function namesEarlierIncarnation(
+  { context }: TaskRuntime,
+  entry: TaskEntry,
+  row: TaskRow,
+): boolean {
+  return (
+    row.state === TaskState.Running &&
+    row.attempt === entry.attempt &&
+    row.holder?.agentId === context.settings.agentId &&
+    row.holder.incarnation <= context.incarnation
+  );
+}
+
+/** False only when the row certainly does not name this incarnation; throws when that is unknown. */
+async function moveToThisIncarnation(
+  { context }: TaskRuntime,
+  row: VersionedRow<TaskRow>,
+): Promise<boolean> {
+  const { agentId } = context.settings;
+  if (row.value.holder?.incarnation === context.incarnation) {
+    return true;
+  }
+  const holder = { agentId, incarnation: context.incarnation };
+  const value: TaskRow = { ...row.value, holder, writeId: randomUUID() };
+  try {
+    const result = await context.table.transact({
+      checks: [],
+      writes: [{ key: row.key, expectedVersion: row.version, value }],
+    });
+    return result.committed;
+  } catch (error) {
+    if (errorCodeOf(error) !== ErrorCode.OutcomeUnknown) {
+      throw error;
+    }
+    const [current] = await context.table.read<TaskRow>([row.key]);
+    return current?.value.writeId === value.writeId;
+  }
+}
+
+function adopt(runtime: TaskRuntime, entry: TaskEntry, row: VersionedRow<TaskRow>): void {
+  const { context } = runtime;
+  entry.key = row.key;
+  entry.incarnation = context.incarnation;
+  entry.team = row.value.team;
+  entry.checkpointKey = row.value.checkpointKey;
+  entry.evictions = row.value.evictions;
+  entry.phase = TaskPhase.Running;
+  entry.startedAt = context.clock.now();
+  context.heartbeatDue = true;
+  context.metrics.count('tasks_adopted_total');
+}
+
+async function stopStranger(runtime: TaskRuntime, entry: TaskEntry): Promise<void> {
+  const { context, tasks } = runtime;
+  await context.worker.stop(entry.taskId, {
+    incarnation: context.incarnation,
+    attempt: entry.attempt,
+    graceful: false,
+  });
+  context.instances.remove(entry.taskId);
+  tasks.remove(entry);
+  context.heartbeatDue = true;
+  context.metrics.count('tasks_not_adopted_total');
+  context.logger.info({ task: entry.taskId, attempt: entry.attempt }, 'stopped a task of others');
+}
--- /dev/null
+++ b/packages/agent/src/tasks/task-ender.ts
@@ -0,0 +1,116 @@
+/**
+ * Ends tasks on this VM: reports the end until it is acknowledged, and stops tasks that must not or need
+ * not run here any more. A task is reported as evicted only after the worker has stopped it.
+ */
+import { toError } from '@figjunction/errors';
+import { TaskReportKind, TaskType } from '@figjunction/types';
+import type { DecisionRecord } from '@figjunction/types';
+import { TaskPhase } from './task-table.js';
+import type { TaskEntry } from './task-table.js';
+import { holdsLease } from './task-runtime.js';
+import type { TaskRuntime } from './task-runtime.js';
+
+export interface TaskEnd {
+  kind: TaskReportKind.Completed | TaskReportKind.Failed | TaskReportKind.Evicted;
+  reason: string | null;
+  decision?: DecisionRecord | null;
+}
+
+/** Marks a task as ended and reports it; the worker forgets it once the end is written. */
+export function endTask(runtime: TaskRuntime, entry: TaskEntry, end: TaskEnd): void {
+  const { context, reports } = runtime;
+  entry.phase = TaskPhase.Ended;
+  context.instances.remove(entry.taskId);
+  context.heartbeatDue = true;
+  context.metrics.count('tasks_ended_total', { kind: end.kind });
+  reports.add(
+    {
+      kind: end.kind,
+      key: entry.key ?? '',
+      taskId: entry.taskId,
+      attempt: entry.attempt,
+      holder: { agentId: context.settings.agentId, incarnation: entry.incarnation },
+      checkpointKey: entry.checkpointKey,
+      reason: end.reason,
+      decision: end.decision ?? null,
+    },
+    () => {
+      forget(runtime, entry).catch(() => {});
+    },
+  );
+}
+
+/** Carries out the stop order of a task. Safe to call again after any failure. */
+export async function obeyStopOrder(runtime: TaskRuntime, entry: TaskEntry): Promise<void> {
+  const { order } = entry;
+  if (order === null || entry.busy || entry.phase === TaskPhase.Ended) {
+    return;
+  }
+  if (entry.phase === TaskPhase.Unadopted && order.checkpoint) {
+    // Whether this agent may give the task back is known only once its row was read.
+    return;
+  }
+  entry.busy = true;
+  try {
+    if (order.checkpoint) {
+      await evict(runtime, entry, order.reason);
+    } else {
+      await stopOnWorker(runtime, entry);
+      runtime.context.instances.remove(entry.taskId);
+      runtime.tasks.remove(entry);
+      runtime.context.heartbeatDue = true;
+    }
+  } catch (error) {
+    const { message } = toError(error);
+    runtime.context.logger.debug({ task: entry.taskId, error: message }, 'stop to repeat');
+  } finally {
+    entry.busy = false;
+  }
+}
+
+/** Saves a checkpoint, stops the task, then gives it back to its owner. */
+async function evict(runtime: TaskRuntime, entry: TaskEntry, reason: string): Promise<void> {
+  if (entry.phase === TaskPhase.Running && isCheckpointable(runtime, entry)) {
+    await saveCheckpoint(runtime, entry);
+  }
+  await stopOnWorker(runtime, entry);
+  endTask(runtime, entry, { kind: TaskReportKind.Evicted, reason });
+}
+
+/** Every checkpoint has a key of its own, so that a late write cannot replace a newer one. */
+export async function saveCheckpoint(runtime: TaskRuntime, entry: TaskEntry): Promise<void> {
+  const { context } = runtime;
+  if (!holdsLease(context)) {
+    throw new Error('the lease has passed; the task is suspended');
+  }
+  const stamp = Math.floor(context.clock.now());
+  const result = await context.worker.checkpoint(entry.taskId, {
+    incarnation: context.incarnation,
+    attempt: entry.attempt,
+    checkpointKey: `checkpoints/${entry.taskId}/${entry.attempt}-${stamp}`,
+  });
+  entry.checkpointKey = result.checkpointKey;
+  entry.progress = result.progress;
+}
+
+export async function stopOnWorker({ context }: TaskRuntime, entry: TaskEntry): Promise<void> {
+  await context.worker.stop(entry.taskId, {
+    incarnation: context.incarnation,
+    attempt: entry.attempt,
+    graceful: entry.type === TaskType.Instance,
+  });
+}
+
+/** When the worker cannot be reached, its list still shows the task and the poll removes it later. */
+async function forget(runtime: TaskRuntime, entry: TaskEntry): Promise<void> {
+  try {
+    await stopOnWorker(runtime, entry);
+  } finally {
+    runtime.tasks.remove(entry);
+  }
+}
+
+function isCheckpointable({ context }: TaskRuntime, entry: TaskEntry): boolean {
+  const kind = context.configuration.current()?.kinds.find(({ kind: name }) => name === entry.kind);
+  return entry.type === TaskType.Batch && (kind?.checkpointable ?? true);
+}
--- /dev/null
+++ b/packages/agent/src/tasks/task-runtime.ts
@@ -0,0 +1,64 @@
+/**
+ * The state that the parts of the task module share, and the checks that guard its effects.
+ */
+import type { RoomLoad } from '@figjunction/decisions';
+import type { Instant } from '@figjunction/time';
+import { TaskType } from '@figjunction/types';
+import type { AgentContext } from '../agent-context.js';
+import { ReportQueue } from './report-queue.js';
+import { TaskPhase, TaskTable } from './task-table.js';
+import type { TaskEntry } from './task-table.js';
+
+export interface TaskRuntime {
+  context: AgentContext;
+  tasks: TaskTable;
+  reports: ReportQueue;
+  /** The VM is being emptied for good, as opposed to handed over to the next incarnation. */
+  draining: boolean;
+  /** What counts for a task besides its declared size. */
+  loadOf(entry: TaskEntry): RoomLoad;
+}
+
+/**
+ * An instance may outlive the agent's lease: a second copy of it is harmless, and requests must go on
+ * while the table is down. It still stops within this time when the agent is gone.
+ */
+export const INSTANCE_LEASE_MS = 10_000;
+
+const runtimes = new WeakMap<AgentContext, TaskRuntime>();
+
+/** The one runtime of an agent; the guards use the same tables as the task module. */
+export function taskRuntimeOf(context: AgentContext): TaskRuntime {
+  let runtime = runtimes.get(context);
+  if (runtime === undefined) {
+    runtime = {
+      context,
+      tasks: new TaskTable(),
+      reports: new ReportQueue(context),
+      draining: false,
+      loadOf: (entry) => ({ declared: entry.declared, learnt: null, measured: entry.measured }),
+    };
+    runtimes.set(context, runtime);
+  }
+  return runtime;
+}
+
+/** Read anew before every effect: the process may have been paused since the last look. */
+export function holdsLease(context: AgentContext): boolean {
+  return context.incarnation > 0 && context.clock.now() < context.leaseDeadline;
+}
+
+/** The deadline until which the worker may run a task without hearing from the agent. */
+export function workerDeadline(context: AgentContext, type: TaskType): Instant {
+  return type === TaskType.Instance
+    ? Math.max(context.leaseDeadline, context.clock.now() + INSTANCE_LEASE_MS)
+    : context.leaseDeadline;
+}
+
+/** Everything that takes room: all but tasks that have left the worker. */
+export function roomLoads(runtime: TaskRuntime): RoomLoad[] {
+  return runtime.tasks
+    .all()
+    .filter((entry) => entry.phase !== TaskPhase.Ended)
+    .map((entry) => runtime.loadOf(entry));
+}
--- /dev/null
+++ b/packages/agent/src/tasks/task-table.ts
@@ -0,0 +1,114 @@
+/**
+ * Everything on this VM that takes room: reservations, running tasks, and ended tasks whose end is not
+ * yet written. One row per task id, because the worker runs a task id at most once.
+ */
+import type { Instant } from '@figjunction/time';
+import type {
+  AgentIncarnation,
+  KindName,
+  Resources,
+  TaskId,
+  TaskType,
+  TeamName,
+} from '@figjunction/types';
+
+export enum TaskPhase {
+  /** Room is kept for a claim that is about to be written. */
+  Reserved = 'reserved',
+  /** The claim is being checked or the worker is being asked to start. */
+  Starting = 'starting',
+  Running = 'running',
+  /** Found on the worker without a known claim; takes room, gets no lease. */
+  Unadopted = 'unadopted',
+  /** Not on the worker any more; its end is not yet acknowledged. */
+  Ended = 'ended',
+}
+
+/** What was asked for a task that is to end here. */
+export interface StopOrder {
+  /** Save a checkpoint first and give the task back; otherwise drop it. */
+  checkpoint: boolean;
+  reason: string;
+}
+
+export interface TaskEntry {
+  taskId: TaskId;
+  attempt: number;
+  type: TaskType;
+  kind: KindName;
+  team: TeamName;
+  /** Size to count before anything is measured or learnt. */
+  declared: Resources;
+  /** Key of the table row; null until it is known. */
+  key: string | null;
+  phase: TaskPhase;
+  /** The incarnation that the row names, once the claim was read. */
+  incarnation: AgentIncarnation;
+  reservedUntil: Instant;
+  checkpointKey: string | null;
+  order: StopOrder | null;
+  /** An exchange about this task is under way; nothing else may act on it. */
+  busy: boolean;
+  /** When the worker accepted the start, or when the task was adopted. */
+  startedAt: Instant;
+  measured: Resources | null;
+  throttle: number;
+  progress: number;
+  evictions: number;
+}
+
+export type NewTaskEntry = Pick<
+  TaskEntry,
+  'taskId' | 'attempt' | 'type' | 'kind' | 'declared' | 'phase'
+> &
+  Partial<TaskEntry>;
+
+const BLANK = {
+  team: '',
+  key: null,
+  incarnation: 0,
+  reservedUntil: Number.POSITIVE_INFINITY,
+  checkpointKey: null,
+  order: null,
+  busy: false,
+  startedAt: Number.NEGATIVE_INFINITY,
+  measured: null,
+  throttle: 1,
+  progress: 0,
+  evictions: 0,
+};
+
+export class TaskTable {
+  private readonly rows = new Map<TaskId, TaskEntry>();
+
+  get(taskId: TaskId): TaskEntry | undefined {
+    return this.rows.get(taskId);
+  }
+
+  /** The row of exactly this attempt. */
+  find(taskId: TaskId, attempt: number): TaskEntry | undefined {
+    const entry = this.rows.get(taskId);
+    return entry?.attempt === attempt ? entry : undefined;
+  }
+
+  all(): TaskEntry[] {
+    return [...this.rows.values()];
+  }
+
+  inPhase(...phases: TaskPhase[]): TaskEntry[] {
+    return this.all().filter((entry) => phases.includes(entry.phase));
+  }
+
+  add(entry: NewTaskEntry): TaskEntry {
+    const row: TaskEntry = { ...BLANK, ...entry };
+    this.rows.set(row.taskId, row);
+    return row;
+  }
+
+  /** Removes exactly this row; a later row with the same task id stays. */
+  remove(entry: TaskEntry): void {
+    if (this.rows.get(entry.taskId) === entry) {
+      this.rows.delete(entry.taskId);
+    }
+  }
+}
--- /dev/null
+++ b/packages/agent/src/tasks/worker-poller.ts
@@ -0,0 +1,135 @@
+/**
+ * Compares the worker's list of tasks with the agent's table: finds ends, starts whose answer was lost,
+ * tasks that the worker lost, and tasks that nobody here knows.
+ */
+import type { Instant } from '@figjunction/time';
+import { TaskReportKind, TaskType, WorkerTaskState } from '@figjunction/types';
+import type { WorkerTask } from '@figjunction/types';
+import { endTask } from './task-ender.js';
+import { TaskPhase } from './task-table.js';
+import type { TaskEntry } from './task-table.js';
+import type { TaskRuntime } from './task-runtime.js';
+
+export async function pollWorker(runtime: TaskRuntime): Promise<void> {
+  const askedAt = runtime.context.clock.now();
+  const before = new Set(runtime.tasks.all());
+  const tasks = await runtime.context.worker.listTasks();
+  const listed = new Map(tasks.map((task) => [task.taskId, task]));
+  for (const entry of runtime.tasks.all()) {
+    compareEntry(runtime, entry, listed.get(entry.taskId), askedAt);
+  }
+  const known = new Set([...before, ...runtime.tasks.all()].map((entry) => entry.taskId));
+  for (const task of tasks.filter(({ taskId }) => !known.has(taskId))) {
+    addUnadopted(runtime, task);
+  }
+}
+
+/** A task found on the worker takes room from now on; whether it may go on is decided by its row. */
+export function addUnadopted(runtime: TaskRuntime, task: WorkerTask): TaskEntry {
+  return runtime.tasks.add({
+    taskId: task.taskId,
+    attempt: task.attempt,
+    type: task.type,
+    kind: task.kind,
+    declared: task.size,
+    phase: TaskPhase.Unadopted,
+    incarnation: task.incarnation,
+    throttle: task.throttle,
+    progress: task.progress,
+  });
+}
+
+function compareEntry(
+  runtime: TaskRuntime,
+  entry: TaskEntry,
+  task: WorkerTask | undefined,
+  askedAt: Instant,
+): void {
+  if (entry.busy) {
+    return;
+  }
+  if (entry.phase === TaskPhase.Starting) {
+    compareStarting(runtime, entry, task);
+  } else if (entry.phase === TaskPhase.Running && entry.startedAt < askedAt) {
+    compareRunning(runtime, entry, task);
+  }
+}
+
+function compareStarting(
+  runtime: TaskRuntime,
+  entry: TaskEntry,
+  task: WorkerTask | undefined,
+): void {
+  if (task?.attempt === entry.attempt) {
+    entry.phase = TaskPhase.Running;
+    entry.startedAt = runtime.context.clock.now();
+    runtime.context.heartbeatDue = true;
+  } else if (task !== undefined && task.attempt < entry.attempt) {
+    stopEarlierAttempt(runtime, task);
+  }
+}
+
+/** The row names a later attempt, so the one that the worker still holds is outdated. */
+function stopEarlierAttempt({ context }: TaskRuntime, task: WorkerTask): void {
+  const { taskId, attempt } = task;
+  const { incarnation } = context;
+  context.worker.stop(taskId, { incarnation, attempt, graceful: false }).catch(() => {
+    // The next poll finds the task again.
+  });
+}
+
+function compareRunning(
+  runtime: TaskRuntime,
+  entry: TaskEntry,
+  task: WorkerTask | undefined,
+): void {
+  if (task === undefined || task.attempt !== entry.attempt) {
+    const reason = 'the worker lost the task';
+    endTask(runtime, entry, { kind: TaskReportKind.Failed, reason });
+    return;
+  }
+  entry.progress = task.progress;
+  entry.throttle = task.throttle;
+  if (task.state === WorkerTaskState.Completed && entry.type === TaskType.Batch) {
+    endTask(runtime, entry, { kind: TaskReportKind.Completed, reason: null });
+  } else if (hasEnded(task)) {
+    const reason = task.failureReason ?? `the task ended as ${task.state}`;
+    endTask(runtime, entry, { kind: TaskReportKind.Failed, reason });
+  } else if (entry.type === TaskType.Instance) {
+    noteInstance(runtime, entry, task);
+  }
+}
+
+function hasEnded(task: WorkerTask): boolean {
+  return task.state !== WorkerTaskState.Running && task.state !== WorkerTaskState.Suspended;
+}
+
+/** Lists an instance once its target listens; the attempt module counts its slots. */
+function noteInstance({ context }: TaskRuntime, entry: TaskEntry, task: WorkerTask): void {
+  const known = context.instances.get(entry.taskId);
+  if (known !== undefined && known.attempt === entry.attempt) {
+    if (known.targetAddress !== task.targetAddress) {
+      known.targetAddress = task.targetAddress;
+      context.heartbeatDue = true;
+    }
+    return;
+  }
+  const service = context.configuration
+    .current()
+    ?.services.find((candidate) => candidate.service === entry.kind);
+  if (service === undefined) {
+    return;
+  }
+  context.instances.set({
+    taskId: entry.taskId,
+    service: entry.kind,
+    attempt: entry.attempt,
+    targetAddress: task.targetAddress,
+    slots: service.slotsPerInstance,
+    slotsUsed: 0,
+    connections: service.connectionsPerInstance,
+    connectionsUsed: 0,
+    draining: entry.order !== null,
+  });
+  context.heartbeatDue = true;
+}
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -1,4 +1,4 @@
 /**
  * Pure scheduling decisions as systems over tables.
  */
-export {};
+export * from './room/index.js';
--- /dev/null
+++ b/packages/decisions/src/room/resource-arithmetic.ts
@@ -0,0 +1,63 @@
+/**
+ * Arithmetic on resources, component by component.
+ */
+import type { Resources } from '@figjunction/types';
+
+export const NO_RESOURCES: Readonly<Resources> = {
+  processorMillicores: 0,
+  memoryMegabytes: 0,
+  accelerators: 0,
+};
+
+export function addResources(left: Resources, right: Resources): Resources {
+  return combine(left, right, (a, b) => a + b);
+}
+
+export function subtractResources(left: Resources, right: Resources): Resources {
+  return combine(left, right, (a, b) => a - b);
+}
+
+export function largerResources(left: Resources, right: Resources): Resources {
+  return combine(left, right, Math.max);
+}
+
+export function smallerResources(left: Resources, right: Resources): Resources {
+  return combine(left, right, Math.min);
+}
+
+/** Rounds up, so that a scaled size is never smaller than the exact product. */
+export function scaleResources(size: Resources, factor: number): Resources {
+  return {
+    processorMillicores: Math.ceil(size.processorMillicores * factor),
+    memoryMegabytes: Math.ceil(size.memoryMegabytes * factor),
+    accelerators: Math.ceil(size.accelerators * factor),
+  };
+}
+
+export function sumResources(sizes: Iterable<Resources>): Resources {
+  let sum: Resources = { ...NO_RESOURCES };
+  for (const size of sizes) {
+    sum = addResources(sum, size);
+  }
+  return sum;
+}
+
+export function fitsWithin(size: Resources, room: Resources): boolean {
+  return (
+    size.processorMillicores <= room.processorMillicores &&
+    size.memoryMegabytes <= room.memoryMegabytes &&
+    size.accelerators <= room.accelerators
+  );
+}
+
+function combine(
+  left: Resources,
+  right: Resources,
+  operation: (a: number, b: number) => number,
+): Resources {
+  return {
+    processorMillicores: operation(left.processorMillicores, right.processorMillicores),
+    memoryMegabytes: operation(left.memoryMegabytes, right.memoryMegabytes),
+    accelerators: operation(left.accelerators, right.accelerators),
+  };
+}
