--- a/packages/config/src/index.ts
+++ b/packages/config/src/index.ts
@@ -1,6 +1,7 @@
 /**
  * Operator configuration and process settings: parsing, checking and the JSON Schema.
  */
+export * from './compare-configurations.js';
 export * from './configuration-problem.js';
 export * from './load-settings.js';
 export * from './operator-configuration.js';
--- /dev/null
+++ b/packages/entry/src/operators/configuration-routes.ts
@@ -0,0 +1,157 @@
+/**
+ * The paths by which operators read, plan and apply configuration.
+ */
+import {
+  CONFIGURATION_BYTES_MAXIMUM,
+  compareConfigurations,
+  parseOperatorConfiguration,
+} from '@figjunction/config';
+import type { ParsedOperatorConfiguration } from '@figjunction/config';
+import { ErrorCode } from '@figjunction/errors';
+import { readJson, sendJson } from '@figjunction/http';
+import type { Route, RouteMatch } from '@figjunction/http';
+import { z } from 'zod';
+import { authenticateOperator } from '../authentication.js';
+import type { EntryContext } from '../entry-context.js';
+import { EntryError } from '../entry-error.js';
+import { applyConfiguration, readCurrentRow } from './apply-configuration.js';
+import { readBodyOf } from './configuration-body.js';
+
+/** Every byte of the file may be escaped in JSON. */
+const REQUEST_BYTES_MAXIMUM = 2 * CONFIGURATION_BYTES_MAXIMUM + 64 * 1024;
+const STATUS_CONFLICT = 409;
+const STATUS_INVALID_FILE = 422;
+
+const planSchema = z.strictObject({
+  body: z.string(),
+  fileName: z.string().min(1).max(1_000).default('configuration.jsonc'),
+});
+
+const applySchema = planSchema.extend({ baseRevision: z.int().min(0) });
+
+export function createConfigurationRoutes(context: EntryContext): Route[] {
+  return [
+    {
+      method: 'GET',
+      pattern: /^\/v1\/configuration$/u,
+      handle: (match) => showConfiguration(context, match),
+    },
+    {
+      method: 'GET',
+      pattern: /^\/v1\/configuration\/history$/u,
+      handle: (match) => showHistory(context, match),
+    },
+    {
+      method: 'POST',
+      pattern: /^\/v1\/configuration\/plan$/u,
+      handle: (match) => plan(context, match),
+    },
+    {
+      method: 'POST',
+      pattern: /^\/v1\/configuration$/u,
+      handle: (match) => apply(context, match),
+    },
+  ];
+}
+
+async function showConfiguration(context: EntryContext, match: RouteMatch): Promise<void> {
+  authenticateOperator(context, match.request);
+  const row = (await readCurrentRow(context).catch(() => null))?.value;
+  const inForce = context.configuration.current();
+  if (row !== undefined && row.revision >= context.configuration.revision()) {
+    const { revision, bodyHash, appliedBy, appliedAt } = row;
+    const body = await readBodyOf(context, row);
+    sendJson(match.response, 200, { revision, bodyHash, appliedBy, appliedAt, body });
+    return;
+  }
+  // Without the table, the revision in force here is the best answer.
+  sendJson(match.response, 200, {
+    revision: context.configuration.revision(),
+    bodyHash: inForce?.bodyHash ?? null,
+    appliedBy: null,
+    appliedAt: null,
+    body: inForce?.body ?? null,
+  });
+}
+
+async function showHistory(context: EntryContext, match: RouteMatch): Promise<void> {
+  authenticateOperator(context, match.request);
+  const row = (await readCurrentRow(context))?.value;
+  if (row === undefined) {
+    sendJson(match.response, 200, { revisions: [] });
+    return;
+  }
+  const { revision, bodyHash, appliedBy, appliedAt, history } = row;
+  const revisions = [{ revision, bodyHash, appliedBy, appliedAt }, ...history];
+  sendJson(match.response, 200, { revisions });
+}
+
+async function plan(context: EntryContext, match: RouteMatch): Promise<void> {
+  authenticateOperator(context, match.request);
+  const { body, fileName } = await readParameters(match, planSchema);
+  const parsed = parseOperatorConfiguration(body, fileName);
+  if ('problems' in parsed) {
+    sendProblems(match, parsed);
+    return;
+  }
+  const inForce = context.configuration.current();
+  sendJson(match.response, 200, {
+    currentRevision: context.configuration.revision(),
+    differences: compareConfigurations(inForce?.configuration ?? null, parsed.configuration),
+  });
+}
+
+async function apply(context: EntryContext, match: RouteMatch): Promise<void> {
+  const operator = authenticateOperator(context, match.request);
+  const { baseRevision, body, fileName } = await readParameters(match, applySchema);
+  const parsed = parseOperatorConfiguration(body, fileName);
+  if ('problems' in parsed) {
+    sendProblems(match, parsed);
+    return;
+  }
+  const { revision, conflict } = await applyConfiguration(context, {
+    baseRevision,
+    body,
+    configuration: parsed.configuration,
+    appliedBy: operator.name,
+  });
+  if (conflict === null) {
+    sendJson(match.response, 200, { revision });
+    return;
+  }
+  context.metrics.count('configuration_conflicts_total');
+  sendJson(match.response, STATUS_CONFLICT, {
+    code: ErrorCode.Conflict,
+    message: `the file starts from revision ${baseRevision}, but revision ${revision} is current`,
+    currentRevision: revision,
+    currentAppliedBy: conflict.appliedBy,
+    currentBody: await readBodyOf(context, conflict),
+  });
+}
+
+function sendProblems(
+  match: RouteMatch,
+  parsed: Extract<ParsedOperatorConfiguration, { problems: unknown }>,
+): void {
+  const { problems } = parsed;
+  sendJson(match.response, STATUS_INVALID_FILE, {
+    code: ErrorCode.InvalidInput,
+    message: `the file has ${problems.length} problems; nothing was applied`,
+    problems,
+  });
+}
+
+async function readParameters<Schema extends z.ZodType>(
+  match: RouteMatch,
+  schema: Schema,
+): Promise<z.infer<Schema>> {
+  const body = await readJson(match.request, REQUEST_BYTES_MAXIMUM);
+  const result = schema.safeParse(body);
+  if (result.success) {
+    return result.data;
+  }
+  const [issue] = result.error.issues;
+  throw new EntryError(`${issue?.path.join('.') || 'the body'}: ${issue?.message}`, {
+    code: ErrorCode.InvalidInput,
+  });
+}
--- /dev/null
+++ b/packages/entry/src/operators/status.ts
@@ -0,0 +1,111 @@
+/**
+ * What is known of the processes: which revision each has in force, whether it is confirmed, and what a
+ * starting process waits for.
+ */
+import { ErrorCode } from '@figjunction/errors';
+import { HttpClient, sendJson } from '@figjunction/http';
+import type { Route, RouteMatch } from '@figjunction/http';
+import { bearerHeader, bearerToken, equalsInConstantTime } from '@figjunction/rpc';
+import type { KnownEntry } from '@figjunction/types';
+import type { KnownAgent } from '../agent-directory.js';
+import { authenticateOperator } from '../authentication.js';
+import type { EntryContext } from '../entry-context.js';
+import { EntryError } from '../entry-error.js';
+
+const ASK_TIMEOUT_MS = 1_000;
+const OWN_STATUS_PATH = '/v1/status/own';
+
+interface EntryStatus extends KnownEntry {
+  /** Null when the entry did not answer. */
+  revision: number | null;
+  confirmed: boolean;
+  waitingFor: string[];
+}
+
+export function createStatusRoutes(context: EntryContext, http: HttpClient): Route[] {
+  return [
+    {
+      method: 'GET',
+      pattern: /^\/v1\/status$/u,
+      handle: (match) => showStatus(context, http, match),
+    },
+    {
+      method: 'GET',
+      pattern: new RegExp(`^${OWN_STATUS_PATH}$`, 'u'),
+      handle: (match) => showOwnStatus(context, match),
+    },
+  ];
+}
+
+async function showStatus(
+  context: EntryContext,
+  http: HttpClient,
+  match: RouteMatch,
+): Promise<void> {
+  authenticateOperator(context, match.request);
+  const own = describeSelf(context);
+  const others = await Promise.all(
+    context.peers.others().map((peer) => askPeer(context, http, peer)),
+  );
+  sendJson(match.response, 200, {
+    answeredBy: own.entryId,
+    revision: Math.max(own.revision ?? 0, ...others.map(({ revision }) => revision ?? 0)),
+    entries: [own, ...others],
+    agents: context.agents.all().map((agent) => describeAgent(context, agent)),
+  });
+}
+
+/** For other entries, which hold the shared token but no token of an operator. */
+async function showOwnStatus(context: EntryContext, match: RouteMatch): Promise<void> {
+  const token = bearerToken(match.request.headers.authorization);
+  if (token === null || !equalsInConstantTime(token, context.settings.sharedToken)) {
+    throw new EntryError('this path is for entries', { code: ErrorCode.Unauthenticated });
+  }
+  sendJson(match.response, 200, describeSelf(context));
+}
+
+function describeSelf(context: EntryContext): EntryStatus {
+  const self = context.peers.live().find(({ entryId }) => entryId === context.settings.entryId);
+  return {
+    entryId: context.settings.entryId,
+    address: self?.address ?? '',
+    location: context.settings.location,
+    revision: context.configuration.revision(),
+    confirmed: context.configuration.isConfirmed(context.clock.now()),
+    waitingFor: [...context.waitingFor],
+  };
+}
+
+async function askPeer(
+  context: EntryContext,
+  http: HttpClient,
+  peer: KnownEntry,
+): Promise<EntryStatus> {
+  try {
+    return await http.json<EntryStatus>(`${peer.address}${OWN_STATUS_PATH}`, {
+      headers: { authorization: bearerHeader(context.settings.sharedToken) },
+      timeoutMs: ASK_TIMEOUT_MS,
+    });
+  } catch {
+    return { ...peer, revision: null, confirmed: false, waitingFor: ['an answer from this entry'] };
+  }
+}
+
+function describeAgent(context: EntryContext, agent: KnownAgent): Record<string, unknown> {
+  const { agentId, incarnation, state, address, location, revision, confirmed } = agent;
+  const { capacity, free, instances, tasks } = agent;
+  return {
+    agentId,
+    incarnation,
+    state,
+    address,
+    location,
+    revision,
+    confirmed,
+    capacity,
+    free,
+    instances,
+    tasksHeld: tasks.length,
+    heardMsAgo: Math.round(context.clock.now() - agent.lastHeard),
+  };
+}
