--- /dev/null
+++ b/packages/decisions/src/admission/fifo-queue.ts
@@ -0,0 +1,50 @@
+/**
+ * First in, first out, for comparison with the fair queue.
+ */
+import { RequestQueue } from './queue-entry.js';
+import type { QueueEntry } from './queue-entry.js';
+
+export class FifoQueue<Item> extends RequestQueue<Item> {
+  private readonly entries: QueueEntry<Item>[] = [];
+
+  constructor(private readonly maximum: () => number) {
+    super();
+  }
+
+  override get size(): number {
+    return this.entries.length;
+  }
+
+  override enqueue(entry: QueueEntry<Item>): QueueEntry<Item> | null {
+    if (entry.returned) {
+      this.entries.unshift(entry);
+      return null;
+    }
+    if (this.entries.length >= this.maximum()) {
+      return entry;
+    }
+    this.entries.push(entry);
+    return null;
+  }
+
+  override dequeue(): QueueEntry<Item> | undefined {
+    return this.entries.shift();
+  }
+
+  override remove(item: Item): boolean {
+    const index = this.entries.findIndex((entry) => entry.item === item);
+    if (index < 0) {
+      return false;
+    }
+    this.entries.splice(index, 1);
+    return true;
+  }
+
+  override items(): Item[] {
+    return this.entries.map(({ item }) => item);
+  }
+
+  override turnsBefore(): number {
+    return this.entries.length;
+  }
+}
--- a/packages/decisions/src/admission/index.ts
+++ b/packages/decisions/src/admission/index.ts
@@ -1,4 +1,9 @@
 /**
  * Who may use a slot, a queue or a quota, and in which order.
  */
+export * from './fair-queue.js';
+export * from './fifo-queue.js';
+export * from './queue-entry.js';
+export * from './quota.js';
 export * from './slot-admission.js';
+export * from './token-bucket.js';
--- /dev/null
+++ b/packages/decisions/src/admission/token-bucket.ts
@@ -0,0 +1,40 @@
+/**
+ * A rate with a burst. The rate may change at any time; it counts from then on.
+ */
+import type { Instant } from '@figjunction/time';
+
+const MILLISECONDS_PER_SECOND = 1_000;
+
+export class TokenBucket {
+  private tokens: number | null = null;
+
+  private refilledAt: Instant = 0;
+
+  /** Takes tokens when there are enough. */
+  take(now: Instant, perSecond: number, burst: number, amount = 1): boolean {
+    this.refill(now, perSecond, burst);
+    if ((this.tokens ?? 0) < amount) {
+      return false;
+    }
+    this.tokens = (this.tokens ?? 0) - amount;
+    return true;
+  }
+
+  /** Takes tokens for something that already happened; the bucket may go below zero. */
+  charge(now: Instant, perSecond: number, burst: number, amount: number): void {
+    this.refill(now, perSecond, burst);
+    this.tokens = (this.tokens ?? 0) - amount;
+  }
+
+  /** Whether there are enough tokens now. */
+  has(now: Instant, perSecond: number, burst: number, amount: number): boolean {
+    this.refill(now, perSecond, burst);
+    return (this.tokens ?? 0) >= amount;
+  }
+
+  private refill(now: Instant, perSecond: number, burst: number): void {
+    const earned = ((now - this.refilledAt) / MILLISECONDS_PER_SECOND) * perSecond;
+    this.tokens = this.tokens === null ? burst : Math.min(burst, this.tokens + earned);
+    this.refilledAt = now;
+  }
+}
