--- a/packages/agent/src/attempts/attempt-service.ts
+++ b/packages/agent/src/attempts/attempt-service.ts
@@ -26,12 +26,6 @@
 import { SlotTable } from './slot-table.js';
 import { callTarget, notRun } from './target-call.js';
 
-/**
- * Idle connections to targets are closed before a target with the usual idle time of 5 s closes them, so
- * that no request is sent into a connection that is being closed.
- */
-const TARGET_IDLE_MS = 2_000;
-
 const CANCELLED = notRun(
   OutcomeCode.AttemptCancelled,
   'the attempt was cancelled before it arrived',
@@ -46,7 +40,7 @@
 
   readonly attempts: AttemptTable;
 
-  private readonly targets = new HttpClient({ idleMs: TARGET_IDLE_MS });
+  private readonly targets = new HttpClient();
 
   /** The first incarnation that this process took; 0 until it has one. */
   private firstIncarnation: AgentIncarnation = 0;
--- a/packages/agent/src/attempts/attempt-table.ts
+++ b/packages/agent/src/attempts/attempt-table.ts
@@ -118,11 +118,11 @@
   inquire(attempt: AttemptId): AttemptInquireResult {
     const record = this.find(attempt);
     if (record !== undefined) {
-      return { state: record.state, result: record.result };
+      return { attempt, state: record.state, result: record.result };
     }
     // Below the mark nothing is known of the attempt, so it must not be reported as unknown here.
     const state = this.isExpired(attempt) ? AttemptState.Ended : AttemptState.UnknownHere;
-    return { state, result: null };
+    return { attempt, state, result: null };
   }
 
   /** Records a cancellation unless the attempt started, or may have. */
@@ -130,10 +130,10 @@
     const record = this.find(attempt);
     if (record === undefined && !this.isExpired(attempt)) {
       this.refuse(attempt, refusal);
-      return { started: false, result: null };
+      return { attempt, started: false, result: null };
     }
     const started = record?.state !== AttemptState.Cancelled;
-    return { started, result: started ? (record?.result ?? null) : null };
+    return { attempt, started, result: started ? (record?.result ?? null) : null };
   }
 
   /** Forgets what is old or over the limits. */
--- a/packages/agent/src/attempts/index.ts
+++ b/packages/agent/src/attempts/index.ts
@@ -10,8 +10,10 @@
 import { AttemptService } from './attempt-service.js';
 import type { CallHeaders } from './attempt-service.js';
 import { notRun } from './target-call.js';
+import { WatchService } from './watch-service.js';
 
 const SWEEP_INTERVAL_MS = 1_000;
+const WATCH_INTERVAL_MS = 100;
 const DRAIN_POLL_MS = 20;
 
 /**
@@ -22,13 +24,15 @@
 
 export function createAttemptModule(context: AgentContext): AgentModule {
   const service = new AttemptService(context);
+  const watches = new WatchService(context, service.slots);
   return {
+    routes: [watches.route()],
     rpcHandlers: {
-      [RpcMethod.AttemptRun]: (parameters, { headers }) => {
-        if (!isMeant(context, headers)) {
-          return notRun(OutcomeCode.WrongIncarnation, 'the address belongs to another agent');
-        }
-        return service.run(parameters, headers);
+      [RpcMethod.AttemptRun]: async (parameters, { headers }) => {
+        const result = isMeant(context, headers)
+          ? await service.run(parameters, headers)
+          : notRun(OutcomeCode.WrongIncarnation, 'the address belongs to another agent');
+        return { ...result, attempt: parameters.attempt };
       },
       [RpcMethod.AttemptInquire]: (parameters, { headers }) => {
         requireAgent(context, headers);
@@ -40,27 +44,27 @@
       },
     },
     systems: [
-      {
-        name: 'attempt-sweep',
-        intervalMs: SWEEP_INTERVAL_MS,
-        run(): void {
-          service.attempts.sweep();
-          service.slots.retain(new Set(context.instances.all().map(({ taskId }) => taskId)));
-        },
-      },
+      { name: 'attempt-sweep', intervalMs: SWEEP_INTERVAL_MS, run: () => service.attempts.sweep() },
+      { name: 'watch-drain', intervalMs: WATCH_INTERVAL_MS, run: () => watches.endDrained() },
     ],
-    stop: () => drain(context, service),
+    stop: () => drain(context, service, watches),
   };
 }
 
-async function drain(context: AgentContext, service: AttemptService): Promise<void> {
+async function drain(
+  context: AgentContext,
+  service: AttemptService,
+  watches: WatchService,
+): Promise<void> {
   context.state = AgentState.Leaving;
   context.heartbeatDue = true;
+  watches.endDrained();
   await sleep(LEAVING_LINGER_MS);
-  while (service.attempts.runningCount() > 0) {
+  while (service.attempts.runningCount() > 0 || watches.count > 0) {
     await sleep(DRAIN_POLL_MS);
   }
   service.close();
+  watches.close();
 }
 
 /** An address may have passed to another agent, whose incarnations say nothing about this one's. */
--- a/packages/agent/src/attempts/slot-table.ts
+++ b/packages/agent/src/attempts/slot-table.ts
@@ -4,7 +4,7 @@
  */
 import { mayTakeSlot } from '@figjunction/decisions';
 import type { Clock, Instant } from '@figjunction/time';
-import type { AgentClassSlice, TaskId, UrgencyClassName } from '@figjunction/types';
+import type { AgentClassSlice, UrgencyClassName } from '@figjunction/types';
 import type { InstanceEntry } from '../instance-table.js';
 
 /** A class keeps its guaranteed slots for this long after its last request. */
@@ -16,13 +16,14 @@
 }
 
 export class SlotTable {
-  private readonly uses = new Map<TaskId, Map<UrgencyClassName, ClassUse>>();
+  /** By row, not by task: a restarted instance has another row and starts with free slots. */
+  private readonly uses = new WeakMap<InstanceEntry, Map<UrgencyClassName, ClassUse>>();
 
   constructor(private readonly clock: Clock) {}
 
   /** Takes a slot and a connection; false when the instance or the class has none left. */
   take(instance: InstanceEntry, urgency: UrgencyClassName, classes: AgentClassSlice[]): boolean {
-    const uses = this.usesOf(instance.taskId);
+    const uses = this.usesOf(instance);
     const own = uses.get(urgency) ?? { used: 0, lastDemand: 0 };
     own.lastDemand = this.clock.now();
     uses.set(urgency, own);
@@ -37,7 +38,7 @@
   }
 
   give(instance: InstanceEntry, urgency: UrgencyClassName): void {
-    const own = this.usesOf(instance.taskId).get(urgency);
+    const own = this.usesOf(instance).get(urgency);
     if (own !== undefined) {
       own.used -= 1;
     }
@@ -59,22 +60,13 @@
     instance.connectionsUsed -= 1;
   }
 
-  /** Forgets instances that are gone. */
-  retain(taskIds: Set<TaskId>): void {
-    for (const taskId of this.uses.keys()) {
-      if (!taskIds.has(taskId)) {
-        this.uses.delete(taskId);
-      }
-    }
-  }
-
   private mayTake(
     instance: InstanceEntry,
     urgency: UrgencyClassName,
     classes: AgentClassSlice[],
   ): boolean {
     const now = this.clock.now();
-    const uses = this.usesOf(instance.taskId);
+    const uses = this.usesOf(instance);
     const shares = new Map(classes.map((one) => [one.urgency, one.guaranteedShare]));
     const rows = [...uses].map(([name, use]) => ({
       urgency: name,
@@ -85,11 +77,11 @@
     return mayTakeSlot(urgency, instance.slots, rows);
   }
 
-  private usesOf(taskId: TaskId): Map<UrgencyClassName, ClassUse> {
-    let uses = this.uses.get(taskId);
+  private usesOf(instance: InstanceEntry): Map<UrgencyClassName, ClassUse> {
+    let uses = this.uses.get(instance);
     if (uses === undefined) {
       uses = new Map();
-      this.uses.set(taskId, uses);
+      this.uses.set(instance, uses);
     }
     return uses;
   }
--- a/packages/agent/src/attempts/target-call.ts
+++ b/packages/agent/src/attempts/target-call.ts
@@ -25,6 +25,9 @@
       headers: { ...call.headers, 'content-type': call.contentType },
       body: call.body,
       timeoutMs: call.timeoutMs,
+      // A target may answer twice or late; on a shared connection that would become the answer of the
+      // next request.
+      newConnection: true,
     });
     return resultOfAnswer(answer);
   } catch (error) {
--- a/packages/agent/src/index.ts
+++ b/packages/agent/src/index.ts
@@ -3,3 +3,4 @@
  */
 export * from './agent-context.js';
 export * from './agent-daemon.js';
+export { createAttemptModule } from './attempts/index.js';
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -3,3 +3,4 @@
  */
 export * from './entry-context.js';
 export * from './entry-daemon.js';
+export { createRequestModule } from './requests/index.js';
--- a/packages/entry/src/requests/attempt-client.ts
+++ b/packages/entry/src/requests/attempt-client.ts
@@ -94,6 +94,9 @@
     try {
       const inquiry = await this.inquire(order.agent, reference, order.silenceBoundMs);
       this.context.metrics.count('attempt_inquiries_total', { state: inquiry.state });
+      if (!isAnswerTo(order.attempt, inquiry)) {
+        return { end: null, reached: false };
+      }
       switch (inquiry.state) {
         case AttemptState.Running:
           return { end: null, reached: true };
@@ -125,6 +128,9 @@
         reference,
         this.questionOptions(agent, silenceBoundMs),
       );
+      if (!isAnswerTo(attempt, answer)) {
+        return null;
+      }
       return answer.started ? answer.result : cancelled();
     } catch {
       return null;
@@ -196,7 +202,7 @@
           signal,
         },
       );
-      return { result };
+      return isAnswerTo(attempt, result) ? { result } : { result: null, requestSent: true };
     } catch (error) {
       return { result: null, requestSent: !(error instanceof RpcError) || error.requestSent };
     }
@@ -220,6 +226,14 @@
   }
 }
 
+/** An answer that belongs to another call proves nothing about this attempt. */
+function isAnswerTo(attempt: AttemptId, answer: { attempt: AttemptId }): boolean {
+  return (
+    answer.attempt.entryIncarnation === attempt.entryIncarnation &&
+    answer.attempt.sequence === attempt.sequence
+  );
+}
+
 function endOfCall(end: CallEnd | null): AttemptEnd | null {
   if (end === null || end.result !== null) {
     return end?.result ?? null;
--- a/packages/entry/src/requests/index.ts
+++ b/packages/entry/src/requests/index.ts
@@ -3,10 +3,27 @@
  */
 import type { EntryContext } from '../entry-context.js';
 import type { EntryModule } from '../entry-module.js';
-import { RequestExecutor } from './request-executor.js';
 import { createRequestRoute } from './request-route.js';
+import { RequestService } from './request-service.js';
+import { Watches } from './watch-route.js';
+
+const EJECTION_INTERVAL_MS = 250;
 
 export function createRequestModule(context: EntryContext): EntryModule {
-  const executor = new RequestExecutor(context);
-  return { routes: [createRequestRoute(context, executor)] };
+  const service = new RequestService(context);
+  const watches = new Watches(context, service.runner);
+  return {
+    routes: [createRequestRoute(context, service), watches.route()],
+    systems: [
+      {
+        name: 'outlier-ejection',
+        intervalMs: EJECTION_INTERVAL_MS,
+        run: () => service.runner.selector.ejectOutliers(),
+      },
+    ],
+    async stop(): Promise<void> {
+      watches.stop();
+      await service.stop();
+    },
+  };
 }
--- a/packages/entry/src/requests/request-route.ts
+++ b/packages/entry/src/requests/request-route.ts
@@ -9,20 +9,20 @@
 import { notRun } from './interactive-request.js';
 import type { InteractiveRequest, RequestEnd } from './interactive-request.js';
 import { endOfInputError, sendEnd } from './request-answer.js';
-import type { RequestExecutor } from './request-executor.js';
 import { readRequest, requestIdOf } from './request-input.js';
+import type { RequestService } from './request-service.js';
 
-export function createRequestRoute(context: EntryContext, executor: RequestExecutor): Route {
+export function createRequestRoute(context: EntryContext, service: RequestService): Route {
   return {
     method: 'POST',
     pattern: /^\/v1\/services\/(?<service>[^/]+)\/requests$/u,
-    handle: (match) => handleRequest(context, executor, match),
+    handle: (match) => handleRequest(context, service, match),
   };
 }
 
 async function handleRequest(
   context: EntryContext,
-  executor: RequestExecutor,
+  service: RequestService,
   match: RouteMatch,
 ): Promise<void> {
   const { response } = match;
@@ -32,10 +32,11 @@
   }
   const attributes = { service: request.service.name, urgency: request.urgency };
   const end = await inSpan('entry.request', match.request.headers, attributes, () =>
-    executor.execute(request),
+    service.execute(request),
   );
   countEnd(context, request, end);
-  sendEnd(response, request.requestId, end);
+  const headers = service.isStopping ? { connection: 'close' } : undefined;
+  sendEnd(response, request.requestId, end, headers);
 }
 
 async function readOrRefuse(
--- a/packages/types/src/messages.ts
+++ b/packages/types/src/messages.ts
@@ -252,17 +252,24 @@
   slotsUsed: number;
 }
 
+/** Every answer names its attempt, so that one that belongs to another call is dropped. */
+export interface AttemptRunResult extends AttemptResult {
+  attempt: AttemptId;
+}
+
 export interface AttemptReference {
   attempt: AttemptId;
   incarnation: AgentIncarnation;
 }
 
 export interface AttemptInquireResult {
+  attempt: AttemptId;
   state: AttemptState;
   result: AttemptResult | null;
 }
 
 export interface AttemptCancelResult {
+  attempt: AttemptId;
   /** False when the attempt is recorded as cancelled and will never start. */
   started: boolean;
   result: AttemptResult | null;
@@ -318,7 +325,7 @@
   [RpcMethod.TaskStart]: { parameters: TaskStartParameters; result: Record<string, never> };
   [RpcMethod.TaskStop]: { parameters: TaskStopParameters; result: Record<string, never> };
   [RpcMethod.TaskReport]: { parameters: TaskReportParameters; result: TaskReportResult };
-  [RpcMethod.AttemptRun]: { parameters: AttemptRunParameters; result: AttemptResult };
+  [RpcMethod.AttemptRun]: { parameters: AttemptRunParameters; result: AttemptRunResult };
   [RpcMethod.AttemptInquire]: { parameters: AttemptReference; result: AttemptInquireResult };
   [RpcMethod.AttemptCancel]: { parameters: AttemptReference; result: AttemptCancelResult };
   [RpcMethod.AgentDrain]: { parameters: DrainParameters; result: Record<string, never> };
