Count work by estimates and measurements and restrain it when too large

Declared sizes may be wrong by a factor of five. Room now counts the larger of the estimate by kind and the latest measurement; tasks of unknown size are admitted only as far as the worst case fits, or one at a time under a throttle. Adds the pure estimate, interference and guard tables.

--- a/packages/agent/src/tasks/admission.ts
+++ b/packages/agent/src/tasks/admission.ts
@@ -3,16 +3,11 @@
  * with stale views that place at once are answered one after the other.
  */
 import { AgentState } from '@figjunction/types';
-import { freeRoom, refusalForRoom } from '@figjunction/decisions';
-import type {
-  Resources,
-  TaskReservation,
-  TaskReserveParameters,
-  TaskReserveResult,
-} from '@figjunction/types';
+import type { TaskReservation, TaskReserveParameters, TaskReserveResult } from '@figjunction/types';
 import { TaskPhase } from './task-table.js';
 import type { NewTaskEntry, TaskEntry } from './task-table.js';
-import { holdsLease, roomLoads } from './task-runtime.js';
+import { freeOf, refusalFor } from './room-loads.js';
+import { holdsLease } from './task-runtime.js';
 import type { TaskRuntime } from './task-runtime.js';
 
 /** A reservation lasts at most this long, whatever the entry asks for. */
@@ -34,11 +29,6 @@
   return { refusals, free: freeOf(runtime) };
 }
 
-/** What is left for new work; negative where tasks use more than they were admitted with. */
-export function freeOf(runtime: TaskRuntime): Resources {
-  return freeRoom(runtime.context.room.capacity, roomLoads(runtime));
-}
-
 /** Reservations whose claim did not arrive in time make room. */
 export function dropExpiredReservations(runtime: TaskRuntime): void {
   const now = runtime.context.clock.now();
@@ -80,14 +70,7 @@
     return `attempt ${present.attempt} of the task is ${present.phase} here`;
   }
   const candidate = describeReservation(runtime, reservation, remainingMs);
-  const others = runtime.tasks
-    .all()
-    .filter((entry) => entry !== present && entry.phase !== TaskPhase.Ended);
-  const refusal = refusalForRoom(
-    runtime.context.room.capacity,
-    others.map((entry) => runtime.loadOf(entry)),
-    { declared: candidate.declared, learnt: null, measured: null },
-  );
+  const refusal = refusalFor(runtime, { ...candidate, measured: null }, present);
   if (refusal === null) {
     runtime.tasks.add(candidate);
   }
--- /dev/null
+++ b/packages/agent/src/tasks/decision-about-run.ts
@@ -0,0 +1,47 @@
+/**
+ * Decision records of the agent, for `explain`.
+ */
+import { ExplainSubject } from '@figjunction/types';
+import type { DecisionRecord } from '@figjunction/types';
+import type { AgentContext } from '../agent-context.js';
+import type { TaskEntry } from './task-table.js';
+import type { TaskRuntime } from './task-runtime.js';
+
+export type DecisionFacts = Pick<DecisionRecord, 'kind' | 'decision' | 'inputs' | 'rejected'>;
+
+/** Records a decision about a run, under the run and under the VM. */
+export function decisionAboutRun(
+  { context }: TaskRuntime,
+  entry: TaskEntry,
+  facts: DecisionFacts,
+): DecisionRecord {
+  const record: DecisionRecord = {
+    ...commonFacts(context),
+    ...facts,
+    subject: ExplainSubject.Run,
+    subjectId: entry.taskId,
+    team: entry.team === '' ? null : entry.team,
+  };
+  context.decisions.add(record);
+  const inputs = [...facts.inputs, { name: 'run', value: entry.taskId }];
+  recordAboutVm(context, { ...facts, inputs });
+  return record;
+}
+
+export function recordAboutVm(context: AgentContext, facts: DecisionFacts): void {
+  context.decisions.add({
+    ...commonFacts(context),
+    ...facts,
+    subject: ExplainSubject.Vm,
+    subjectId: context.settings.agentId,
+    team: null,
+  });
+}
+
+function commonFacts(context: AgentContext) {
+  return {
+    decidedAt: new Date(context.clock.wallTimeMs()).toISOString(),
+    decidedBy: context.settings.agentId,
+    configurationRevision: context.configuration.revision(),
+  };
+}
--- a/packages/agent/src/tasks/index.ts
+++ b/packages/agent/src/tasks/index.ts
@@ -8,6 +8,7 @@
 import type { AgentModule } from '../agent-module.js';
 import { dropExpiredReservations, reserveTasks } from './admission.js';
 import { LeaseKeeper } from './lease-keeper.js';
+import { OverloadControl } from './overload-control.js';
 import { updateRoomReport } from './room-report.js';
 import { backgroundSystem } from './single-flight.js';
 import { noteStopOrders, obeyStopOrders, orderStop } from './stop-orders.js';
@@ -16,6 +17,7 @@
 import type { TaskRuntime } from './task-runtime.js';
 import { resumeStarts, startTasks } from './task-starter.js';
 import { TaskPhase } from './task-table.js';
+import { controlThrottles } from './throttle-control.js';
 import { UsagePoller } from './usage-poller.js';
 import { extendBatchLeases, extendInstanceLeases } from './worker-leases.js';
 import { addUnadopted, pollWorker } from './worker-poller.js';
@@ -25,6 +27,7 @@
 const USAGE_INTERVAL_MS = 1_000;
 const INSTANCE_LEASE_INTERVAL_MS = 1_000;
 const RESUME_INTERVAL_MS = 500;
+const CONTROL_INTERVAL_MS = 200;
 
 /** Time for the last reports at a planned stop. */
 const LAST_REPORTS_MS = 2_000;
@@ -33,7 +36,8 @@
 
 export function createTaskModule(context: AgentContext): AgentModule {
   const runtime = taskRuntimeOf(context);
-  const usage = new UsagePoller(runtime, []);
+  const usage = new UsagePoller(runtime);
+  const overload = new OverloadControl(runtime);
   let workerKnown = false;
   context.waitingFor.add(WAITING_FOR_WORKER);
 
@@ -99,6 +103,8 @@
       ),
       inBackground('poll-worker', POLL_INTERVAL_MS, () => pollWorker(runtime)),
       inBackground('usage', USAGE_INTERVAL_MS, () => usage.poll()),
+      { name: 'overload', intervalMs: CONTROL_INTERVAL_MS, run: () => overload.run() },
+      inBackground('throttles', CONTROL_INTERVAL_MS, () => controlThrottles(runtime)),
       backgroundSystem(context, 'reports', LOOP_INTERVAL_MS, () => runtime.reports.send()),
       { name: 'room', intervalMs: LOOP_INTERVAL_MS, run: () => updateRoomReport(runtime) },
     ],
--- a/packages/agent/src/tasks/lease-keeper.ts
+++ b/packages/agent/src/tasks/lease-keeper.ts
@@ -4,15 +4,16 @@
  */
 import { toError } from '@figjunction/errors';
 import type { Instant } from '@figjunction/time';
-import { RpcMethod, leaseKey } from '@figjunction/types';
-import type { LeaseRenewResult, LeaseRow } from '@figjunction/types';
+import { LeaseState, RpcMethod, leaseKey } from '@figjunction/types';
+import type { AgentIncarnation, LeaseRenewResult, LeaseRow } from '@figjunction/types';
 import type { AgentContext } from '../agent-context.js';
 
 export const LEASE_MS = 10_000;
 export const LEASE_RENEWAL_INTERVAL_MS = 3_000;
 
 const RETRY_AFTER_MS = 400;
-const CALL_TIMEOUT_MS = 1_500;
+/** Longer than an entry takes before it gives up on the table. */
+const CALL_TIMEOUT_MS = 2_500;
 
 /** Entries asked in one round; further ones wait for the next round. */
 const ENTRIES_PER_ROUND = 3;
@@ -87,10 +88,19 @@
       this.events.onRenewed();
       return true;
     }
-    this.lose(answer.result.incarnation);
+    await this.loseWhenFenced(incarnation);
     return false;
   }
 
+  /** A refusal may come from renewals that got in each other's way; only the row tells. */
+  private async loseWhenFenced(incarnation: AgentIncarnation): Promise<void> {
+    const row = await this.readRow();
+    const isOurs = row?.incarnation === incarnation && row.state === LeaseState.Active;
+    if (!isOurs) {
+      this.lose(row?.incarnation ?? 0);
+    }
+  }
+
   private async acquire(): Promise<boolean> {
     if (this.rival !== null && !(await this.rivalIsSilent())) {
       return false;
--- /dev/null
+++ b/packages/agent/src/tasks/room-loads.ts
@@ -0,0 +1,110 @@
+/**
+ * What each task on this VM counts for, and what it costs to lose it.
+ */
+import {
+  countedSize,
+  estimateSize,
+  freeRoom,
+  isKindKnown,
+  refusalForRoom,
+  sumResources,
+} from '@figjunction/decisions';
+import type { OverloadTask, RoomLoad } from '@figjunction/decisions';
+import { TaskType } from '@figjunction/types';
+import type { AgentKindSlice, KindName, Resources } from '@figjunction/types';
+import { TaskPhase } from './task-table.js';
+import type { TaskEntry } from './task-table.js';
+import type { TaskRuntime } from './task-runtime.js';
+
+/** A move costs about this much work of the run, for the checkpoint and the new start. */
+const MOVE_COST_SECONDS = 5;
+
+const MILLISECONDS_PER_SECOND = 1_000;
+
+/** The parts of a task entry that its size depends on. */
+export type SizedTask = Pick<TaskEntry, 'type' | 'kind' | 'declared' | 'measured'>;
+
+export function loadOf(runtime: TaskRuntime, task: SizedTask): RoomLoad {
+  const { declared, measured, kind } = task;
+  const isBatch = task.type === TaskType.Batch;
+  if (!runtime.context.settings.policy.learning) {
+    return { declared, estimated: declared, measured: null, isUnsure: false, isBatch };
+  }
+  if (!isBatch) {
+    return { declared, estimated: declared, measured, isUnsure: false, isBatch };
+  }
+  const configured = kindOf(runtime, kind)?.declaredSize ?? declared;
+  const own = estimateSize(runtime.estimates, kind, configured);
+  const isKnownHere = isKindKnown(runtime.estimates, kind);
+  const isKnownToEntry = !isKnownHere && !isUnlearnt(declared, configured, own);
+  return {
+    declared: configured,
+    estimated: isKnownToEntry ? declared : own,
+    measured,
+    isUnsure: !isKnownHere && !isKnownToEntry && measured === null,
+    isBatch,
+  };
+}
+
+/** Everything that takes room: all but tasks that have left the worker. */
+export function roomLoads(runtime: TaskRuntime, except?: TaskEntry): RoomLoad[] {
+  return runtime.tasks
+    .all()
+    .filter((entry) => entry.phase !== TaskPhase.Ended && entry !== except)
+    .map((entry) => loadOf(runtime, entry));
+}
+
+/** What is left for new work; negative where tasks use more than they were admitted with. */
+export function freeOf(runtime: TaskRuntime): Resources {
+  return freeRoom(runtime.context.room.capacity, roomLoads(runtime));
+}
+
+export function countedTotal(runtime: TaskRuntime): Resources {
+  return sumResources(roomLoads(runtime).map(countedSize));
+}
+
+/** Null when the candidate fits beside everything else, else why not. */
+export function refusalFor(
+  runtime: TaskRuntime,
+  candidate: SizedTask,
+  except?: TaskEntry,
+): string | null {
+  const loads = roomLoads(runtime, except);
+  return refusalForRoom(runtime.context.room.capacity, loads, loadOf(runtime, candidate));
+}
+
+export function overloadTaskOf(runtime: TaskRuntime, entry: TaskEntry): OverloadTask {
+  return {
+    ...loadOf(runtime, entry),
+    taskId: entry.taskId,
+    lossCost: lossCostOf(runtime, entry),
+  };
+}
+
+/** Seconds of work that are lost when the task leaves now, weighted by its kind. */
+export function lossCostOf(runtime: TaskRuntime, entry: TaskEntry): number {
+  const runMs = Math.max(0, runtime.context.clock.now() - entry.startedAt);
+  const lostSeconds = isCheckpointable(runtime, entry)
+    ? MOVE_COST_SECONDS
+    : MOVE_COST_SECONDS + runMs / MILLISECONDS_PER_SECOND;
+  // Of two equal runs, the one that will end sooner stays.
+  return (kindOf(runtime, entry.kind)?.lossWeight ?? 1) * (lostSeconds + entry.progress);
+}
+
+export function isCheckpointable(runtime: TaskRuntime, entry: TaskEntry): boolean {
+  const kind = kindOf(runtime, entry.kind);
+  return entry.type === TaskType.Batch && (kind?.checkpointable ?? true);
+}
+
+function kindOf({ context }: TaskRuntime, kind: KindName): AgentKindSlice | undefined {
+  return context.configuration.current()?.kinds.find((candidate) => candidate.kind === kind);
+}
+
+/** An entry that has learnt nothing sends the declared size, as it is or widened like the own estimate. */
+function isUnlearnt(reserved: Resources, configured: Resources, widened: Resources): boolean {
+  return isSame(reserved, configured) || isSame(reserved, widened);
+}
+
+function isSame(left: Resources, right: Resources): boolean {
+  return (Object.keys(left) as (keyof Resources)[]).every((name) => left[name] === right[name]);
+}
--- a/packages/agent/src/tasks/room-report.ts
+++ b/packages/agent/src/tasks/room-report.ts
@@ -2,7 +2,7 @@
  * Keeps what the heartbeat tells of room and tasks up to date.
  */
 import { AgentState } from '@figjunction/types';
-import { freeOf } from './admission.js';
+import { freeOf } from './room-loads.js';
 import { TaskPhase } from './task-table.js';
 import { holdsLease } from './task-runtime.js';
 import type { TaskRuntime } from './task-runtime.js';
--- a/packages/agent/src/tasks/task-adopter.ts
+++ b/packages/agent/src/tasks/task-adopter.ts
@@ -6,7 +6,8 @@
 import { randomUUID } from 'node:crypto';
 import { ErrorCode, errorCodeOf, toError } from '@figjunction/errors';
 import { SHARD_COUNT, TaskState, taskKey } from '@figjunction/types';
-import type { TaskRow, VersionedRow } from '@figjunction/types';
+import type { AgentIncarnation, TaskRow, VersionedRow } from '@figjunction/types';
+import { stopOnWorker } from './task-ender.js';
 import { TaskPhase } from './task-table.js';
 import type { TaskEntry } from './task-table.js';
 import { holdsLease } from './task-runtime.js';
@@ -64,9 +65,13 @@
   if (entry.phase !== TaskPhase.Unadopted || !holdsLease(context)) {
     return;
   }
+  // The lease may be lost and taken again while the write is under way.
+  const { incarnation } = context;
   const mayGoOn = row !== null && namesEarlierIncarnation(runtime, entry, row.value);
-  if (mayGoOn && (await moveToThisIncarnation(runtime, row))) {
-    adopt(runtime, entry, row);
+  if (mayGoOn && (await moveTo(runtime, row, incarnation))) {
+    if (context.incarnation === incarnation) {
+      adopt(runtime, entry, row);
+    }
     return;
   }
   await stopStranger(runtime, entry);
@@ -85,16 +90,17 @@
   );
 }
 
-/** False only when the row certainly does not name this incarnation; throws when that is unknown. */
-async function moveToThisIncarnation(
+/** False only when the row certainly does not name the incarnation; throws when that is unknown. */
+async function moveTo(
   { context }: TaskRuntime,
   row: VersionedRow<TaskRow>,
+  incarnation: AgentIncarnation,
 ): Promise<boolean> {
   const { agentId } = context.settings;
-  if (row.value.holder?.incarnation === context.incarnation) {
+  if (row.value.holder?.incarnation === incarnation) {
     return true;
   }
-  const holder = { agentId, incarnation: context.incarnation };
+  const holder = { agentId, incarnation };
   const value: TaskRow = { ...row.value, holder, writeId: randomUUID() };
   try {
     const result = await context.table.transact({
@@ -126,11 +132,7 @@
 
 async function stopStranger(runtime: TaskRuntime, entry: TaskEntry): Promise<void> {
   const { context, tasks } = runtime;
-  await context.worker.stop(entry.taskId, {
-    incarnation: context.incarnation,
-    attempt: entry.attempt,
-    graceful: false,
-  });
+  await stopOnWorker(runtime, entry);
   context.instances.remove(entry.taskId);
   tasks.remove(entry);
   context.heartbeatDue = true;
--- a/packages/agent/src/tasks/task-ender.ts
+++ b/packages/agent/src/tasks/task-ender.ts
@@ -2,14 +2,20 @@
  * Ends tasks on this VM: reports the end until it is acknowledged, and stops tasks that must not or need
  * not run here any more. A task is reported as evicted only after the worker has stopped it.
  */
+import { randomUUID } from 'node:crypto';
 import { toError } from '@figjunction/errors';
 import { TaskReportKind, TaskType } from '@figjunction/types';
 import type { DecisionRecord } from '@figjunction/types';
+import { AgentError } from '../agent-error.js';
 import { TaskPhase } from './task-table.js';
-import type { TaskEntry } from './task-table.js';
+import type { StopOrder, TaskEntry } from './task-table.js';
+import { isCheckpointable } from './room-loads.js';
 import { holdsLease } from './task-runtime.js';
 import type { TaskRuntime } from './task-runtime.js';
 
+/** Pause after a failed stop or checkpoint, so that an outage is not met with a storm of calls. */
+const RETRY_AFTER_MS = 1_000;
+
 export interface TaskEnd {
   kind: TaskReportKind.Completed | TaskReportKind.Failed | TaskReportKind.Evicted;
   reason: string | null;
@@ -43,9 +49,13 @@
 /** Carries out the stop order of a task. Safe to call again after any failure. */
 export async function obeyStopOrder(runtime: TaskRuntime, entry: TaskEntry): Promise<void> {
   const { order } = entry;
+  const { clock } = runtime.context;
   if (order === null || entry.busy || entry.phase === TaskPhase.Ended) {
     return;
   }
+  if (clock.now() < entry.retryAt) {
+    return;
+  }
   if (entry.phase === TaskPhase.Unadopted && order.checkpoint) {
     // Whether this agent may give the task back is known only once its row was read.
     return;
@@ -53,7 +63,7 @@
   entry.busy = true;
   try {
     if (order.checkpoint) {
-      await evict(runtime, entry, order.reason);
+      await evict(runtime, entry, order);
     } else {
       await stopOnWorker(runtime, entry);
       runtime.context.instances.remove(entry.taskId);
@@ -61,6 +71,7 @@
       runtime.context.heartbeatDue = true;
     }
   } catch (error) {
+    entry.retryAt = clock.now() + RETRY_AFTER_MS;
     const { message } = toError(error);
     runtime.context.logger.debug({ task: entry.taskId, error: message }, 'stop to repeat');
   } finally {
@@ -69,28 +80,40 @@
 }
 
 /** Saves a checkpoint, stops the task, then gives it back to its owner. */
-async function evict(runtime: TaskRuntime, entry: TaskEntry, reason: string): Promise<void> {
+async function evict(runtime: TaskRuntime, entry: TaskEntry, order: StopOrder): Promise<void> {
   if (entry.phase === TaskPhase.Running && isCheckpointable(runtime, entry)) {
-    await saveCheckpoint(runtime, entry);
+    await saveCheckpoint(runtime, entry, order);
   }
   await stopOnWorker(runtime, entry);
-  endTask(runtime, entry, { kind: TaskReportKind.Evicted, reason });
+  const { reason, decision } = order;
+  endTask(runtime, entry, { kind: TaskReportKind.Evicted, reason, decision });
 }
 
 /** Every checkpoint has a key of its own, so that a late write cannot replace a newer one. */
-export async function saveCheckpoint(runtime: TaskRuntime, entry: TaskEntry): Promise<void> {
+async function saveCheckpoint(
+  runtime: TaskRuntime,
+  entry: TaskEntry,
+  order: StopOrder,
+): Promise<void> {
   const { context } = runtime;
   if (!holdsLease(context)) {
-    throw new Error('the lease has passed; the task is suspended');
+    throw new AgentError('the lease has passed; the task is suspended');
+  }
+  try {
+    const result = await context.worker.checkpoint(entry.taskId, {
+      incarnation: context.incarnation,
+      attempt: entry.attempt,
+      checkpointKey: `checkpoints/${entry.taskId}/${entry.attempt}-${randomUUID()}`,
+    });
+    entry.checkpointKey = result.checkpointKey;
+    entry.progress = result.progress;
+  } catch (error) {
+    runtime.checkpointFailedAt = context.clock.now();
+    if (order.optional === true && entry.order === order) {
+      entry.order = null;
+    }
+    throw error;
   }
-  const stamp = Math.floor(context.clock.now());
-  const result = await context.worker.checkpoint(entry.taskId, {
-    incarnation: context.incarnation,
-    attempt: entry.attempt,
-    checkpointKey: `checkpoints/${entry.taskId}/${entry.attempt}-${stamp}`,
-  });
-  entry.checkpointKey = result.checkpointKey;
-  entry.progress = result.progress;
 }
 
 export async function stopOnWorker({ context }: TaskRuntime, entry: TaskEntry): Promise<void> {
@@ -109,8 +132,3 @@
     runtime.tasks.remove(entry);
   }
 }
-
-function isCheckpointable({ context }: TaskRuntime, entry: TaskEntry): boolean {
-  const kind = context.configuration.current()?.kinds.find(({ kind: name }) => name === entry.kind);
-  return entry.type === TaskType.Batch && (kind?.checkpointable ?? true);
-}
--- a/packages/agent/src/tasks/task-runtime.ts
+++ b/packages/agent/src/tasks/task-runtime.ts
@@ -1,22 +1,25 @@
 /**
  * The state that the parts of the task module share, and the checks that guard its effects.
  */
-import type { RoomLoad } from '@figjunction/decisions';
+import { createEstimateTable } from '@figjunction/decisions';
+import type { EstimateTable } from '@figjunction/decisions';
 import type { Instant } from '@figjunction/time';
 import { TaskType } from '@figjunction/types';
+import type { WorkerUsage } from '@figjunction/types';
 import type { AgentContext } from '../agent-context.js';
 import { ReportQueue } from './report-queue.js';
-import { TaskPhase, TaskTable } from './task-table.js';
-import type { TaskEntry } from './task-table.js';
+import { TaskTable } from './task-table.js';
 
 export interface TaskRuntime {
   context: AgentContext;
   tasks: TaskTable;
   reports: ReportQueue;
+  estimates: EstimateTable;
   /** The VM is being emptied for good, as opposed to handed over to the next incarnation. */
   draining: boolean;
-  /** What counts for a task besides its declared size. */
-  loadOf(entry: TaskEntry): RoomLoad;
+  /** When the worker last failed to save a checkpoint. */
+  checkpointFailedAt: Instant;
+  usageListeners: ((usage: WorkerUsage) => void)[];
 }
 
 /**
@@ -29,17 +32,20 @@
 
 /** The one runtime of an agent; the guards use the same tables as the task module. */
 export function taskRuntimeOf(context: AgentContext): TaskRuntime {
-  let runtime = runtimes.get(context);
-  if (runtime === undefined) {
-    runtime = {
-      context,
-      tasks: new TaskTable(),
-      reports: new ReportQueue(context),
-      draining: false,
-      loadOf: (entry) => ({ declared: entry.declared, learnt: null, measured: entry.measured }),
-    };
-    runtimes.set(context, runtime);
+  const known = runtimes.get(context);
+  if (known !== undefined) {
+    return known;
   }
+  const runtime: TaskRuntime = {
+    context,
+    tasks: new TaskTable(),
+    reports: new ReportQueue(context),
+    estimates: createEstimateTable(),
+    draining: false,
+    checkpointFailedAt: Number.NEGATIVE_INFINITY,
+    usageListeners: [],
+  };
+  runtimes.set(context, runtime);
   return runtime;
 }
 
@@ -54,11 +60,3 @@
     ? Math.max(context.leaseDeadline, context.clock.now() + INSTANCE_LEASE_MS)
     : context.leaseDeadline;
 }
-
-/** Everything that takes room: all but tasks that have left the worker. */
-export function roomLoads(runtime: TaskRuntime): RoomLoad[] {
-  return runtime.tasks
-    .all()
-    .filter((entry) => entry.phase !== TaskPhase.Ended)
-    .map((entry) => runtime.loadOf(entry));
-}
--- a/packages/agent/src/tasks/task-starter.ts
+++ b/packages/agent/src/tasks/task-starter.ts
@@ -3,7 +3,6 @@
  * incarnation and this attempt, so that late, repeated and outdated orders have no effect.
  */
 import { ErrorCode, errorCodeOf, toError } from '@figjunction/errors';
-import { refusalForRoom } from '@figjunction/decisions';
 import {
   AgentState,
   TRANSACTION_ITEMS_MAXIMUM,
@@ -16,6 +15,8 @@
 import { endTask, stopOnWorker } from './task-ender.js';
 import { TaskPhase } from './task-table.js';
 import type { TaskEntry } from './task-table.js';
+import { refusalFor } from './room-loads.js';
+import { controlThrottles } from './throttle-control.js';
 import { holdsLease, workerDeadline } from './task-runtime.js';
 import type { TaskRuntime } from './task-runtime.js';
 
@@ -152,14 +153,7 @@
   if (runtime.context.state === AgentState.Leaving) {
     return 'the agent is leaving';
   }
-  const others = runtime.tasks
-    .all()
-    .filter((other) => other !== entry && other.phase !== TaskPhase.Ended);
-  return refusalForRoom(
-    runtime.context.room.capacity,
-    others.map((other) => runtime.loadOf(other)),
-    { declared: entry.declared, learnt: null, measured: null },
-  );
+  return refusalFor(runtime, { ...entry, measured: null }, entry);
 }
 
 async function startOnWorker(runtime: TaskRuntime, entry: TaskEntry, row: TaskRow): Promise<void> {
@@ -180,6 +174,8 @@
     entry.startedAt = context.clock.now();
     context.heartbeatDue = true;
     context.metrics.count('tasks_started_total');
+    // A task of unknown size is throttled before it can take processors that others need.
+    await controlThrottles(runtime);
   } catch (error) {
     await handleStartFailure(runtime, entry, toError(error));
   }
--- a/packages/agent/src/tasks/task-table.ts
+++ b/packages/agent/src/tasks/task-table.ts
@@ -5,6 +5,7 @@
 import type { Instant } from '@figjunction/time';
 import type {
   AgentIncarnation,
+  DecisionRecord,
   KindName,
   Resources,
   TaskId,
@@ -29,6 +30,15 @@
   /** Save a checkpoint first and give the task back; otherwise drop it. */
   checkpoint: boolean;
   reason: string;
+  /** Keep the task when no checkpoint can be saved, instead of trying again. */
+  optional?: boolean;
+  decision?: DecisionRecord | null;
+}
+
+/** A throttle and when the worker took it, to read lagging measurements with the right one. */
+export interface ThrottleChange {
+  at: Instant;
+  throttle: number;
 }
 
 export interface TaskEntry {
@@ -37,7 +47,7 @@
   type: TaskType;
   kind: KindName;
   team: TeamName;
-  /** Size to count before anything is measured or learnt. */
+  /** Size that the entry reserved; before that, the one in the row. */
   declared: Resources;
   /** Key of the table row; null until it is known. */
   key: string | null;
@@ -51,8 +61,15 @@
   busy: boolean;
   /** When the worker accepted the start, or when the task was adopted. */
   startedAt: Instant;
+  /** Latest use, without the effect of the throttle. */
   measured: Resources | null;
+  /** What the worker applies now. */
   throttle: number;
+  throttleChanges: ThrottleChange[];
+  /** What the guards ask for; the overload control may ask for less. */
+  guardThrottle: number;
+  /** No new try of a failed exchange before this time. */
+  retryAt: Instant;
   progress: number;
   evictions: number;
 }
@@ -74,6 +91,8 @@
   startedAt: Number.NEGATIVE_INFINITY,
   measured: null,
   throttle: 1,
+  guardThrottle: 1,
+  retryAt: Number.NEGATIVE_INFINITY,
   progress: 0,
   evictions: 0,
 };
@@ -100,7 +119,7 @@
   }
 
   add(entry: NewTaskEntry): TaskEntry {
-    const row: TaskEntry = { ...BLANK, ...entry };
+    const row: TaskEntry = { ...BLANK, throttleChanges: [], ...entry };
     this.rows.set(row.taskId, row);
     return row;
   }
--- /dev/null
+++ b/packages/agent/src/tasks/throttle-control.ts
@@ -0,0 +1,59 @@
+/**
+ * Sets the throttles of batch tasks: the lower of what the guards ask for and what keeps the processors of
+ * the VM sufficient.
+ */
+import { planThrottles } from '@figjunction/decisions';
+import { TaskType } from '@figjunction/types';
+import { overloadTaskOf } from './room-loads.js';
+import { TaskPhase } from './task-table.js';
+import type { TaskEntry } from './task-table.js';
+import { holdsLease } from './task-runtime.js';
+import type { TaskRuntime } from './task-runtime.js';
+
+/** Smaller changes are not worth a call. */
+const SMALLEST_CHANGE = 0.02;
+
+/** Changes older than any measurement that may still arrive. */
+const HISTORY_MAXIMUM = 32;
+
+export async function controlThrottles(runtime: TaskRuntime): Promise<void> {
+  const { context, tasks } = runtime;
+  const running = tasks.inPhase(TaskPhase.Running, TaskPhase.Unadopted);
+  const throttles = planThrottles(
+    context.room.capacity,
+    running.map((entry) => overloadTaskOf(runtime, entry)),
+  );
+  const changes = running
+    .filter((entry) => entry.type === TaskType.Batch && entry.phase === TaskPhase.Running)
+    .map((entry) => ({
+      entry,
+      throttle: Math.min(entry.guardThrottle, throttles.get(entry.taskId) ?? 1),
+    }))
+    .filter(({ entry, throttle }) => isChange(entry.throttle, throttle));
+  await Promise.all(changes.map(({ entry, throttle }) => setThrottle(runtime, entry, throttle)));
+}
+
+/** The throttle under which a measurement was taken. */
+export function throttleAt(entry: TaskEntry, measuredAt: number): number {
+  const before = entry.throttleChanges.filter(({ at }) => at <= measuredAt);
+  return before[before.length - 1]?.throttle ?? 1;
+}
+
+function isChange(current: number, wanted: number): boolean {
+  return wanted !== current && (wanted === 1 || Math.abs(wanted - current) >= SMALLEST_CHANGE);
+}
+
+async function setThrottle(
+  { context }: TaskRuntime,
+  entry: TaskEntry,
+  throttle: number,
+): Promise<void> {
+  if (!holdsLease(context)) {
+    return;
+  }
+  const { incarnation } = context;
+  await context.worker.throttle(entry.taskId, { incarnation, attempt: entry.attempt, throttle });
+  entry.throttle = throttle;
+  entry.throttleChanges.push({ at: context.clock.now(), throttle });
+  entry.throttleChanges.splice(0, entry.throttleChanges.length - HISTORY_MAXIMUM);
+}
--- a/packages/agent/src/tasks/usage-poller.ts
+++ b/packages/agent/src/tasks/usage-poller.ts
@@ -1,35 +1,56 @@
 /**
- * Reads the worker's lagging usage measurements and notes them with the tasks.
+ * Reads the worker's lagging usage measurements, notes them with the tasks and learns from them. A
+ * throttled task shows fewer processors than it asks for, so its use is scaled back up.
  */
-import type { WorkerUsage } from '@figjunction/types';
+import { recordUsage } from '@figjunction/decisions';
+import type { Instant } from '@figjunction/time';
+import { TaskType } from '@figjunction/types';
+import type { TaskUsage } from '@figjunction/types';
+import { TaskPhase } from './task-table.js';
+import type { TaskEntry } from './task-table.js';
 import type { TaskRuntime } from './task-runtime.js';
-
-export type UsageListener = (usage: WorkerUsage) => void;
+import { throttleAt } from './throttle-control.js';
 
 export class UsagePoller {
-  private lastMeasuredAt = Number.NEGATIVE_INFINITY;
+  private lastMeasuredAt: Instant = Number.NEGATIVE_INFINITY;
 
-  constructor(
-    private readonly runtime: TaskRuntime,
-    private readonly listeners: UsageListener[],
-  ) {}
+  constructor(private readonly runtime: TaskRuntime) {}
 
   async poll(): Promise<void> {
-    const { context, tasks } = this.runtime;
+    const { context, usageListeners } = this.runtime;
     const usage = await context.worker.readUsage();
-    if (usage.measuredAtHostMs <= this.lastMeasuredAt) {
+    const { measuredAtHostMs: measuredAt } = usage;
+    if (measuredAt <= this.lastMeasuredAt) {
       return;
     }
-    this.lastMeasuredAt = usage.measuredAtHostMs;
-    context.room.usage = usage.tasks;
-    for (const { taskId, used } of usage.tasks) {
-      const entry = tasks.get(taskId);
-      if (entry !== undefined && usage.measuredAtHostMs > entry.startedAt) {
-        entry.measured = used;
-      }
+    this.lastMeasuredAt = measuredAt;
+    context.room.usage = usage.tasks.map((one) => this.note(one, measuredAt));
+    for (const listener of usageListeners) {
+      listener({ ...usage, tasks: context.room.usage });
+    }
+  }
+
+  private note(one: TaskUsage, measuredAt: Instant): TaskUsage {
+    const entry = this.runtime.tasks.get(one.taskId);
+    if (entry === undefined || entry.phase !== TaskPhase.Running || measuredAt < entry.startedAt) {
+      return one;
     }
-    for (const listener of this.listeners) {
-      listener(usage);
+    const used = withoutThrottle(entry, one, measuredAt);
+    entry.measured = used;
+    if (entry.type === TaskType.Batch && this.runtime.context.settings.policy.learning) {
+      const { taskId, kind } = entry;
+      recordUsage(this.runtime.estimates, { taskId, kind, used, measuredAt });
     }
+    return { ...one, used };
   }
 }
+
+function withoutThrottle(
+  entry: TaskEntry,
+  { used }: TaskUsage,
+  measuredAt: Instant,
+): TaskUsage['used'] {
+  const throttle = throttleAt(entry, measuredAt);
+  const processorMillicores = Math.round(used.processorMillicores / Math.max(throttle, 0.01));
+  return { ...used, processorMillicores };
+}
--- a/packages/agent/src/tasks/worker-poller.ts
+++ b/packages/agent/src/tasks/worker-poller.ts
@@ -2,6 +2,7 @@
  * Compares the worker's list of tasks with the agent's table: finds ends, starts whose answer was lost,
  * tasks that the worker lost, and tasks that nobody here knows.
  */
+import { recordRunTime } from '@figjunction/decisions';
 import type { Instant } from '@figjunction/time';
 import { TaskReportKind, TaskType, WorkerTaskState } from '@figjunction/types';
 import type { WorkerTask } from '@figjunction/types';
@@ -35,6 +36,9 @@
     phase: TaskPhase.Unadopted,
     incarnation: task.incarnation,
     throttle: task.throttle,
+    // The guards relax it step by step, as if they had set it.
+    guardThrottle: task.throttle,
+    throttleChanges: [{ at: Number.NEGATIVE_INFINITY, throttle: task.throttle }],
     progress: task.progress,
   });
 }
@@ -89,8 +93,9 @@
     return;
   }
   entry.progress = task.progress;
-  entry.throttle = task.throttle;
   if (task.state === WorkerTaskState.Completed && entry.type === TaskType.Batch) {
+    const now = runtime.context.clock.now();
+    recordRunTime(runtime.estimates, entry.kind, now - entry.startedAt, now);
     endTask(runtime, entry, { kind: TaskReportKind.Completed, reason: null });
   } else if (hasEnded(task)) {
     const reason = task.failureReason ?? `the task ended as ${task.state}`;
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -1,4 +1,7 @@
 /**
  * Pure scheduling decisions as systems over tables.
  */
+export * from './estimates/index.js';
+export * from './guards/index.js';
+export * from './interference/index.js';
 export * from './room/index.js';
--- /dev/null
+++ b/packages/decisions/src/interference/index.ts
@@ -0,0 +1,4 @@
+/**
+ * Slowdown between services and the batch work beside them.
+ */
+export * from './interference-table.js';
--- a/packages/decisions/src/room/index.ts
+++ b/packages/decisions/src/room/index.ts
@@ -1,5 +1,6 @@
 /**
- * Room on one VM: sums of sizes and admission.
+ * Room on one VM: sums of sizes, admission and overload.
  */
+export * from './overload.js';
 export * from './resource-arithmetic.js';
 export * from './room.js';
--- a/packages/decisions/src/room/resource-arithmetic.ts
+++ b/packages/decisions/src/room/resource-arithmetic.ts
@@ -17,11 +17,11 @@
   return combine(left, right, (a, b) => a - b);
 }
 
-export function largerResources(left: Resources, right: Resources): Resources {
+export function maximumOfResources(left: Resources, right: Resources): Resources {
   return combine(left, right, Math.max);
 }
 
-export function smallerResources(left: Resources, right: Resources): Resources {
+export function minimumOfResources(left: Resources, right: Resources): Resources {
   return combine(left, right, Math.min);
 }
 
@@ -42,7 +42,7 @@
   return sum;
 }
 
-export function fitsWithin(size: Resources, room: Resources): boolean {
+export function isWithinRoom(size: Resources, room: Resources): boolean {
   return (
     size.processorMillicores <= room.processorMillicores &&
     size.memoryMegabytes <= room.memoryMegabytes &&
