Add the platform clients and the write batcher

Cause: a lost answer of a conditional write leaves its effect open, and one transaction per row would exceed the table's write limit. Change: HTTP clients that tell a refusal from a lost answer; a batcher that settles lost answers by the rows' write ids, retries under a budget and reports a write as unknown when no row can tell.

--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,6 +1,13 @@
 /**
  * The table service and the object store of the platform: interfaces, clients, write batching.
  */
+export * from './backoff.js';
+export * from './http-object-store.js';
+export * from './http-table-service.js';
 export * from './object-store.js';
 export * from './platform-error.js';
+export * from './retry-budget.js';
 export * from './table-service.js';
+export * from './write-batcher.js';
+export { OVERTAKEN_VERSION } from './write-item.js';
+export type { WriteOutcome, WriteRequest } from './write-item.js';
--- a/packages/test-support/src/index.ts
+++ b/packages/test-support/src/index.ts
@@ -21,3 +21,5 @@
 export * from './harness/process-harness.js';
 export * from './harness/wait-until.js';
 export * from './relay/tcp-relay.js';
+export * from './contracts/object-store-contract.js';
+export * from './contracts/table-service-contract.js';
--- a/packages/test-support/src/platform/platform-faults.ts
+++ b/packages/test-support/src/platform/platform-faults.ts
@@ -71,26 +71,38 @@
 
   private refilledAt: Instant;
 
+  private lastRate: number;
+
   constructor(
     private readonly perSecond: () => number,
     private readonly clock: Clock = new SystemClock(),
   ) {
-    this.tokens = perSecond() * BURST_FRACTION;
+    this.lastRate = perSecond();
+    this.tokens = burstOf(this.lastRate);
     this.refilledAt = clock.now();
   }
 
   /** Takes one token; false when the rate is exceeded. */
   take(): boolean {
-    const now = this.clock.now();
-    const rate = this.perSecond();
-    const burst = Math.max(1, rate * BURST_FRACTION);
-    const gained = ((now - this.refilledAt) / MILLISECONDS_PER_SECOND) * rate;
-    this.tokens = Math.min(burst, this.tokens + gained);
-    this.refilledAt = now;
+    this.refill();
     if (this.tokens < 1) {
       return false;
     }
     this.tokens -= 1;
     return true;
   }
+
+  private refill(): void {
+    const now = this.clock.now();
+    const rate = this.perSecond();
+    const gained = ((now - this.refilledAt) / MILLISECONDS_PER_SECOND) * rate;
+    this.tokens =
+      rate === this.lastRate ? Math.min(burstOf(rate), this.tokens + gained) : burstOf(rate);
+    this.lastRate = rate;
+    this.refilledAt = now;
+  }
+}
+
+function burstOf(rate: number): number {
+  return Math.min(rate, Math.max(1, rate * BURST_FRACTION));
 }
