--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -1,4 +1,6 @@
 /**
  * Pure scheduling decisions as systems over tables.
  */
-export {};
+export * from './admission/index.js';
+export * from './routing/index.js';
+export * from './room/index.js';
