--- a/packages/test-support/src/index.ts
+++ b/packages/test-support/src/index.ts
@@ -23,3 +23,4 @@
 export * from './relay/tcp-relay.js';
 export * from './contracts/object-store-contract.js';
 export * from './contracts/table-service-contract.js';
+export * from './contracts/worker-contract.js';
