--- /dev/null
+++ b/packages/bench/src/measure/scenarios/start-rate.ts
@@ -0,0 +1,128 @@
+/**
+ * Stands for the peak of the target size: 120 task starts a second, sustained, at the table's write limit
+ * of 400 transactions a second, with urgent work among overnight work. Shows how long a task waits from
+ * its submission to its start on a worker, and what a start costs in the table.
+ */
+import { waitUntil } from '@figjunction/test-support';
+import type { Cluster, PlatformStats } from '@figjunction/test-support';
+import { submitJobs } from '../batch-load.js';
+import type { BatchLoadResult, JobWave } from '../batch-load.js';
+import { historiesOf } from '../execution-figures.js';
+import type { TaskHistory } from '../execution-figures.js';
+import { Latency } from '../latency.js';
+import { withMeasuredCluster } from '../measured-cluster.js';
+import type { Figures, Scenario } from '../scenario.js';
+import { OVERNIGHT_KIND, URGENT_KIND } from '../workload.js';
+
+const TEAMS = ['hotel', 'banquet', 'school', 'airline', 'clinic', 'station'];
+const AGENTS = 6;
+const ENTRIES = 2;
+const STARTS_PER_SECOND = 120;
+const SUBMIT_INTERVAL_MS = 100;
+const SUBMIT_DURATION_MS = 20_000;
+const FINISH_TIMEOUT_MS = 15_000;
+const TASK_DURATION_MS = 1_000;
+const URGENT_EVERY = 6;
+const MILLISECONDS_PER_SECOND = 1_000;
+const TASKS_PER_JOB = (STARTS_PER_SECOND * SUBMIT_INTERVAL_MS) / MILLISECONDS_PER_SECOND;
+const TASK_SIZE = { processorMillicores: 200, memoryMegabytes: 128, accelerators: 0 };
+
+export const startRate: Scenario = {
+  name: 'start-rate',
+  summary: '120 task starts a second at the table write limit, one in six urgent',
+  run: (run) =>
+    withMeasuredCluster(
+      {
+        run,
+        cluster: { entries: ENTRIES, agents: AGENTS },
+        workload: { instances: 0, teams: TEAMS, batchSize: TASK_SIZE },
+      },
+      async (cluster) => {
+        await cluster.platformControl.resetStats();
+        const submitted = await submitJobs({
+          cluster,
+          label: 'rate',
+          waves: createWaves(),
+          intervalMs: SUBMIT_INTERVAL_MS,
+          durationMs: SUBMIT_DURATION_MS,
+        });
+        const histories = await waitForStarts(cluster, submitted);
+        const stats = await cluster.platformControl.readStats();
+        return {
+          load: {
+            tasksPerSecond: STARTS_PER_SECOND,
+            seconds: SUBMIT_DURATION_MS / MILLISECONDS_PER_SECOND,
+            taskMs: TASK_DURATION_MS,
+            agents: AGENTS,
+            entries: ENTRIES,
+          },
+          figures: figuresOf(submitted, histories, stats),
+        };
+      },
+    ),
+};
+
+function createWaves(): JobWave[] {
+  return Array.from({ length: TEAMS.length * URGENT_EVERY }, (_value, index) => ({
+    team: TEAMS[index % TEAMS.length] ?? '',
+    // Shifted by one each round, so that every team submits both kinds.
+    kind:
+      (index + Math.floor(index / TEAMS.length)) % URGENT_EVERY === 0
+        ? URGENT_KIND
+        : OVERNIGHT_KIND,
+    tasksPerJob: TASKS_PER_JOB,
+    parameters: { durationMs: String(TASK_DURATION_MS) },
+  }));
+}
+
+/** Waits until every accepted task completed, at most for a bounded time. */
+async function waitForStarts(
+  cluster: Cluster,
+  submitted: BatchLoadResult,
+): Promise<Map<string, TaskHistory>> {
+  let histories = new Map<string, TaskHistory>();
+  const isDone = async (): Promise<boolean> => {
+    histories = historiesOf(await cluster.readExecutionLog(), [URGENT_KIND, OVERNIGHT_KIND]);
+    const completed = [...histories.values()].filter(({ completions }) => completions > 0);
+    return completed.length >= submitted.acceptedTasks;
+  };
+  await waitUntil(isDone, { timeoutMs: FINISH_TIMEOUT_MS, intervalMs: 500 }).catch(() => {});
+  return histories;
+}
+
+function figuresOf(
+  submitted: BatchLoadResult,
+  histories: Map<string, TaskHistory>,
+  stats: PlatformStats,
+): Figures {
+  const waits = { urgent: new Latency(), overnight: new Latency() };
+  const startTimes: number[] = [];
+  for (const [taskId, submittedAtMs] of submitted.submittedAtMs) {
+    const history = histories.get(taskId);
+    if (history !== undefined) {
+      startTimes.push(history.firstStartAtMs);
+      const latency = history.kind === URGENT_KIND ? waits.urgent : waits.overnight;
+      latency.record(history.firstStartAtMs - submittedAtMs);
+    }
+  }
+  const all = [...histories.values()];
+  const starts = all.reduce((sum, history) => sum + history.starts, 0);
+  const windowSeconds =
+    (Math.max(...startTimes) - Math.min(...startTimes)) / MILLISECONDS_PER_SECOND;
+  return {
+    acceptedTasks: submitted.acceptedTasks,
+    refusedJobs: submitted.refusedJobs,
+    startedTasks: startTimes.length,
+    completedTasks: all.filter(({ completions }) => completions > 0).length,
+    completedTwice: all.filter(({ completions }) => completions > 1).length,
+    startsPerSecond: startTimes.length > 1 ? startTimes.length / windowSeconds : null,
+    ...waits.urgent.figures('urgentStart'),
+    urgentStartMaximumMs: waits.urgent.maximumMs,
+    ...waits.overnight.figures('overnightStart'),
+    transactionsPerStart: starts === 0 ? null : stats.transactions / starts,
+    rowsPerStart: starts === 0 ? null : stats.rowsWritten / starts,
+    readsPerStart: starts === 0 ? null : stats.reads / starts,
+    conflicts: stats.conflicts,
+    throttled: stats.throttled,
+  };
+}
