--- a/packages/client/src/index.ts
+++ b/packages/client/src/index.ts
@@ -1,4 +1,7 @@
 /**
  * The figjunction command-line client.
  */
-export {};
+export * from './client-context.js';
+export * from './exit-code.js';
+export * from './run-client.js';
+export * from './terminal.js';
--- /dev/null
+++ b/packages/client/src/job-file.ts
@@ -0,0 +1,43 @@
+/**
+ * Reads the file of a job. The entry checks its content; here only what the client needs is checked.
+ */
+import { readFileSync } from 'node:fs';
+import { parseJsonWithComments } from '@figjunction/config';
+import { toError } from '@figjunction/errors';
+import { ClientError } from './client-error.js';
+import { ExitCode } from './exit-code.js';
+
+export interface JobFile {
+  jobId: string;
+  team: string;
+  kind: string;
+  urgency?: string;
+  tasks: { name: string; parameters: Record<string, string> }[];
+}
+
+export function readJobFile(file: string, jobId: string | undefined): JobFile {
+  const fields = parseJsonWithComments(readText(file), file);
+  if ('problems' in fields) {
+    throw invalid(file, 'it is not JSON');
+  }
+  const job = { ...(fields.value as JobFile), ...(jobId === undefined ? {} : { jobId }) };
+  if (typeof job.jobId !== 'string' || typeof job.team !== 'string' || !Array.isArray(job.tasks)) {
+    throw invalid(file, '"jobId", "team", "kind" and "tasks" are needed');
+  }
+  return job;
+}
+
+function readText(file: string): string {
+  try {
+    return readFileSync(file, 'utf8');
+  } catch (error) {
+    throw invalid(file, toError(error).message);
+  }
+}
+
+function invalid(file: string, reason: string): ClientError {
+  return new ClientError(`${file} is no job: ${reason}`, {
+    exitCode: ExitCode.InvalidFile,
+    nextStep: 'see examples/overnight-menus.jsonc for the form',
+  });
+}
--- a/packages/config/src/index.ts
+++ b/packages/config/src/index.ts
@@ -5,6 +5,7 @@
 export * from './configuration-problem.js';
 export * from './load-settings.js';
 export * from './operator-configuration.js';
+export { parseJsonWithComments } from './parse-document.js';
 export * from './parse-operator-configuration.js';
 export * from './process-settings.js';
 export * from './setting-overrides.js';
--- a/packages/config/src/parse-document.ts
+++ b/packages/config/src/parse-document.ts
@@ -106,3 +106,12 @@
   }
   return definition;
 }
+
+/** Parses JSON with comments without a schema. */
+export function parseJsonWithComments(
+  text: string,
+  fileName: string,
+): { value: unknown } | { problems: ConfigurationProblem[] } {
+  const { problems, value } = new ConfigurationDocument(text, fileName);
+  return problems.length > 0 ? { problems } : { value };
+}
--- a/packages/entry/src/operators/configuration-routes.ts
+++ b/packages/entry/src/operators/configuration-routes.ts
@@ -56,6 +56,11 @@
 
 async function showConfiguration(context: EntryContext, match: RouteMatch): Promise<void> {
   authenticateOperator(context, match.request);
+  const wanted = match.query.get('revision');
+  if (wanted !== null) {
+    await showRevision(context, match, Number(wanted));
+    return;
+  }
   const row = (await readCurrentRow(context).catch(() => null))?.value;
   const inForce = context.configuration.current();
   if (row !== undefined && row.revision >= context.configuration.revision()) {
@@ -74,6 +79,22 @@
   });
 }
 
+/** An earlier revision, for as long as the history names it. */
+async function showRevision(
+  context: EntryContext,
+  match: RouteMatch,
+  wanted: number,
+): Promise<void> {
+  const row = (await readCurrentRow(context))?.value;
+  const found = [row, ...(row?.history ?? [])].find((candidate) => candidate?.revision === wanted);
+  if (found === undefined) {
+    throw new EntryError(`revision ${wanted} is not in the history`, { code: ErrorCode.NotFound });
+  }
+  const { revision, bodyHash, appliedBy, appliedAt } = found;
+  const body = await readBodyOf(context, found);
+  sendJson(match.response, 200, { revision, bodyHash, appliedBy, appliedAt, body });
+}
+
 async function showHistory(context: EntryContext, match: RouteMatch): Promise<void> {
   authenticateOperator(context, match.request);
   const row = (await readCurrentRow(context))?.value;
