--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -3,3 +3,4 @@
  */
 export * from './admission/index.js';
 export * from './routing/index.js';
+export * from './room/index.js';
