--- a/packages/config/src/index.ts
+++ b/packages/config/src/index.ts
@@ -3,6 +3,7 @@
  */
 export * from './compare-configurations.js';
 export * from './configuration-problem.js';
+export * from './configuration-schema.js';
 export * from './load-settings.js';
 export * from './operator-configuration.js';
 export { parseJsonWithComments } from './parse-document.js';
