Add the task side of the entry

Cause: an entry had no part that stores, places and recovers tasks. Change: shards, the task table, job API, instances, placement, claims, reports, leases, fencing, order repair, holds, proposals and retention.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -1,4 +1,5 @@
 /**
  * Pure scheduling decisions as systems over tables.
  */
-export {};
+export * from './placement/index.js';
+export * from './quarantine/index.js';
--- /dev/null
+++ b/packages/decisions/src/quarantine/index.ts
@@ -0,0 +1,4 @@
+/**
+ * Quarantine of workers that fail many kinds and of kinds that fail on many workers.
+ */
+export * from './failure-history.js';
--- /dev/null
+++ b/packages/entry/src/tasks/cancellation.ts
@@ -0,0 +1,75 @@
+/**
+ * Cancellation: the row changes first, which fences a running task, then its agent is told to stop. The
+ * writes of a wave share transactions and the stop orders to one agent share a message.
+ */
+import { DecisionKind, TaskState } from '@figjunction/types';
+import type { TaskRow } from '@figjunction/types';
+import { taskDecision } from './task-context.js';
+import type { TaskContext } from './task-context.js';
+import { TaskWriteKind } from './task-store.js';
+import type { TaskEntry } from './task-table.js';
+import { isEnded } from './task-transitions.js';
+
+const ATTEMPTS_MAXIMUM = 5;
+const CANCEL_TIMEOUT_MS = 10_000;
+
+/** Cancels rows and returns how many were cancelled by this call. */
+export async function cancelRows(
+  context: TaskContext,
+  rows: TaskEntry[],
+  reason: string,
+): Promise<number> {
+  const results = await Promise.all(rows.map((row) => cancelRow(context, row, reason)));
+  return results.filter(Boolean).length;
+}
+
+export async function cancelRow(
+  context: TaskContext,
+  entry: TaskEntry,
+  reason: string,
+): Promise<boolean> {
+  let current: TaskEntry | null = entry;
+  for (let attempt = 0; attempt < ATTEMPTS_MAXIMUM && current !== null; attempt += 1) {
+    const before: TaskEntry = current;
+    if (isEnded(before.value.state)) {
+      return false;
+    }
+    const result = await context.store.write(
+      before.key,
+      before,
+      cancelledRow(context, before.value, reason),
+      { kind: TaskWriteKind.Cancel, timeoutMs: CANCEL_TIMEOUT_MS },
+    );
+    if (result.applied) {
+      stopHolder(context, before.value, reason);
+      context.entry.metrics.count('tasks_cancelled_total');
+      return true;
+    }
+    current = result.current;
+  }
+  return false;
+}
+
+function cancelledRow(context: TaskContext, row: TaskRow, reason: string): TaskRow {
+  const decision = taskDecision(context.entry, row, {
+    kind: DecisionKind.Cancel,
+    decision: reason,
+    inputs: [{ name: 'stateBefore', value: row.state }],
+  });
+  context.entry.decisions.add(decision);
+  return {
+    ...row,
+    state: TaskState.Cancelled,
+    holder: null,
+    reason,
+    lastDecision: decision,
+    endedAtMs: context.entry.clock.wallTimeMs(),
+  };
+}
+
+function stopHolder(context: TaskContext, row: TaskRow, reason: string): void {
+  if (row.holder !== null) {
+    const { holder, taskId, attempt } = row;
+    context.orders.stop({ holder, taskId, attempt, checkpoint: false, reason });
+  }
+}
--- a/packages/entry/src/tasks/index.ts
+++ b/packages/entry/src/tasks/index.ts
@@ -3,8 +3,8 @@
  */
 import type { EntryContext } from '../entry-context.js';
 import type { EntryModule } from '../entry-module.js';
+import { createTaskParts } from './task-module.js';
 
-// eslint-disable-next-line @typescript-eslint/no-unused-vars
 export function createTaskModule(context: EntryContext): EntryModule {
-  return {};
+  return createTaskParts(context).module;
 }
--- /dev/null
+++ b/packages/entry/src/tasks/placement-system.ts
@@ -0,0 +1,165 @@
+/**
+ * The placement tick: plans with the tables of this moment and hands the planned tasks of each VM to a
+ * procedure that runs beside the loop.
+ */
+import type { OperatorConfiguration } from '@figjunction/config';
+import { planPlacements } from '@figjunction/decisions';
+import type {
+  InterferenceEstimate,
+  Placement,
+  PlacementTask,
+  PlacementVm,
+} from '@figjunction/decisions';
+import type { Instant } from '@figjunction/time';
+import { ApprovalMode, PlacementMode, TaskState } from '@figjunction/types';
+import type { AgentId } from '@figjunction/types';
+import { ClaimProcedure } from './claim-procedure.js';
+import { LeaseReader } from './lease-reader.js';
+import { PendingDelays } from './pending-delays.js';
+import { placementTask, placementTeams, placementVms } from './placement-view.js';
+import type { LearntSize } from './placement-view.js';
+import type { ProposalBook } from './proposal-book.js';
+import { configurationOf, runAside, scopeOf } from './task-context.js';
+import type { TaskContext } from './task-context.js';
+import type { TaskEntry } from './task-table.js';
+import { shardOfRow } from './task-identifiers.js';
+import { WaitingLog } from './waiting-log.js';
+
+/** More tasks of one group than a tick can place need not be looked at. */
+const GROUP_MAXIMUM = 64;
+/** An agent that did not answer a reservation gets no further one for this time. */
+const SILENT_AGENT_PAUSE_MS = 1_000;
+
+export interface PlacementSystemOptions {
+  context: TaskContext;
+  proposals: ProposalBook;
+  learntSize: LearntSize;
+  interference: InterferenceEstimate;
+}
+
+export class PlacementSystem {
+  private readonly delays = new PendingDelays();
+
+  private readonly waiting: WaitingLog;
+
+  private readonly claims: ClaimProcedure;
+
+  private readonly pausedAgents = new Map<AgentId, Instant>();
+
+  /** Heartbeat of each agent that the last pull round used. */
+  private readonly pulledHeartbeats = new Map<AgentId, Instant>();
+
+  constructor(private readonly options: PlacementSystemOptions) {
+    const { context } = options;
+    this.waiting = new WaitingLog(context.entry);
+    this.claims = new ClaimProcedure(context, new LeaseReader(context.entry.table));
+  }
+
+  run(now: Instant): void {
+    const { context } = this.options;
+    context.reservations.dropExpired(now);
+    const configuration = configurationOf(context);
+    if (configuration === null || !context.entry.configuration.isConfirmed(now)) {
+      context.orders.dropStarts();
+      return;
+    }
+    const tasks = this.collectTasks(configuration, now);
+    if (tasks.length === 0) {
+      return;
+    }
+    const plan = planPlacements({
+      tasks,
+      vms: this.usableVms(now),
+      teams: placementTeams(context, configuration),
+      weights: configuration.weights,
+      random: context.entry.random,
+      interference: context.entry.settings.policy.interference
+        ? this.options.interference
+        : undefined,
+    });
+    this.waiting.note(plan.waiting, (key) => context.store.rows.get(key), now);
+    this.carryOut(configuration, plan.placements, now);
+  }
+
+  private collectTasks(configuration: OperatorConfiguration, now: Instant): PlacementTask[] {
+    const { context, proposals, learntSize } = this.options;
+    const groupSizes = new Map<string, number>();
+    const tasks: PlacementTask[] = [];
+    for (const entry of context.store.rows.inState(TaskState.Pending)) {
+      const { team, kind, urgency } = entry.value;
+      const group = `${team}|${kind}|${urgency}`;
+      const groupSize = groupSizes.get(group) ?? 0;
+      if (groupSize < GROUP_MAXIMUM && this.isReady(entry, now)) {
+        const needsApproval = this.needsApproval(configuration, entry);
+        const approved = needsApproval ? proposals.approvedFor(entry.value) : null;
+        if (!needsApproval || approved !== null || !proposals.hasOpen(entry.value)) {
+          const task = placementTask(configuration, entry, learntSize, approved?.agentId ?? null);
+          if (task !== null) {
+            groupSizes.set(group, groupSize + 1);
+            tasks.push(task);
+          }
+        }
+      }
+    }
+    return tasks;
+  }
+
+  private isReady(entry: TaskEntry, now: Instant): boolean {
+    const { context } = this.options;
+    return (
+      !context.store.isBusy(entry.key) &&
+      context.shards.isServed(shardOfRow(entry.value)) &&
+      this.delays.isDue(entry, now)
+    );
+  }
+
+  private needsApproval(configuration: OperatorConfiguration, { value }: TaskEntry): boolean {
+    return scopeOf(configuration, value)?.placement === ApprovalMode.Approval;
+  }
+
+  private usableVms(now: Instant): PlacementVm[] {
+    const { agents, settings } = this.options.context.entry;
+    return placementVms(this.options.context, now).map((vm) => {
+      if (now < (this.pausedAgents.get(vm.agentId) ?? Number.NEGATIVE_INFINITY)) {
+        return { ...vm, startsAllowed: 0, limitReason: 'it did not answer the last reservation' };
+      }
+      const lastHeard = agents.get(vm.agentId)?.lastHeard;
+      const isUsed = lastHeard === this.pulledHeartbeats.get(vm.agentId);
+      if (settings.policy.placementMode === PlacementMode.Pull && isUsed) {
+        return { ...vm, startsAllowed: 0, limitReason: 'it has not asked for more work' };
+      }
+      return vm;
+    });
+  }
+
+  private carryOut(
+    configuration: OperatorConfiguration,
+    placements: Placement[],
+    now: Instant,
+  ): void {
+    const { context, proposals } = this.options;
+    const byAgent = new Map<AgentId, Placement[]>();
+    for (const placement of placements) {
+      const entry = context.store.rows.get(placement.task.key);
+      if (entry !== undefined) {
+        if (this.needsApproval(configuration, entry) && placement.task.onlyVm === null) {
+          runAside(context, 'propose', () => proposals.propose(entry, placement));
+        } else {
+          byAgent.set(placement.agentId, [...(byAgent.get(placement.agentId) ?? []), placement]);
+        }
+      }
+    }
+    for (const [agentId, group] of byAgent) {
+      const agent = context.entry.agents.get(agentId);
+      if (agent !== undefined) {
+        this.pulledHeartbeats.set(agentId, agent.lastHeard);
+        runAside(context, 'place', async () => {
+          const answered = await this.claims.place(agent, group);
+          if (!answered) {
+            this.pausedAgents.set(agentId, now + SILENT_AGENT_PAUSE_MS);
+          }
+        });
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/entry/src/tasks/placement-view.ts
@@ -0,0 +1,147 @@
+/**
+ * Builds the tables over which placement runs, from rows, heartbeats and reservations in progress.
+ */
+import type { OperatorConfiguration } from '@figjunction/config';
+import { largerResources } from '@figjunction/decisions';
+import type { PlacementTask, PlacementTeam, PlacementVm } from '@figjunction/decisions';
+import type { Instant } from '@figjunction/time';
+import { PlacementMode } from '@figjunction/types';
+import type { KindName, Resources, TaskRow } from '@figjunction/types';
+import type { KnownAgent } from '../agent-directory.js';
+import { scopeOf } from './task-context.js';
+import type { TaskContext } from './task-context.js';
+import type { TaskEntry } from './task-table.js';
+
+/** What is learnt about the true size of a kind; null when nothing is known. */
+export type LearntSize = (row: Pick<TaskRow, 'type' | 'kind'>) => Resources | null;
+
+/** The larger of the declared and the learnt size. The configuration in force overrides the row's. */
+export function sizeOf(
+  configuration: OperatorConfiguration,
+  row: Pick<TaskRow, 'type' | 'kind' | 'declaredSize'>,
+  learntSize: LearntSize,
+): Resources {
+  const declared = scopeOf(configuration, row)?.size ?? row.declaredSize;
+  const learnt = learntSize(row);
+  return learnt === null ? declared : largerResources(declared, learnt);
+}
+
+export function placementTask(
+  configuration: OperatorConfiguration,
+  { key, value }: TaskEntry,
+  learntSize: LearntSize,
+  onlyVm: string | null,
+): PlacementTask | null {
+  const scope = scopeOf(configuration, value);
+  if (scope === undefined) {
+    return null;
+  }
+  const urgencyClass = configuration.urgencyClasses.find(({ name }) => name === value.urgency);
+  return {
+    key,
+    type: value.type,
+    team: value.team,
+    kind: value.kind,
+    urgencyRank: urgencyClass?.rank ?? Number.MAX_SAFE_INTEGER,
+    size: sizeOf(configuration, value, learntSize),
+    allowed: scope.allowed,
+    failedOn: value.failedOn,
+    order: value.submittedAtMs,
+    instancesPerVm: 'instancesPerVm' in scope ? scope.instancesPerVm : null,
+    onlyVm,
+  };
+}
+
+export function placementTeams(
+  context: TaskContext,
+  configuration: OperatorConfiguration,
+): PlacementTeam[] {
+  const reserved = new Map<string, { tasks: number; millicores: number }>();
+  for (const { key, team, size } of context.reservations.all()) {
+    if (context.store.rows.get(key)?.value.holder === null) {
+      const sum = reserved.get(team) ?? { tasks: 0, millicores: 0 };
+      reserved.set(team, {
+        tasks: sum.tasks + 1,
+        millicores: sum.millicores + size.processorMillicores,
+      });
+    }
+  }
+  return configuration.teams.map((team) => {
+    const usage = context.store.rows.usageOf(team.name);
+    return {
+      name: team.name,
+      weight: team.weight,
+      runningTasks: usage.runningTasks + (reserved.get(team.name)?.tasks ?? 0),
+      runningTasksMaximum: team.runningTasks,
+      processorMillicores: usage.processorMillicores + (reserved.get(team.name)?.millicores ?? 0),
+      processorMillicoresMaximum: team.processorMillicores,
+    };
+  });
+}
+
+/** All agents as VMs; those that take no starts now are limited with the reason. */
+export function placementVms(context: TaskContext, now: Instant): PlacementVm[] {
+  return context.entry.agents.all().map((agent) => placementVm(context, agent, now));
+}
+
+function placementVm(context: TaskContext, agent: KnownAgent, now: Instant): PlacementVm {
+  const limit = startLimit(context, agent, now);
+  return {
+    agentId: agent.agentId,
+    location: agent.location,
+    capacity: agent.capacity,
+    free: context.reservations.freeOf(agent),
+    kinds: countKinds(context, agent),
+    hostsService: agent.instances.length > 0,
+    startsAllowed: limit.starts,
+    limitReason: limit.reason,
+    kindStarts: context.entry.settings.policy.quarantine
+      ? context.failures.kindStarts(agent.agentId, now)
+      : new Map(),
+  };
+}
+
+function startLimit(
+  context: TaskContext,
+  agent: KnownAgent,
+  now: Instant,
+): { starts: number; reason: string | null } {
+  const { policy } = context.entry.settings;
+  if (!context.entry.agents.serving().includes(agent)) {
+    return { starts: 0, reason: `it is ${agent.state}` };
+  }
+  if (!agent.confirmed) {
+    return { starts: 0, reason: 'it has not confirmed the configuration' };
+  }
+  if (context.reservations.isAwaited(agent.agentId)) {
+    return { starts: 0, reason: 'it has not answered the last reservation' };
+  }
+  if (policy.placementMode === PlacementMode.Pull && !agent.wantsWork) {
+    return { starts: 0, reason: 'it does not ask for work' };
+  }
+  return policy.quarantine
+    ? context.failures.allowance(agent.agentId, now)
+    : { starts: Number.POSITIVE_INFINITY, reason: null };
+}
+
+/** Kinds on a VM: what its rows say, what its heartbeat measures, and what is being placed on it. */
+function countKinds(context: TaskContext, agent: KnownAgent): Map<KindName, number> {
+  const kindOf = new Map<string, KindName>();
+  for (const { taskId, kind } of agent.usage) {
+    kindOf.set(taskId, kind);
+  }
+  for (const { taskId, service } of agent.instances) {
+    kindOf.set(taskId, service);
+  }
+  for (const { value } of context.store.rows.heldBy(agent.agentId)) {
+    kindOf.set(value.taskId, value.kind);
+  }
+  for (const { key, kind } of context.reservations.ofAgent(agent.agentId)) {
+    kindOf.set(key.slice(key.lastIndexOf('/') + 1), kind);
+  }
+  const counts = new Map<KindName, number>();
+  for (const kind of kindOf.values()) {
+    counts.set(kind, (counts.get(kind) ?? 0) + 1);
+  }
+  return counts;
+}
--- /dev/null
+++ b/packages/entry/src/tasks/retention.ts
@@ -0,0 +1,92 @@
+/**
+ * Deletes rows that ended longer ago than the retention time, a few at a time. Tasks are swept by the
+ * owner of their shard; claims and proposals by the entry that ranks first for their prefix.
+ */
+import { deadlineAfter } from '@figjunction/time';
+import type { Instant } from '@figjunction/time';
+import {
+  CLAIM_PREFIX,
+  PROPOSAL_PREFIX,
+  ProposalState,
+  SCAN_ROWS_MAXIMUM,
+} from '@figjunction/types';
+import type { ClaimRow, ProposalRow, TableScanResult, VersionedRow } from '@figjunction/types';
+import { runAside } from './task-context.js';
+import type { TaskContext } from './task-context.js';
+
+const RETENTION_MS = 24 * 60 * 60 * 1_000;
+const DELETIONS_MAXIMUM = 128;
+const DELETION_TIMEOUT_MS = 10_000;
+
+type StoredRow = VersionedRow<ClaimRow | ProposalRow>;
+
+export class RetentionSweep {
+  /** Where the next page of each prefix starts. */
+  private readonly positions = new Map<string, string>();
+
+  private sweeping = false;
+
+  constructor(private readonly context: TaskContext) {}
+
+  /** Sweeps one step; a step that is still in progress is not overtaken. */
+  run(now: Instant): void {
+    if (this.sweeping || !this.context.entry.configuration.isConfirmed(now)) {
+      return;
+    }
+    this.sweeping = true;
+    runAside(this.context, 'retention', async () => {
+      try {
+        await this.sweepTasks();
+        await this.sweepPrefix(CLAIM_PREFIX);
+        await this.sweepPrefix(PROPOSAL_PREFIX);
+      } finally {
+        this.sweeping = false;
+      }
+    });
+  }
+
+  private async sweepTasks(): Promise<void> {
+    const { store, entry, shards } = this.context;
+    const endedBefore = entry.clock.wallTimeMs() - RETENTION_MS;
+    const expired = store.rows
+      .endedBefore(endedBefore, DELETIONS_MAXIMUM)
+      .filter(({ key, shard }) => !store.isBusy(key) && shards.isServed(shard));
+    await Promise.all(
+      expired.map(({ key, version }) =>
+        store.remove(key, version, { timeoutMs: DELETION_TIMEOUT_MS }),
+      ),
+    );
+    entry.metrics.count('tasks_swept_total', {}, expired.length);
+  }
+
+  private async sweepPrefix(prefix: string): Promise<void> {
+    if (!this.context.entry.peers.owns(`retention/${prefix}`)) {
+      return;
+    }
+    const page: TableScanResult<ClaimRow | ProposalRow> = await this.context.entry.table.scan({
+      prefix,
+      after: this.positions.get(prefix) ?? '',
+      limit: SCAN_ROWS_MAXIMUM,
+    });
+    this.positions.set(prefix, page.nextAfter ?? '');
+    const before = this.context.entry.clock.wallTimeMs() - RETENTION_MS;
+    const expired = page.rows.filter((row) => isExpired(row, before)).slice(0, DELETIONS_MAXIMUM);
+    await Promise.all(
+      expired.map(({ key, version }) =>
+        this.context.leaseWriter.submit({
+          key,
+          expectedVersion: version,
+          value: null,
+          deadline: deadlineAfter(this.context.entry.clock, DELETION_TIMEOUT_MS),
+        }),
+      ),
+    );
+  }
+}
+
+function isExpired({ value }: StoredRow, before: number): boolean {
+  if ('proposalId' in value) {
+    return value.state !== ProposalState.Open && value.createdAtMs < before;
+  }
+  return value.claimedAtMs < before;
+}
--- /dev/null
+++ b/packages/entry/src/tasks/task-context.ts
@@ -0,0 +1,98 @@
+/**
+ * What the task systems of an entry share.
+ */
+import type {
+  BatchKindConfiguration,
+  OperatorConfiguration,
+  ServiceConfiguration,
+} from '@figjunction/config';
+import { FailureHistory } from '@figjunction/decisions';
+import type { Instant } from '@figjunction/time';
+import { DecisionKind, ExplainSubject, TaskType } from '@figjunction/types';
+import type {
+  DecisionInput,
+  DecisionRecord,
+  RejectedAlternative,
+  TaskRow,
+} from '@figjunction/types';
+import type { EntryContext } from '../entry-context.js';
+import type { AgentOrders } from './agent-orders.js';
+import type { LeaseTracker } from './lease-tracker.js';
+import type { ReservationTable } from './reservation-table.js';
+import type { ShardLoader } from './shard-loader.js';
+import type { RowWriter, TaskStore } from './task-store.js';
+
+export interface TaskContext {
+  entry: EntryContext;
+  store: TaskStore;
+  /** Batches writes of rows other than tasks: leases and proposals. */
+  leaseWriter: RowWriter;
+  shards: ShardLoader;
+  orders: AgentOrders;
+  reservations: ReservationTable;
+  leases: LeaseTracker;
+  failures: FailureHistory;
+  /** When this process began to serve; a younger one does not know the whole fleet yet. */
+  startedAt: Instant;
+}
+
+export interface DecisionDraft {
+  kind: DecisionKind;
+  decision: string;
+  inputs?: DecisionInput[];
+  rejected?: RejectedAlternative[];
+}
+
+/** A decision about a task, for its row and for the log of this process. */
+export function taskDecision(
+  entry: EntryContext,
+  row: Pick<TaskRow, 'taskId' | 'team'>,
+  draft: DecisionDraft,
+): DecisionRecord {
+  const { kind, decision, inputs = [], rejected = [] } = draft;
+  return {
+    subject: ExplainSubject.Run,
+    subjectId: row.taskId,
+    kind,
+    decidedAt: new Date(entry.clock.wallTimeMs()).toISOString(),
+    decidedBy: entry.settings.entryId,
+    configurationRevision: entry.configuration.revision(),
+    decision,
+    inputs,
+    rejected,
+    team: row.team === '' ? null : row.team,
+  };
+}
+
+/** A decision about a VM, for the log of this process. */
+export function vmDecision(
+  entry: EntryContext,
+  agentId: string,
+  draft: DecisionDraft,
+): DecisionRecord {
+  const record = taskDecision(entry, { taskId: agentId, team: '' }, draft);
+  return { ...record, subject: ExplainSubject.Vm };
+}
+
+export function configurationOf(context: TaskContext): OperatorConfiguration | null {
+  return context.entry.configuration.current()?.configuration ?? null;
+}
+
+/** The configuration of a task's kind or service; undefined when it was removed. */
+export function scopeOf(
+  configuration: OperatorConfiguration,
+  row: Pick<TaskRow, 'type' | 'kind'>,
+): BatchKindConfiguration | ServiceConfiguration | undefined {
+  return row.type === TaskType.Instance
+    ? configuration.services.find(({ name }) => name === row.kind)
+    : configuration.batchKinds.find(({ name }) => name === row.kind);
+}
+
+/** Runs a procedure beside the loop; its failure is counted and the next tick tries again. */
+export function runAside(context: TaskContext, name: string, run: () => Promise<void>): void {
+  run().catch((error: unknown) => {
+    context.entry.metrics.count('task_procedures_failed_total', { procedure: name });
+    const message = error instanceof Error ? error.message : String(error);
+    context.entry.logger.debug({ procedure: name, error: message }, 'task procedure failed');
+  });
+}
--- /dev/null
+++ b/packages/entry/src/tasks/task-reports.ts
@@ -0,0 +1,249 @@
+/**
+ * Reports of agents about their tasks. A report is settled when the row shows it or has moved on; a
+ * report that could not be written is repeated by the agent.
+ */
+import type { FailureHistory } from '@figjunction/decisions';
+import { DecisionKind, TaskReportKind, TaskState, TaskType } from '@figjunction/types';
+import type {
+  TaskReport,
+  TaskReportParameters,
+  TaskReportResult,
+  TaskRow,
+} from '@figjunction/types';
+import { isSurplusInstance } from './instance-rules.js';
+import { configurationOf, taskDecision, vmDecision } from './task-context.js';
+import type { TaskContext } from './task-context.js';
+import type { TaskEntry } from './task-table.js';
+import { TaskWriteKind } from './task-store.js';
+
+const ATTEMPTS_MAXIMUM = 4;
+const REPORT_TIMEOUT_MS = 4_000;
+const FAILED_ON_MAXIMUM = 16;
+
+interface Settlement {
+  settled: boolean;
+  applied: boolean;
+}
+
+const OVERTAKEN: Settlement = { settled: true, applied: false };
+const SHOWN: Settlement = { settled: true, applied: true };
+const NOT_WRITTEN: Settlement = { settled: false, applied: false };
+
+export async function handleReports(
+  context: TaskContext,
+  { reports }: TaskReportParameters,
+): Promise<TaskReportResult> {
+  const fresh = await readUnknownRows(context, reports);
+  const settlements = await Promise.all(
+    reports.map((report) =>
+      settle(context, report, context.store.rows.get(report.key) ?? fresh.get(report.key) ?? null),
+    ),
+  );
+  return {
+    settled: settlements.map(({ settled }) => settled),
+    applied: settlements.map(({ applied }) => applied),
+  };
+}
+
+/** Reads in one call the rows whose known copy does not match the report, or which are not known. */
+async function readUnknownRows(
+  context: TaskContext,
+  reports: TaskReport[],
+): Promise<Map<string, TaskEntry>> {
+  const keys = reports
+    .filter((report) => !isHolder(context.store.rows.get(report.key)?.value, report))
+    .map(({ key }) => key);
+  try {
+    const entries = await context.store.refreshAll([...new Set(keys)]);
+    return new Map(entries.flatMap((entry) => (entry === null ? [] : [[entry.key, entry]])));
+  } catch {
+    return new Map();
+  }
+}
+
+async function settle(
+  context: TaskContext,
+  report: TaskReport,
+  known: TaskEntry | null,
+): Promise<Settlement> {
+  try {
+    let entry = known;
+    for (let attempt = 0; attempt < ATTEMPTS_MAXIMUM; attempt += 1) {
+      if (entry === null || !isHolder(entry.value, report)) {
+        // Only the table itself may say that a report was overtaken; a copy may be stale.
+        entry = await context.store.refresh(report.key);
+        if (entry === null || !isHolder(entry.value, report)) {
+          return shows(entry?.value, report) ? SHOWN : OVERTAKEN;
+        }
+      }
+      const value = rowAfter(context, entry.value, report);
+      if (value === null) {
+        return SHOWN;
+      }
+      const result = await context.store.write(entry.key, entry, value, {
+        kind: TaskWriteKind.Report,
+        timeoutMs: REPORT_TIMEOUT_MS,
+      });
+      if (result.applied) {
+        noteEnd(context, entry.value, report);
+        return SHOWN;
+      }
+      entry = result.current;
+    }
+    return NOT_WRITTEN;
+  } catch {
+    context.entry.metrics.count('task_reports_failed_total');
+    return NOT_WRITTEN;
+  }
+}
+
+function isHolder(row: TaskRow | undefined, report: TaskReport): boolean {
+  return (
+    row?.state === TaskState.Running &&
+    row.attempt === report.attempt &&
+    row.holder?.agentId === report.holder.agentId &&
+    row.holder.incarnation === report.holder.incarnation
+  );
+}
+
+/** Whether a row that the reporter no longer holds got its state from an earlier copy of the report. */
+function shows(row: TaskRow | undefined, report: TaskReport): boolean {
+  if (row === undefined || row.attempt !== report.attempt) {
+    return false;
+  }
+  switch (report.kind) {
+    case TaskReportKind.Completed:
+      return row.state === TaskState.Completed;
+    case TaskReportKind.Failed:
+      return row.holder === null && row.failedOn[row.failedOn.length - 1] === report.holder.agentId;
+    case TaskReportKind.Evicted:
+      return row.holder === null && row.checkpointKey === report.checkpointKey;
+    default:
+      return false;
+  }
+}
+
+/** The row that a report leads to; null when the row already says it. */
+function rowAfter(context: TaskContext, row: TaskRow, report: TaskReport): TaskRow | null {
+  switch (report.kind) {
+    case TaskReportKind.Completed:
+      return completedRow(context, row, report);
+    case TaskReportKind.Failed:
+      return failedRow(context, row, report);
+    case TaskReportKind.Evicted:
+      return evictedRow(context, row, report);
+    case TaskReportKind.Checkpointed:
+      return { ...row, checkpointKey: report.checkpointKey ?? row.checkpointKey };
+    default:
+      // The agent wrote the adoption itself; the row names it.
+      return null;
+  }
+}
+
+function completedRow(context: TaskContext, row: TaskRow, report: TaskReport): TaskRow {
+  if (row.type === TaskType.Instance) {
+    return endedInstanceRow(context, row, report);
+  }
+  return {
+    ...row,
+    state: TaskState.Completed,
+    holder: null,
+    reason: null,
+    endedAtMs: context.entry.clock.wallTimeMs(),
+  };
+}
+
+function failedRow(context: TaskContext, row: TaskRow, report: TaskReport): TaskRow {
+  const failed = {
+    ...row,
+    failures: row.failures + 1,
+    failedOn: [...row.failedOn, report.holder.agentId].slice(-FAILED_ON_MAXIMUM),
+  };
+  if (row.type === TaskType.Instance) {
+    return endedInstanceRow(context, failed, report);
+  }
+  return requeuedRow(context, failed, report, 'it failed');
+}
+
+function evictedRow(context: TaskContext, row: TaskRow, report: TaskReport): TaskRow {
+  const evicted = {
+    ...row,
+    evictions: row.evictions + 1,
+    checkpointKey: report.checkpointKey ?? row.checkpointKey,
+  };
+  if (row.type === TaskType.Instance) {
+    return endedInstanceRow(context, evicted, report);
+  }
+  return requeuedRow(context, evicted, report, 'it was evicted');
+}
+
+/** An instance starts again, unless the configuration now declares fewer. */
+function endedInstanceRow(context: TaskContext, row: TaskRow, report: TaskReport): TaskRow {
+  const configuration = configurationOf(context);
+  if (configuration === null || !isSurplusInstance(configuration, row)) {
+    return requeuedRow(context, row, report, 'the instance ended');
+  }
+  return {
+    ...row,
+    state: TaskState.Cancelled,
+    holder: null,
+    reason: 'the configuration declares fewer instances',
+    endedAtMs: context.entry.clock.wallTimeMs(),
+  };
+}
+
+function requeuedRow(
+  context: TaskContext,
+  row: TaskRow,
+  report: TaskReport,
+  cause: string,
+): TaskRow {
+  const detail = report.reason === null ? '' : `: ${report.reason}`;
+  const decision =
+    report.decision ??
+    taskDecision(context.entry, row, {
+      kind: DecisionKind.Requeue,
+      decision: `Requeued because ${cause} on ${report.holder.agentId}${detail}`,
+      inputs: [
+        { name: 'failures', value: row.failures },
+        { name: 'evictions', value: row.evictions },
+      ],
+    });
+  context.entry.decisions.add(decision);
+  return {
+    ...row,
+    state: TaskState.Pending,
+    holder: null,
+    reason: report.reason,
+    lastDecision: decision,
+  };
+}
+
+function noteEnd(context: TaskContext, row: TaskRow, report: TaskReport): void {
+  const { metrics, clock, settings } = context.entry;
+  metrics.count('task_reports_total', { kind: report.kind });
+  if (!settings.policy.quarantine) {
+    return;
+  }
+  const { agentId } = report.holder;
+  const { failures }: { failures: FailureHistory } = context;
+  if (report.kind === TaskReportKind.Completed) {
+    failures.recordSuccess(agentId, row.kind);
+  } else if (report.kind === TaskReportKind.Failed) {
+    const quarantined = failures.recordFailure(agentId, row.kind, clock.now());
+    if (quarantined) {
+      noteQuarantine(context, agentId);
+    }
+  }
+}
+
+function noteQuarantine(context: TaskContext, agentId: string): void {
+  context.entry.metrics.count('workers_quarantined_total');
+  context.entry.logger.warn({ agentId }, 'worker quarantined');
+  context.entry.decisions.add(
+    vmDecision(context.entry, agentId, {
+      kind: DecisionKind.Quarantine,
+      decision: `Quarantined ${agentId} because many kinds fail on it`,
+    }),
+  );
+}
--- /dev/null
+++ b/packages/entry/src/tasks/task-transitions.ts
@@ -0,0 +1,77 @@
+/**
+ * The legal changes of a task row. Every write of an entry passes through here, so that a fault in a
+ * system shows as an error and never as a row that contradicts itself.
+ */
+import { ErrorCode } from '@figjunction/errors';
+import { TaskState, TaskType } from '@figjunction/types';
+import type { TaskRow } from '@figjunction/types';
+import { EntryError } from '../entry-error.js';
+
+const NEXT_STATES: Record<TaskState, TaskState[]> = {
+  [TaskState.Pending]: [
+    TaskState.Pending,
+    TaskState.Running,
+    TaskState.Held,
+    TaskState.Cancelled,
+    TaskState.Failed,
+  ],
+  [TaskState.Running]: [
+    TaskState.Running,
+    TaskState.Pending,
+    TaskState.Completed,
+    TaskState.Failed,
+    TaskState.Cancelled,
+  ],
+  [TaskState.Held]: [TaskState.Held, TaskState.Pending, TaskState.Cancelled],
+  [TaskState.Completed]: [],
+  [TaskState.Failed]: [],
+  [TaskState.Cancelled]: [],
+};
+
+const ENDED_STATES = new Set([TaskState.Completed, TaskState.Failed, TaskState.Cancelled]);
+
+export function isEnded(state: TaskState): boolean {
+  return ENDED_STATES.has(state);
+}
+
+function isLegalState(before: TaskRow, after: TaskRow): boolean {
+  // A service that grows again reuses the row of a cancelled instance, so that attempts keep rising.
+  const isRevivedInstance =
+    before.type === TaskType.Instance &&
+    before.state === TaskState.Cancelled &&
+    after.state === TaskState.Pending;
+  return isRevivedInstance || NEXT_STATES[before.state].includes(after.state);
+}
+
+/** Attempts rise by one on a claim and change at no other time. */
+function isLegalAttempt(before: TaskRow, after: TaskRow): boolean {
+  const isClaim = before.state === TaskState.Pending && after.state === TaskState.Running;
+  return after.attempt === before.attempt + (isClaim ? 1 : 0);
+}
+
+/** Exactly the running rows have a holder. */
+function isLegalHolder(row: TaskRow): boolean {
+  return (row.state === TaskState.Running) === (row.holder !== null);
+}
+
+/** Whether a row may change from one value to the next; null stands for a row that does not exist. */
+export function isLegalTransition(before: TaskRow | null, after: TaskRow): boolean {
+  if (!isLegalHolder(after)) {
+    return false;
+  }
+  if (before === null) {
+    return after.state === TaskState.Pending;
+  }
+  return (
+    before.taskId === after.taskId && isLegalState(before, after) && isLegalAttempt(before, after)
+  );
+}
+
+export function assertLegalTransition(before: TaskRow | null, after: TaskRow): void {
+  if (!isLegalTransition(before, after)) {
+    throw new EntryError(
+      `task ${after.taskId} must not change from ${before?.state ?? 'absent'} to ${after.state}`,
+      { code: ErrorCode.Internal },
+    );
+  }
+}
--- a/packages/types/src/rows.ts
+++ b/packages/types/src/rows.ts
@@ -47,6 +47,8 @@
   taskId: TaskId;
   type: TaskType;
   jobId: JobId;
+  /** SHA-256 of a batch job's content: the same job id with other content is refused. */
+  jobHash?: string;
   /** Team of a batch task; empty for a service instance. */
   team: TeamName;
   /** Batch kind, or the service of an instance. */
