--- a/packages/decisions/src/placement/index.ts
+++ b/packages/decisions/src/placement/index.ts
@@ -4,4 +4,3 @@
 export * from './placement-plan.js';
 export * from './placement-types.js';
 export * from './possible-fit.js';
-export * from './resource-arithmetic.js';
--- a/packages/decisions/src/placement/placement-plan.ts
+++ b/packages/decisions/src/placement/placement-plan.ts
@@ -11,7 +11,7 @@
   PlacementTask,
   WaitingTask,
 } from './placement-types.js';
-import { differenceOfResources } from './resource-arithmetic.js';
+import { subtractResources } from '../room/resource-arithmetic.js';
 import { TeamLedger, groupByClass, nextTeam } from './team-order.js';
 import type { ClassQueue } from './team-order.js';
 import { SpreadCounts, chooseVm, dataCentreKey, rackKey } from './vm-choice.js';
@@ -122,7 +122,7 @@
 
 function occupy(draft: PlanDraft, task: PlacementTask, vmDraft: VmDraft): void {
   const { location } = vmDraft.vm;
-  vmDraft.free = differenceOfResources(vmDraft.free, task.size);
+  vmDraft.free = subtractResources(vmDraft.free, task.size);
   vmDraft.kinds.set(task.kind, (vmDraft.kinds.get(task.kind) ?? 0) + 1);
   vmDraft.startsAllowed -= 1;
   const kindStarts = vmDraft.kindStarts.get(task.kind);
--- a/packages/decisions/src/placement/possible-fit.ts
+++ b/packages/decisions/src/placement/possible-fit.ts
@@ -3,7 +3,7 @@
  */
 import type { Resources } from '@figjunction/types';
 import type { AllowedVmNames, PlacementVm } from './placement-types.js';
-import { fitsWithin } from './resource-arithmetic.js';
+import { fitsWithin } from '../room/resource-arithmetic.js';
 import { isAllowed } from './vm-choice.js';
 
 export enum PossibleFit {
--- a/packages/decisions/src/placement/vm-choice.ts
+++ b/packages/decisions/src/placement/vm-choice.ts
@@ -6,6 +6,7 @@
 import type { RandomSource } from '@figjunction/time';
 import { TaskType } from '@figjunction/types';
 import type { KindName, RejectedAlternative, Resources } from '@figjunction/types';
+import { dominantShare } from './dominant-share.js';
 import type {
   AllowedVmNames,
   InterferenceEstimate,
@@ -13,12 +14,7 @@
   PlacementVm,
   PlacementWeights,
 } from './placement-types.js';
-import {
-  differenceOfResources,
-  dominantShare,
-  fitsWithin,
-  sumOfResources,
-} from './resource-arithmetic.js';
+import { subtractResources, fitsWithin, addResources } from '../room/resource-arithmetic.js';
 
 /** A VM as the plan of one tick fills it. */
 export interface VmDraft {
@@ -125,7 +121,7 @@
 
 function loadCost(task: PlacementTask, draft: VmDraft, weights: PlacementWeights): number {
   const { capacity } = draft.vm;
-  const usedAfter = sumOfResources(differenceOfResources(capacity, draft.free), task.size);
+  const usedAfter = addResources(subtractResources(capacity, draft.free), task.size);
   const load = dominantShare(usedAfter, capacity);
   const headroom = draft.vm.hostsService ? weights.tailLatency + weights.evictions : 0;
   return headroom * load - weights.throughput * load;
--- a/packages/entry/src/tasks/recovery.test.ts
+++ b/packages/entry/src/tasks/recovery.test.ts
@@ -43,11 +43,15 @@
 test('the tasks of a dead agent are requeued only after its lease was fenced', async () => {
   const fixture = new TaskFixture();
   const entry = fixture.addEntry('entry-1');
-  const first = await fixture.addAgent(new AgentFake({ agentId: 'vm-1', table: fixture.table }));
+  const first = await fixture.addAgent(
+    new AgentFake({ agentId: 'vm-1', ...fixture.agentOptions() }),
+  );
   await submitTasks(fixture, entry, ['a']);
   await fixture.runUntil(() => first.runningTasks().length === 1);
   fixture.alive.delete(first);
-  const second = await fixture.addAgent(new AgentFake({ agentId: 'vm-2', table: fixture.table }));
+  const second = await fixture.addAgent(
+    new AgentFake({ agentId: 'vm-2', ...fixture.agentOptions() }),
+  );
   await fixture.run(9_000);
   assert.equal((await leaseOf(fixture, 'vm-1'))?.state, LeaseState.Active);
   assert.equal(requeues(fixture, 'kitchen.job-1.a'), 0);
@@ -61,7 +65,9 @@
 test('an outage longer than the lease fences nobody', async () => {
   const fixture = new TaskFixture();
   const entry = fixture.addEntry('entry-1');
-  const agent = await fixture.addAgent(new AgentFake({ agentId: 'vm-1', table: fixture.table }));
+  const agent = await fixture.addAgent(
+    new AgentFake({ agentId: 'vm-1', ...fixture.agentOptions() }),
+  );
   await submitTasks(fixture, entry, ['a']);
   await fixture.runUntil(() => agent.runningTasks().length === 1);
   fixture.platform.faults.outage = true;
@@ -77,7 +83,7 @@
 test('the end of an outage does not cause a burst of transactions', async () => {
   const fixture = new TaskFixture();
   const entry = fixture.addEntry('entry-1');
-  await fixture.addAgent(new AgentFake({ agentId: 'vm-1', table: fixture.table }));
+  await fixture.addAgent(new AgentFake({ agentId: 'vm-1', ...fixture.agentOptions() }));
   await submitTasks(fixture, entry, ['a', 'b', 'c']);
   fixture.platform.faults.outage = true;
   await fixture.run(30_000);
@@ -92,7 +98,9 @@
   const fixture = new TaskFixture();
   const entries = ['entry-1', 'entry-2', 'entry-3'].map((id) => fixture.addEntry(id));
   makePeers(entries);
-  const agent = await fixture.addAgent(new AgentFake({ agentId: 'vm-1', table: fixture.table }));
+  const agent = await fixture.addAgent(
+    new AgentFake({ agentId: 'vm-1', ...fixture.agentOptions() }),
+  );
   for (const leaving of [...entries]) {
     const rest = entries.filter((entry) => entry !== leaving);
     makePeers(rest);
@@ -112,7 +120,9 @@
 test('a cancelled running task is fenced by its row and its agent is told to stop', async () => {
   const fixture = new TaskFixture();
   const entry = fixture.addEntry('entry-1');
-  const agent = await fixture.addAgent(new AgentFake({ agentId: 'vm-1', table: fixture.table }));
+  const agent = await fixture.addAgent(
+    new AgentFake({ agentId: 'vm-1', ...fixture.agentOptions() }),
+  );
   await submitTasks(fixture, entry, ['a', 'b', 'c']);
   await fixture.runUntil(() => agent.runningTasks().length === 3);
   agent.lost.add(RpcMethod.TaskStop);
@@ -131,11 +141,15 @@
 test('a report of an earlier attempt is settled without effect', async () => {
   const fixture = new TaskFixture();
   const entry = fixture.addEntry('entry-1');
-  const first = await fixture.addAgent(new AgentFake({ agentId: 'vm-1', table: fixture.table }));
+  const first = await fixture.addAgent(
+    new AgentFake({ agentId: 'vm-1', ...fixture.agentOptions() }),
+  );
   await submitTasks(fixture, entry, ['a']);
   await fixture.runUntil(() => first.runningTasks().length === 1);
   fixture.alive.delete(first);
-  const second = await fixture.addAgent(new AgentFake({ agentId: 'vm-2', table: fixture.table }));
+  const second = await fixture.addAgent(
+    new AgentFake({ agentId: 'vm-2', ...fixture.agentOptions() }),
+  );
   await fixture.runUntil(() => second.runningTasks().length === 1);
   const late = first.end('kitchen.job-1.a', TaskReportKind.Completed);
   assert.deepEqual(await fixture.report([late]), { settled: [true], applied: [false] });
@@ -145,7 +159,9 @@
 test('an evicted run resumes with its checkpoint, and a repeated report changes nothing', async () => {
   const fixture = new TaskFixture();
   const entry = fixture.addEntry('entry-1');
-  const agent = await fixture.addAgent(new AgentFake({ agentId: 'vm-1', table: fixture.table }));
+  const agent = await fixture.addAgent(
+    new AgentFake({ agentId: 'vm-1', ...fixture.agentOptions() }),
+  );
   await submitTasks(fixture, entry, ['a']);
   await fixture.runUntil(() => agent.runningTasks().length === 1);
   const report = agent.end('kitchen.job-1.a', TaskReportKind.Evicted, 'checkpoints/a/1');
@@ -174,7 +190,7 @@
         const [first] = entries;
         assert.ok(first !== undefined);
         const dead = await fixture.addAgent(
-          new AgentFake({ agentId: 'vm-1', table: fixture.table }),
+          new AgentFake({ agentId: 'vm-1', ...fixture.agentOptions() }),
         );
         const names = Array.from({ length: tasks }, (_, index) => `t${index}`);
         await submitTasks(fixture, first, names);
@@ -184,7 +200,7 @@
         const other = await fixture.addAgent(
           new AgentFake({
             agentId: 'vm-2',
-            table: fixture.table,
+            ...fixture.agentOptions(),
             capacity: { processorMillicores: 8_000, memoryMegabytes: 8_192, accelerators: 0 },
           }),
         );
@@ -214,7 +230,7 @@
       async (jobSizes, staleMs) => {
         const fixture = new TaskFixture();
         const entries = ['entry-1', 'entry-2'].map((id) => fixture.addEntry(id));
-        const agent = new AgentFake({ agentId: 'vm-1', table: fixture.table });
+        const agent = new AgentFake({ agentId: 'vm-1', ...fixture.agentOptions() });
         await fixture.addAgent(agent);
         // Heartbeats stop: both entries go on with the room of an empty agent.
         fixture.heartbeatsPaused = true;
--- a/packages/entry/src/tasks/reservation-table.ts
+++ b/packages/entry/src/tasks/reservation-table.ts
@@ -3,7 +3,7 @@
  * before the agent's last heartbeat is part of the free room that the heartbeat states.
  */
 import type { Instant } from '@figjunction/time';
-import { differenceOfResources } from '@figjunction/decisions';
+import { subtractResources } from '@figjunction/decisions';
 import type { AgentId, KindName, Resources } from '@figjunction/types';
 import type { KnownAgent } from '../agent-directory.js';
 
@@ -50,7 +50,7 @@
     let { free } = agent;
     for (const reservation of this.ofAgent(agent.agentId)) {
       if (reservation.answeredAt >= agent.lastHeard) {
-        free = differenceOfResources(free, reservation.size);
+        free = subtractResources(free, reservation.size);
       }
     }
     return free;
--- a/packages/entry/src/tasks/testing/agent-fake.test.ts
+++ b/packages/entry/src/tasks/testing/agent-fake.test.ts
@@ -3,6 +3,7 @@
  * when the row names it, and keeps a record of what ran. Orders can be lost or delayed by the test.
  */
 import type { TableService } from '@figjunction/platform';
+import type { Clock } from '@figjunction/time';
 import { AgentState, RpcMethod, TaskReportKind, TaskState } from '@figjunction/types';
 import type {
   HeartbeatParameters,
@@ -16,6 +17,7 @@
 export interface AgentFakeOptions {
   agentId: string;
   table: TableService;
+  clock: Clock;
   capacity?: Resources;
   rack?: string;
   dataCentre?: string;
@@ -31,6 +33,8 @@
   key: string;
   reservation: TaskReservation;
   running: boolean;
+  /** A reservation that is not started is dropped then. */
+  deadline: number;
 }
 
 export class AgentFake {
@@ -75,6 +79,7 @@
   heartbeat(): HeartbeatParameters {
     const { agentId, rack = 'r1', dataCentre = 'istanbul' } = this.options;
     this.sequence += 1;
+    this.dropExpired();
     return {
       agentId,
       incarnation: this.incarnation,
@@ -139,15 +144,6 @@
       .map((t) => t.reservation.taskId);
   }
 
-  /** Drops reservations that were never started, as their deadline would. */
-  dropReservations(): void {
-    for (const [taskId, { running }] of this.owned) {
-      if (!running) {
-        this.owned.delete(taskId);
-      }
-    }
-  }
-
   private free(): Resources {
     return {
       processorMillicores: this.capacity.processorMillicores - this.usedMillicores(),
@@ -156,9 +152,18 @@
     };
   }
 
+  private dropExpired(): void {
+    for (const [taskId, { running, deadline }] of this.owned) {
+      if (!running && this.options.clock.now() >= deadline) {
+        this.owned.delete(taskId);
+      }
+    }
+  }
+
   private reserve(
     parameters: RpcMethods[RpcMethod.TaskReserve]['parameters'],
   ): RpcMethods[RpcMethod.TaskReserve]['result'] {
+    this.dropExpired();
     const refusals = parameters.reservations.map((reservation) => {
       const { size, taskId } = reservation;
       const free = this.free();
@@ -174,7 +179,8 @@
       if (this.owned.has(taskId)) {
         return 'already here';
       }
-      this.owned.set(taskId, { key: '', reservation, running: false });
+      const deadline = this.options.clock.now() + parameters.remainingMs;
+      this.owned.set(taskId, { key: '', reservation, running: false, deadline });
       return null;
     });
     return { refusals, free: this.free() };
--- a/packages/entry/src/tasks/testing/task-fixture.test.ts
+++ b/packages/entry/src/tasks/testing/task-fixture.test.ts
@@ -118,6 +118,10 @@
     }
   }
 
+  agentOptions(): Pick<AgentFake['options'], 'table' | 'clock'> {
+    return { table: this.table, clock: this.clock };
+  }
+
   async addAgent(agent: AgentFake): Promise<AgentFake> {
     this.agents.push(agent);
     this.alive.add(agent);
