--- /dev/null
+++ b/packages/decisions/src/quarantine/failure-history.test.ts
@@ -0,0 +1,91 @@
+/**
+ * Limits on workers and kinds that fail.
+ */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { FailureHistory } from './failure-history.js';
+
+const KINDS = ['a', 'b', 'c'];
+
+function quarantined(): FailureHistory {
+  const history = new FailureHistory();
+  for (let failure = 0; failure < 6; failure += 1) {
+    history.recordFailure('vm-1', KINDS[failure % KINDS.length] ?? '', 0);
+  }
+  return history;
+}
+
+test('a worker is quarantined when many kinds fail in over half of its recent starts', () => {
+  const history = new FailureHistory();
+  const became = Array.from({ length: 6 }, (_, index) =>
+    history.recordFailure('vm-1', KINDS[index % KINDS.length] ?? '', 0),
+  );
+  assert.deepEqual(became, [false, false, false, false, false, true]);
+  assert.deepEqual(history.quarantinedWorkers(), ['vm-1']);
+});
+
+// Guards against blaming a worker for kinds that fail everywhere.
+test('failures of two kinds do not quarantine a worker', () => {
+  const history = new FailureHistory();
+  for (let failure = 0; failure < 20; failure += 1) {
+    history.recordFailure('vm-1', KINDS[failure % 2] ?? '', 0);
+  }
+  assert.deepEqual(history.quarantinedWorkers(), []);
+});
+
+test('a quarantined worker is probed with one task after 30 s, doubling to 10 min', () => {
+  const history = quarantined();
+  assert.equal(history.allowance('vm-1', 29_000).starts, 0);
+  let now = 30_000;
+  for (const delay of [30_000, 60_000, 120_000, 240_000, 480_000, 600_000, 600_000]) {
+    assert.deepEqual(history.allowance('vm-1', now).starts, 1);
+    history.recordStart('vm-1', 'a', now);
+    assert.equal(history.allowance('vm-1', now + delay - 1).starts, 0);
+    now += delay;
+  }
+});
+
+test('one success ends a quarantine', () => {
+  const history = quarantined();
+  history.recordSuccess('vm-1', 'a');
+  assert.equal(history.allowance('vm-1', 0).starts, Number.POSITIVE_INFINITY);
+});
+
+// Guards against a worker that fails in milliseconds and takes the whole queue before it is quarantined.
+test('a worker on which two kinds failed gets one start at a time', () => {
+  const history = new FailureHistory();
+  history.recordFailure('vm-1', 'a', 0);
+  assert.equal(history.allowance('vm-1', 0).starts, Number.POSITIVE_INFINITY);
+  assert.equal(history.kindStarts('vm-1', 0).get('a'), 0);
+  history.recordFailure('vm-1', 'b', 0);
+  assert.equal(history.allowance('vm-1', 1_999).starts, 0);
+  assert.equal(history.allowance('vm-1', 2_000).starts, 1);
+});
+
+// Guards against limits that stay for hours because long tasks have not ended yet.
+test('a suspected worker without a new failure for ten minutes is not limited', () => {
+  const history = new FailureHistory();
+  history.recordFailure('vm-1', 'a', 0);
+  history.recordFailure('vm-1', 'b', 0);
+  assert.equal(history.allowance('vm-1', 600_001).starts, Number.POSITIVE_INFINITY);
+});
+
+test('a kind is held back when it fails on three workers in six attempts without a success', () => {
+  const history = new FailureHistory();
+  for (let failure = 0; failure < 5; failure += 1) {
+    history.recordFailure(`vm-${failure % 3}`, 'a', 0);
+  }
+  assert.equal(history.isKindFailing('a'), false);
+  history.recordFailure('vm-0', 'a', 0);
+  assert.equal(history.isKindFailing('a'), true);
+  history.recordSuccess('vm-0', 'a');
+  assert.equal(history.isKindFailing('a'), false);
+});
+
+test('a kind that fails on two workers only is not held back', () => {
+  const history = new FailureHistory();
+  for (let failure = 0; failure < 20; failure += 1) {
+    history.recordFailure(`vm-${failure % 2}`, 'a', 0);
+  }
+  assert.equal(history.isKindFailing('a'), false);
+});
--- a/packages/entry/src/tasks/cancellation.ts
+++ b/packages/entry/src/tasks/cancellation.ts
@@ -4,8 +4,10 @@
  */
 import { DecisionKind, TaskState } from '@figjunction/types';
 import type { TaskRow } from '@figjunction/types';
+import { notifyOwners } from './shard-notices.js';
 import { taskDecision } from './task-context.js';
 import type { TaskContext } from './task-context.js';
+import { shardOfRow } from './task-identifiers.js';
 import { TaskWriteKind } from './task-store.js';
 import type { TaskEntry } from './task-table.js';
 import { isEnded } from './task-transitions.js';
@@ -20,6 +22,7 @@
   reason: string,
 ): Promise<number> {
   const results = await Promise.all(rows.map((row) => cancelRow(context, row, reason)));
+  notifyOwners(context, [...new Set(rows.map(({ value }) => shardOfRow(value)))]);
   return results.filter(Boolean).length;
 }
 
--- a/packages/entry/src/tasks/task-module.ts
+++ b/packages/entry/src/tasks/task-module.ts
@@ -20,10 +20,10 @@
 import type { LearntSize } from './placement-view.js';
 import { ProposalBook } from './proposal-book.js';
 import { ReservationTable } from './reservation-table.js';
+import { routeReports } from './report-forwarding.js';
 import { RetentionSweep } from './retention.js';
 import { ShardLoader } from './shard-loader.js';
 import type { TaskContext } from './task-context.js';
-import { handleReports } from './task-reports.js';
 import { TaskStore, TaskWriteKind } from './task-store.js';
 import { TaskTable } from './task-table.js';
 
@@ -92,7 +92,7 @@
   const renewal = new LeaseRenewal(context);
   return {
     [RpcMethod.LeaseRenew]: (parameters) => renewal.renew(parameters),
-    [RpcMethod.TaskReport]: (parameters) => handleReports(context, parameters),
+    [RpcMethod.TaskReport]: (parameters, call) => routeReports(context, parameters, call),
     [RpcMethod.EntryNotify]: ({ shards }) => {
       context.shards.notify(shards);
       return {};
