--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -3,6 +3,10 @@
  */
 export * from './placement/index.js';
 export * from './quarantine/index.js';
+export * from './estimates/index.js';
+export * from './guards/index.js';
+export * from './interference/index.js';
+export * from './room/index.js';
 export * from './admission/index.js';
 export * from './routing/index.js';
 export * from './room/index.js';
