Use one set of resource arithmetic in placement

Ruled out: a second copy of the functions. Change: placement and the entry import the existing ones. Conclusion: one definition.

--- a/packages/entry/src/tasks/placement-view.ts
+++ b/packages/entry/src/tasks/placement-view.ts
@@ -2,7 +2,7 @@
  * Builds the tables over which placement runs, from rows, heartbeats and reservations in progress.
  */
 import type { OperatorConfiguration } from '@figjunction/config';
-import { largerResources } from '@figjunction/decisions';
+import { maximumOfResources } from '@figjunction/decisions';
 import type { PlacementTask, PlacementTeam, PlacementVm } from '@figjunction/decisions';
 import type { Instant } from '@figjunction/time';
 import { PlacementMode } from '@figjunction/types';
@@ -23,7 +23,7 @@
 ): Resources {
   const declared = scopeOf(configuration, row)?.size ?? row.declaredSize;
   const learnt = learntSize(row);
-  return learnt === null ? declared : largerResources(declared, learnt);
+  return learnt === null ? declared : maximumOfResources(declared, learnt);
 }
 
 export function placementTask(
