Learn the size of tasks that ended before their measurement

Cause: usage arrives with a lag of 2 s. An agent took a measurement only for a task that still ran, so a kind whose tasks run for 1 s was never learnt and kept counting at five times its declared size. Change: the task table keeps the rows that ended lately and finds the one that ran when the measurement was taken.

--- a/packages/agent/src/tasks/task-table.ts
+++ b/packages/agent/src/tasks/task-table.ts
@@ -97,13 +97,27 @@
   evictions: 0,
 };
 
+/** Measurements lag, so those of a short task arrive after its end. */
+const ENDED_ROWS_KEPT = 256;
+
 export class TaskTable {
   private readonly rows = new Map<TaskId, TaskEntry>();
 
+  /** The newest rows that were removed after they had run, oldest first. */
+  private readonly endedRows = new Map<TaskId, TaskEntry>();
+
   get(taskId: TaskId): TaskEntry | undefined {
     return this.rows.get(taskId);
   }
 
+  /** The row that ran at a time in the past, also when it has been removed since. */
+  findRunningAt(taskId: TaskId, at: Instant): TaskEntry | undefined {
+    const candidates = [this.rows.get(taskId), this.endedRows.get(taskId)];
+    return candidates.find(
+      (entry) => entry !== undefined && hasRun(entry) && entry.startedAt <= at,
+    );
+  }
+
   /** The row of exactly this attempt. */
   find(taskId: TaskId, attempt: number): TaskEntry | undefined {
     const entry = this.rows.get(taskId);
@@ -128,6 +142,23 @@
   remove(entry: TaskEntry): void {
     if (this.rows.get(entry.taskId) === entry) {
       this.rows.delete(entry.taskId);
+      this.keepEnded(entry);
+    }
+  }
+
+  private keepEnded(entry: TaskEntry): void {
+    if (!hasRun(entry)) {
+      return;
+    }
+    this.endedRows.delete(entry.taskId);
+    this.endedRows.set(entry.taskId, entry);
+    if (this.endedRows.size > ENDED_ROWS_KEPT) {
+      const [oldest] = this.endedRows.keys();
+      this.endedRows.delete(oldest ?? '');
     }
   }
 }
+
+function hasRun(entry: TaskEntry): boolean {
+  return entry.phase === TaskPhase.Running || entry.phase === TaskPhase.Ended;
+}
--- a/packages/agent/src/tasks/usage-poller.ts
+++ b/packages/agent/src/tasks/usage-poller.ts
@@ -6,7 +6,6 @@
 import type { Instant } from '@figjunction/time';
 import { TaskType } from '@figjunction/types';
 import type { TaskUsage } from '@figjunction/types';
-import { TaskPhase } from './task-table.js';
 import type { TaskEntry } from './task-table.js';
 import type { TaskRuntime } from './task-runtime.js';
 import { throttleAt } from './throttle-control.js';
@@ -31,8 +30,8 @@
   }
 
   private note(one: TaskUsage, measuredAt: Instant): TaskUsage {
-    const entry = this.runtime.tasks.get(one.taskId);
-    if (entry === undefined || entry.phase !== TaskPhase.Running || measuredAt < entry.startedAt) {
+    const entry = this.runtime.tasks.findRunningAt(one.taskId, measuredAt);
+    if (entry === undefined) {
       return one;
     }
     const used = withoutThrottle(entry, one, measuredAt);
