--- a/packages/agent/src/tasks/admission.ts
+++ b/packages/agent/src/tasks/admission.ts
@@ -6,7 +6,8 @@
 import type { TaskReservation, TaskReserveParameters, TaskReserveResult } from '@figjunction/types';
 import { TaskPhase } from './task-table.js';
 import type { NewTaskEntry, TaskEntry } from './task-table.js';
-import { freeOf, refusalFor } from './room-loads.js';
+import { refusalFor } from './room-loads.js';
+import { updateRoomReport } from './room-report.js';
 import { holdsLease } from './task-runtime.js';
 import type { TaskRuntime } from './task-runtime.js';
 
@@ -26,7 +27,8 @@
     {},
     refusals.filter((refusal) => refusal !== null).length,
   );
-  return { refusals, free: freeOf(runtime) };
+  updateRoomReport(runtime);
+  return { refusals, free: runtime.context.room.free };
 }
 
 /** Reservations whose claim did not arrive in time make room. */
--- /dev/null
+++ b/packages/agent/src/tasks/agent-rig.test.ts
@@ -0,0 +1,215 @@
+/**
+ * A whole agent against the fakes, for the tests of this folder: fake platform, fake worker, and an entry
+ * that only answers what the agent asks and writes what it reports.
+ */
+import { randomUUID } from 'node:crypto';
+import { agentSettingsSchema } from '@figjunction/config';
+import type { PolicySettings } from '@figjunction/config';
+import type { HttpServer } from '@figjunction/http';
+import { createLogger } from '@figjunction/logger';
+import { RpcClient } from '@figjunction/rpc';
+import {
+  FakePlatform,
+  FakeWorker,
+  MemoryTableService,
+  createPlatformServer,
+  waitUntil,
+} from '@figjunction/test-support';
+import type { ExecutionRecord, WorkerFaults } from '@figjunction/test-support';
+import { LeaseState, RpcMethod, TaskState, TaskType, leaseKey } from '@figjunction/types';
+import type { LeaseRow, Resources, RpcMethods, TaskRow } from '@figjunction/types';
+import { createAgentContext } from '../agent-context.js';
+import type { AgentContext } from '../agent-context.js';
+import { startAgent } from '../agent-daemon.js';
+import type { RunningAgent } from '../agent-daemon.js';
+import { EntryStandIn, LOCATION, ONE_CORE, keyOf } from './entry-stand-in.test.js';
+import { LocalWorker } from './local-worker.test.js';
+
+const SHARED_TOKEN = 'shared-token-of-the-rig';
+export const AGENT_ID = 'vm-1';
+export const CAPACITY: Resources = {
+  processorMillicores: 16_000,
+  memoryMegabytes: 16_000,
+  accelerators: 0,
+};
+
+export interface RigOptions {
+  policy?: Partial<PolicySettings>;
+  workerFaults?: Partial<WorkerFaults>;
+}
+
+export interface TaskPlan {
+  taskId: string;
+  type?: TaskType;
+  kind?: string;
+  size?: Resources;
+  parameters?: Record<string, string>;
+}
+
+export class AgentRig {
+  readonly platform = new FakePlatform();
+
+  readonly table = new MemoryTableService(this.platform);
+
+  readonly entry: EntryStandIn;
+
+  readonly rpc = new RpcClient({ sharedToken: SHARED_TOKEN });
+
+  private constructor(
+    private readonly options: RigOptions,
+    readonly worker: FakeWorker,
+    private readonly servers: HttpServer[],
+  ) {
+    this.entry = new EntryStandIn(this.table, SHARED_TOKEN);
+  }
+
+  context!: AgentContext;
+
+  private agent!: RunningAgent;
+
+  static async create(options: RigOptions = {}): Promise<AgentRig> {
+    const platform = new FakePlatform();
+    const server = createPlatformServer({ platform });
+    const platformAddress = await server.listen();
+    const worker = new FakeWorker({
+      workerId: AGENT_ID,
+      capacity: CAPACITY,
+      platformAddress,
+      faults: { usageLagMs: 200, ...options.workerFaults },
+    });
+    const rig = new AgentRig(options, worker, [server]);
+    rig.objectPlatform = platform;
+    rig.servers.push(await rig.entry.listen());
+    await rig.startAgent();
+    return rig;
+  }
+
+  /** Holds the checkpoints; its faults are those of the object store. */
+  objectPlatform!: FakePlatform;
+
+  async startAgent(): Promise<void> {
+    const settings = agentSettingsSchema.parse({
+      agentId: AGENT_ID,
+      location: LOCATION,
+      platformAddress: 'http://127.0.0.1:1',
+      workerAddress: 'http://127.0.0.1:1',
+      sharedToken: SHARED_TOKEN,
+      entries: [this.entry.address],
+      logLevel: 'silent',
+      policy: this.options.policy ?? {},
+    });
+    this.context = createAgentContext({
+      settings,
+      logger: createLogger({ name: AGENT_ID, level: 'silent' }),
+      table: this.table,
+      worker: new LocalWorker(this.worker, CAPACITY),
+    });
+    this.agent = await startAgent(this.context);
+    await waitUntil(
+      () =>
+        this.context.incarnation > 0 &&
+        this.context.configuration.isConfirmed(this.context.clock.now()),
+      { what: 'the agent serves' },
+    );
+  }
+
+  async stopAgent(): Promise<void> {
+    await this.agent.stop();
+  }
+
+  async close(): Promise<void> {
+    await this.stopAgent();
+    this.rpc.close();
+    await this.worker.close();
+    for (const server of this.servers) {
+      server.closeNow();
+      await server.close();
+    }
+  }
+
+  call<Method extends RpcMethod>(
+    method: Method,
+    parameters: RpcMethods[Method]['parameters'],
+  ): Promise<RpcMethods[Method]['result']> {
+    return this.rpc.call(this.agent.address, method, parameters);
+  }
+
+  async reserve(plans: TaskPlan[], remainingMs = 5_000): Promise<(string | null)[]> {
+    const result = await this.call(RpcMethod.TaskReserve, {
+      incarnation: this.context.incarnation,
+      reservations: plans.map((plan) => ({
+        taskId: plan.taskId,
+        attempt: 1,
+        type: plan.type ?? TaskType.Batch,
+        kind: plan.kind ?? 'reprint',
+        size: plan.size ?? ONE_CORE,
+      })),
+      remainingMs,
+      revision: this.entry.slice.revision,
+    });
+    return result.refusals;
+  }
+
+  /** Writes the row of a claimed task. */
+  async claim(plan: TaskPlan, overrides: Partial<TaskRow> = {}): Promise<void> {
+    const { incarnation } = this.context;
+    const value: TaskRow = {
+      writeId: randomUUID(),
+      taskId: plan.taskId,
+      type: plan.type ?? TaskType.Batch,
+      jobId: 'job',
+      team: 'hotels',
+      kind: plan.kind ?? 'reprint',
+      urgency: 'overnight',
+      declaredSize: plan.size ?? ONE_CORE,
+      state: TaskState.Running,
+      attempt: 1,
+      holder: { agentId: AGENT_ID, incarnation },
+      checkpointKey: null,
+      parameters: plan.parameters ?? { durationMs: '60000' },
+      failures: 0,
+      evictions: 0,
+      failedOn: [],
+      reason: null,
+      lastDecision: null,
+      submittedAtMs: 0,
+      endedAtMs: null,
+      ...overrides,
+    };
+    await this.entry.write(keyOf(plan.taskId), value);
+  }
+
+  start(plans: TaskPlan[], incarnation = this.context.incarnation): Promise<unknown> {
+    const tasks = plans.map(({ taskId }) => ({ key: keyOf(taskId), taskId, attempt: 1 }));
+    return this.call(RpcMethod.TaskStart, { incarnation, tasks });
+  }
+
+  /** Reserves, claims and starts, and waits until the worker runs the tasks. */
+  async run(plans: TaskPlan[]): Promise<void> {
+    const refusals = await this.reserve(plans);
+    const refused = refusals.find((refusal) => refusal !== null);
+    if (refused !== undefined) {
+      throw new Error(`refused: ${refused}`);
+    }
+    await Promise.all(plans.map((plan) => this.claim(plan)));
+    await this.start(plans);
+    for (const { taskId } of plans) {
+      await waitUntil(() => this.worker.tasks.has(taskId), { what: `${taskId} runs` });
+    }
+  }
+
+  events(taskId: string): string[] {
+    return this.records()
+      .filter((record) => record.taskId === taskId)
+      .map(({ event }) => event);
+  }
+
+  records(): ExecutionRecord[] {
+    return this.worker.log.page(0).records;
+  }
+
+  async fence(): Promise<void> {
+    const [row] = await this.table.read<LeaseRow>([leaseKey(AGENT_ID)]);
+    await this.entry.write(leaseKey(AGENT_ID), { ...row?.value, state: LeaseState.Fenced });
+  }
+}
--- /dev/null
+++ b/packages/agent/src/tasks/entry-stand-in.test.ts
@@ -0,0 +1,181 @@
+/**
+ * An entry that only answers what an agent asks, and writes what it reports.
+ */
+import { HttpServer } from '@figjunction/http';
+import type { TableService } from '@figjunction/platform';
+import { createRpcRoute } from '@figjunction/rpc';
+import {
+  LeaseState,
+  RpcMethod,
+  TaskReportKind,
+  TaskState,
+  leaseKey,
+  taskKey,
+} from '@figjunction/types';
+import type {
+  AgentSlice,
+  GuardSettings,
+  HeartbeatParameters,
+  LeaseRenewParameters,
+  LeaseRenewResult,
+  LeaseRow,
+  Resources,
+  TaskReport,
+  TaskRow,
+} from '@figjunction/types';
+
+export const LOCATION = { region: 'marmara', dataCentre: 'istanbul', rack: 'istanbul-1' };
+export const ONE_CORE: Resources = {
+  processorMillicores: 1_000,
+  memoryMegabytes: 500,
+  accelerators: 0,
+};
+
+const GUARDS: GuardSettings = {
+  enabled: true,
+  actAboveSlowdown: 1.3,
+  relaxBelowSlowdown: 1.1,
+  measurementsToAct: 2,
+  relaxAfterMs: 30_000,
+  evictionsPerVmInterval: 1,
+  evictionIntervalMs: 30_000,
+  evictionsPerRun: 3,
+};
+
+export class EntryStandIn {
+  address = '';
+
+  readonly heartbeats: HeartbeatParameters[] = [];
+
+  readonly reports: TaskReport[] = [];
+
+  readonly slice: AgentSlice = {
+    revision: 1,
+    services: [
+      { service: 'labels', slotsPerInstance: 8, connectionsPerInstance: 64, timeoutMs: 5_000 },
+    ],
+    kinds: [
+      {
+        kind: 'reprint',
+        urgency: 'overnight',
+        declaredSize: ONE_CORE,
+        lossWeight: 1,
+        checkpointable: true,
+      },
+    ],
+    classes: [{ urgency: 'overnight', rank: 1, guaranteedShare: 0 }],
+    guards: { ...GUARDS },
+  };
+
+  /** Answers nothing. */
+  isDown = false;
+
+  /** Answers to reports are lost after they took effect. */
+  reportAnswersToLose = 0;
+
+  constructor(
+    private readonly table: TableService,
+    private readonly sharedToken: string,
+  ) {}
+
+  async write(key: string, value: unknown): Promise<void> {
+    const [row] = await this.table.read([key]);
+    const writes = [{ key, expectedVersion: row?.version ?? 0, value }];
+    await this.table.transact({ checks: [], writes });
+  }
+
+  async row(taskId: string): Promise<TaskRow> {
+    const [row] = await this.table.read<TaskRow>([keyOf(taskId)]);
+    if (row === null || row === undefined) {
+      throw new Error(`no row of ${taskId}`);
+    }
+    return row.value;
+  }
+
+  async listen(): Promise<HttpServer> {
+    const whenUp =
+      <Parameters, Result>(handler: (parameters: Parameters) => Result | Promise<Result>) =>
+      (parameters: Parameters): Result | Promise<Result> => {
+        if (this.isDown) {
+          throw new Error('the entry is down');
+        }
+        return handler(parameters);
+      };
+    const server = new HttpServer({
+      routes: [
+        createRpcRoute({
+          sharedToken: this.sharedToken,
+          handlers: {
+            [RpcMethod.AgentHeartbeat]: whenUp((heartbeat: HeartbeatParameters) => {
+              this.heartbeats.push(heartbeat);
+              const self = { entryId: 'entry-1', address: this.address, location: LOCATION };
+              const { revision } = this.slice;
+              return { entryId: 'entry-1', revision, confirmed: true, entries: [self] };
+            }),
+            [RpcMethod.ConfigurationGet]: whenUp(() => ({
+              revision: this.slice.revision,
+              bodyHash: '',
+              body: null,
+              slice: structuredClone(this.slice),
+            })),
+            [RpcMethod.LeaseRenew]: whenUp((parameters: LeaseRenewParameters) =>
+              this.renewLease(parameters),
+            ),
+            [RpcMethod.TaskReport]: whenUp(({ reports }: { reports: TaskReport[] }) =>
+              this.takeReports(reports),
+            ),
+          },
+        }),
+      ],
+    });
+    this.address = await server.listen();
+    return server;
+  }
+
+  private async renewLease(parameters: LeaseRenewParameters): Promise<LeaseRenewResult> {
+    const { agentId, incarnation, acquire } = parameters;
+    const [row] = await this.table.read<LeaseRow>([leaseKey(agentId)]);
+    const lease = row?.value;
+    const isPermitted = acquire
+      ? incarnation > (lease?.incarnation ?? 0)
+      : lease?.incarnation === incarnation && lease.state === LeaseState.Active;
+    if (!isPermitted) {
+      return { renewed: false, incarnation: lease?.incarnation ?? 0 };
+    }
+    const state = LeaseState.Active;
+    const count = (lease?.count ?? 0) + 1;
+    await this.write(leaseKey(agentId), { writeId: '', agentId, incarnation, state, count });
+    return { renewed: true, incarnation };
+  }
+
+  private async takeReports(
+    reports: TaskReport[],
+  ): Promise<{ settled: boolean[]; applied: boolean[] }> {
+    const applied = await Promise.all(reports.map((report) => this.applyReport(report)));
+    if (this.reportAnswersToLose > 0) {
+      this.reportAnswersToLose -= 1;
+      throw new Error('the answer is lost');
+    }
+    return { settled: reports.map(() => true), applied };
+  }
+
+  private async applyReport(report: TaskReport): Promise<boolean> {
+    this.reports.push(report);
+    const row = await this.row(report.taskId);
+    const isCurrent =
+      row.state === TaskState.Running &&
+      row.attempt === report.attempt &&
+      row.holder?.incarnation === report.holder.incarnation;
+    if (isCurrent) {
+      const state =
+        report.kind === TaskReportKind.Completed ? TaskState.Completed : TaskState.Pending;
+      const { checkpointKey } = report;
+      await this.write(keyOf(report.taskId), { ...row, state, holder: null, checkpointKey });
+    }
+    return isCurrent;
+  }
+}
+
+export function keyOf(taskId: string): string {
+  return taskKey(7, taskId);
+}
--- a/packages/agent/src/tasks/index.ts
+++ b/packages/agent/src/tasks/index.ts
@@ -108,10 +108,7 @@
       backgroundSystem(context, 'reports', LOOP_INTERVAL_MS, () => runtime.reports.send()),
       { name: 'room', intervalMs: LOOP_INTERVAL_MS, run: () => updateRoomReport(runtime) },
     ],
-    async stop(): Promise<void> {
-      await handOver(runtime);
-      lease.stop();
-    },
+    stop: () => handOver(runtime),
   };
 }
 
@@ -144,7 +141,8 @@
 
 /**
  * A planned stop that does not drain the VM leaves the tasks on the worker: the next incarnation adopts
- * them within the lease, which loses no work, while checkpoints and restarts would cost both.
+ * them within the lease, which loses no work, while checkpoints and restarts would cost both. The lease is
+ * renewed until the process ends, because requests in progress may take longer than a lease.
  */
 async function handOver(runtime: TaskRuntime): Promise<void> {
   const { context, reports } = runtime;
--- a/packages/agent/src/tasks/lease-keeper.ts
+++ b/packages/agent/src/tasks/lease-keeper.ts
@@ -36,8 +36,6 @@
 
   private active = false;
 
-  private stopped = false;
-
   /** The incarnation to ask for next; 0 until the row was read. */
   private wanted = 0;
 
@@ -56,13 +54,9 @@
     context.waitingFor.add(WAITING_FOR_LEASE);
   }
 
-  stop(): void {
-    this.stopped = true;
-  }
-
   /** Renews or acquires when it is time; returns at once when an exchange is under way. */
   async keep(now: Instant): Promise<void> {
-    if (this.active || this.stopped || now < this.nextTry) {
+    if (this.active || now < this.nextTry) {
       return;
     }
     this.active = true;
--- a/packages/agent/src/tasks/stop-orders.ts
+++ b/packages/agent/src/tasks/stop-orders.ts
@@ -29,7 +29,7 @@
     entry.order = order;
   }
   const instance = runtime.context.instances.get(entry.taskId);
-  if (instance !== undefined) {
+  if (instance !== undefined && !instance.draining) {
     instance.draining = true;
     runtime.context.heartbeatDue = true;
   }
