--- a/packages/agent/src/tasks/room-loads.ts
+++ b/packages/agent/src/tasks/room-loads.ts
@@ -74,8 +74,10 @@
 }
 
 export function overloadTaskOf(runtime: TaskRuntime, entry: TaskEntry): OverloadTask {
+  const load = loadOf(runtime, entry);
   return {
-    ...loadOf(runtime, entry),
+    ...load,
+    isUnsure: load.isUnsure && !entry.isAdopted,
     taskId: entry.taskId,
     lossCost: lossCostOf(runtime, entry),
   };
--- a/packages/agent/src/tasks/task-adopter.ts
+++ b/packages/agent/src/tasks/task-adopter.ts
@@ -126,6 +126,7 @@
   entry.evictions = row.value.evictions;
   entry.phase = TaskPhase.Running;
   entry.startedAt = context.clock.now();
+  entry.isAdopted = true;
   context.heartbeatDue = true;
   context.metrics.count('tasks_adopted_total');
 }
--- a/packages/agent/src/tasks/task-starter.ts
+++ b/packages/agent/src/tasks/task-starter.ts
@@ -172,6 +172,7 @@
     });
     entry.phase = TaskPhase.Running;
     entry.startedAt = context.clock.now();
+    entry.measurableFrom = entry.startedAt;
     context.heartbeatDue = true;
     context.metrics.count('tasks_started_total');
     // A task of unknown size is throttled before it can take processors that others need.
--- a/packages/agent/src/tasks/task-table.ts
+++ b/packages/agent/src/tasks/task-table.ts
@@ -63,6 +63,10 @@
   startedAt: Instant;
   /** Latest use, without the effect of the throttle. */
   measured: Resources | null;
+  /** Earlier measurements are of an earlier attempt; an adopted task was running before. */
+  measurableFrom: Instant;
+  /** It ran before this incarnation, which bounded it then; its throttle stays until it is measured. */
+  isAdopted: boolean;
   /** What the worker applies now. */
   throttle: number;
   throttleChanges: ThrottleChange[];
@@ -90,6 +94,8 @@
   busy: false,
   startedAt: Number.NEGATIVE_INFINITY,
   measured: null,
+  measurableFrom: Number.NEGATIVE_INFINITY,
+  isAdopted: false,
   throttle: 1,
   guardThrottle: 1,
   retryAt: Number.NEGATIVE_INFINITY,
--- a/packages/agent/src/tasks/usage-poller.ts
+++ b/packages/agent/src/tasks/usage-poller.ts
@@ -32,7 +32,11 @@
 
   private note(one: TaskUsage, measuredAt: Instant): TaskUsage {
     const entry = this.runtime.tasks.get(one.taskId);
-    if (entry === undefined || entry.phase !== TaskPhase.Running || measuredAt < entry.startedAt) {
+    if (
+      entry === undefined ||
+      entry.phase !== TaskPhase.Running ||
+      measuredAt < entry.measurableFrom
+    ) {
       return one;
     }
     const used = withoutThrottle(entry, one, measuredAt);
--- a/packages/agent/src/tasks/worker-poller.ts
+++ b/packages/agent/src/tasks/worker-poller.ts
@@ -67,6 +67,7 @@
   if (task?.attempt === entry.attempt) {
     entry.phase = TaskPhase.Running;
     entry.startedAt = runtime.context.clock.now();
+    entry.measurableFrom = entry.startedAt;
     runtime.context.heartbeatDue = true;
   } else if (task !== undefined && task.attempt < entry.attempt) {
     stopEarlierAttempt(runtime, task);
--- /dev/null
+++ b/packages/decisions/src/guards/guard-ladder.test.ts
@@ -0,0 +1,186 @@
+/**
+ * Guards against acting twice on one fault, losing dear work before cheap work, evicting without a ration,
+ * and flapping between throttle and relax.
+ */
+import assert from 'node:assert/strict';
+import { beforeEach, describe, it } from 'node:test';
+import fc from 'fast-check';
+import type { GuardSettings } from '@figjunction/types';
+import { decideGuards, noteGuardEffect } from './guard-ladder.js';
+import { GuardActionKind, createGuardState } from './guard-types.js';
+import type { GuardCandidate, GuardInput, GuardState } from './guard-types.js';
+
+const SETTINGS: GuardSettings = {
+  enabled: true,
+  actAboveSlowdown: 1.3,
+  relaxBelowSlowdown: 1.1,
+  measurementsToAct: 2,
+  relaxAfterMs: 30_000,
+  evictionsPerVmInterval: 1,
+  evictionIntervalMs: 30_000,
+  evictionsPerRun: 3,
+};
+
+function candidate(taskId: string, overrides: Partial<GuardCandidate> = {}): GuardCandidate {
+  return {
+    taskId,
+    kind: 'reprint',
+    processorMillicores: 4_000,
+    throttle: 1,
+    lossCost: 1,
+    checkpointable: true,
+    evictions: 0,
+    ...overrides,
+  };
+}
+
+function measured(at: number, slowdown: number, overrides: Partial<GuardInput> = {}): GuardInput {
+  return {
+    now: at,
+    settings: SETTINGS,
+    measurement: { measuredAt: at, services: [{ service: 'labels', slowdown }] },
+    candidates: [candidate('a')],
+    objectStoreAvailable: true,
+    ...overrides,
+  };
+}
+
+const AT_FLOOR = { throttle: 0.2 };
+
+describe('guard ladder', () => {
+  let state: GuardState;
+  beforeEach(() => {
+    state = createGuardState();
+  });
+
+  /** The decision on the second of two slow measurements. */
+  function actOn(overrides: Partial<GuardInput>, at = 1_000) {
+    decideGuards(state, measured(at, 2, overrides));
+    return decideGuards(state, measured(at + 1, 2, overrides));
+  }
+
+  it('needs two successive slow measurements', () => {
+    assert.deepEqual(decideGuards(state, measured(1, 2)).actions, []);
+    assert.deepEqual(decideGuards(state, measured(2, 1.2)).actions, []);
+    assert.deepEqual(decideGuards(state, measured(3, 2)).actions, []);
+    assert.equal(decideGuards(state, measured(4, 2)).actions.length, 1);
+  });
+
+  it('does not count one measurement twice', () => {
+    decideGuards(state, measured(1, 2));
+    assert.deepEqual(decideGuards(state, measured(1, 2)).actions, []);
+  });
+
+  it('throttles first, the cheapest task first, no further than needed', () => {
+    const { actions } = actOn({
+      candidates: [candidate('dear', { lossCost: 9 }), candidate('cheap', { lossCost: 1 })],
+    });
+    assert.deepEqual(
+      actions.map(({ kind, taskId }) => [kind, taskId]),
+      [
+        [GuardActionKind.Throttle, 'cheap'],
+        [GuardActionKind.Throttle, 'dear'],
+      ],
+    );
+    const slight = decideGuards(createGuardState(), {
+      ...measured(1, 1.32),
+      settings: { ...SETTINGS, measurementsToAct: 1 },
+      candidates: [candidate('dear', { lossCost: 9 }), candidate('cheap', { lossCost: 1 })],
+    });
+    assert.deepEqual(
+      slight.actions.map(({ taskId }) => taskId),
+      ['cheap'],
+    );
+  });
+
+  it('ignores measurements from before its last action took effect', () => {
+    const { actions } = actOn({});
+    noteGuardEffect(state, actions, 5_000);
+    for (const at of [2_000, 3_000, 4_999]) {
+      assert.deepEqual(decideGuards(state, measured(at, 9)).actions, []);
+    }
+    decideGuards(state, measured(5_500, 9));
+    assert.equal(decideGuards(state, measured(6_000, 9)).actions.length, 1);
+  });
+
+  const evictions = [
+    {
+      name: 'moves the cheapest when nothing is left to throttle',
+      input: {
+        candidates: [
+          candidate('dear', { ...AT_FLOOR, lossCost: 9 }),
+          candidate('cheap', { ...AT_FLOOR, lossCost: 1 }),
+        ],
+      },
+      expected: [GuardActionKind.Move, 'cheap'],
+    },
+    {
+      name: 'moves checkpointable work before it stops other work',
+      input: {
+        candidates: [
+          candidate('lost', { ...AT_FLOOR, lossCost: 1, checkpointable: false }),
+          candidate('saved', { ...AT_FLOOR, lossCost: 9 }),
+        ],
+      },
+      expected: [GuardActionKind.Move, 'saved'],
+    },
+    {
+      name: 'stops work that has no checkpoints when nothing else is left',
+      input: { candidates: [candidate('lost', { ...AT_FLOOR, checkpointable: false })] },
+      expected: [GuardActionKind.Stop, 'lost'],
+    },
+    {
+      name: 'moves nothing while the object store is down',
+      input: { candidates: [candidate('a', AT_FLOOR)], objectStoreAvailable: false },
+      expected: null,
+    },
+    {
+      name: 'leaves a run alone that was evicted three times',
+      input: { candidates: [candidate('a', { ...AT_FLOOR, evictions: 3 })] },
+      expected: null,
+    },
+    {
+      name: 'does nothing when guards are off',
+      input: { settings: { ...SETTINGS, enabled: false } },
+      expected: null,
+    },
+  ];
+  for (const { name, input, expected } of evictions) {
+    it(name, () => {
+      const { actions } = actOn(input);
+      const [action] = actions;
+      assert.deepEqual(action === undefined ? null : [action.kind, action.taskId], expected);
+    });
+  }
+
+  it('relaxes step by step, each after a calm time', () => {
+    const candidates = [candidate('a', { throttle: 0.25 })];
+    assert.deepEqual(decideGuards(state, measured(1, 1, { candidates })).actions, []);
+    assert.deepEqual(decideGuards(state, measured(29_000, 1, { candidates })).actions, []);
+    const [first] = decideGuards(state, measured(30_001, 1, { candidates })).actions;
+    assert.equal(first?.throttle, 0.5);
+    assert.deepEqual(decideGuards(state, measured(31_000, 1, { candidates })).actions, []);
+    decideGuards(state, measured(40_000, 1.2, { candidates }));
+    assert.deepEqual(decideGuards(state, measured(61_000, 1, { candidates })).actions, []);
+  });
+
+  it('never evicts more than its ration whatever is measured', () => {
+    const slowdowns = fc.array(fc.double({ min: 1, max: 20, noNaN: true }), { maxLength: 300 });
+    fc.assert(
+      fc.property(slowdowns, (values) => {
+        const fresh = createGuardState();
+        const times: number[] = [];
+        values.forEach((slowdown, index) => {
+          const at = index * 500;
+          const candidates = [candidate('a', AT_FLOOR), candidate('b', AT_FLOOR)];
+          const { actions } = decideGuards(fresh, measured(at, slowdown, { candidates }));
+          noteGuardEffect(fresh, actions, at + 100);
+          const evicted = actions.filter(({ kind }) => kind === GuardActionKind.Move);
+          times.push(...evicted.map(() => at));
+        });
+        times.slice(1).forEach((at, index) => assert.ok(at - (times[index] ?? 0) >= 30_000));
+      }),
+      { seed: 11, numRuns: 200 },
+    );
+  });
+});
