--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -1,6 +1,8 @@
 /**
  * Pure scheduling decisions as systems over tables.
  */
+export * from './placement/index.js';
+export * from './quarantine/index.js';
 export * from './estimates/index.js';
 export * from './guards/index.js';
 export * from './interference/index.js';
