--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -9,4 +9,3 @@
 export * from './room/index.js';
 export * from './admission/index.js';
 export * from './routing/index.js';
-export * from './room/index.js';
--- a/packages/decisions/src/placement/placement-plan.test.ts
+++ b/packages/decisions/src/placement/placement-plan.test.ts
@@ -189,7 +189,7 @@
   const { placements } = plan({
     tasks: [task('a')],
     vms,
-    interference: (_kind, neighbours) => (neighbours.has('saw') ? 1 : 0),
+    interference: (_task, { kinds }) => (kinds.has('saw') ? 1 : 0),
   });
   assert.equal(placements[0]?.agentId, 'quiet');
 });
--- a/packages/decisions/src/placement/placement-types.ts
+++ b/packages/decisions/src/placement/placement-types.ts
@@ -75,11 +75,8 @@
   evictions: number;
 }
 
-/** Expected slowdown minus one of a kind next to the kinds on a VM; 0 means no effect. */
-export type InterferenceEstimate = (
-  kind: KindName,
-  neighbours: ReadonlyMap<KindName, number>,
-) => number;
+/** Expected slowdown minus one that a task causes or suffers on a VM; 0 means no effect. */
+export type InterferenceEstimate = (task: PlacementTask, vm: PlacementVm) => number;
 
 export interface PlacementInputs {
   tasks: PlacementTask[];
--- a/packages/decisions/src/placement/possible-fit.ts
+++ b/packages/decisions/src/placement/possible-fit.ts
@@ -3,7 +3,7 @@
  */
 import type { Resources } from '@figjunction/types';
 import type { AllowedVmNames, PlacementVm } from './placement-types.js';
-import { fitsWithin } from '../room/resource-arithmetic.js';
+import { isWithinRoom } from '../room/resource-arithmetic.js';
 import { isAllowed } from './vm-choice.js';
 
 export enum PossibleFit {
@@ -23,7 +23,7 @@
   if (candidates.length === 0) {
     return PossibleFit.NoVm;
   }
-  return candidates.some((vm) => fitsWithin(size, vm.capacity))
+  return candidates.some((vm) => isWithinRoom(size, vm.capacity))
     ? PossibleFit.Possible
     : PossibleFit.TooLarge;
 }
--- a/packages/decisions/src/placement/vm-choice.ts
+++ b/packages/decisions/src/placement/vm-choice.ts
@@ -14,7 +14,7 @@
   PlacementVm,
   PlacementWeights,
 } from './placement-types.js';
-import { subtractResources, fitsWithin, addResources } from '../room/resource-arithmetic.js';
+import { subtractResources, isWithinRoom, addResources } from '../room/resource-arithmetic.js';
 
 /** A VM as the plan of one tick fills it. */
 export interface VmDraft {
@@ -104,7 +104,7 @@
   if (task.instancesPerVm !== null && (draft.kinds.get(task.kind) ?? 0) >= task.instancesPerVm) {
     return 'it has as many instances of the service as allowed';
   }
-  return fitsWithin(task.size, draft.free) ? null : 'it has not enough room';
+  return isWithinRoom(task.size, draft.free) ? null : 'it has not enough room';
 }
 
 function spreadCost(task: PlacementTask, draft: VmDraft, spread: SpreadCounts): number {
@@ -137,7 +137,7 @@
   return (
     spreadCost(task, draft, spread) +
     loadCost(task, draft, weights) +
-    sensitivity * interference(task.kind, draft.kinds) +
+    sensitivity * interference(task, draft.vm) +
     failures * FAILED_BEFORE_COST +
     random.fraction() * RANDOM_COST
   );
--- a/packages/entry/src/tasks/claim-procedure.ts
+++ b/packages/entry/src/tasks/claim-procedure.ts
@@ -76,7 +76,7 @@
 
   /** The candidates that the agent admitted; null when it did not answer. */
   private async reserve(agent: KnownAgent, candidates: Candidate[]): Promise<Candidate[] | null> {
-    const { entry, reservations, failures } = this.context;
+    const { entry, reservations, failures, refusals: memory } = this.context;
     try {
       const { refusals } = await entry.rpc.call(
         agent.address,
@@ -103,9 +103,11 @@
         const refusal = refusals[index] ?? null;
         if (refusal === null) {
           failures.recordStart(agent.agentId, value.kind, answeredAt);
+          memory.noteAdmission(agent.agentId, value.kind);
           return true;
         }
         entry.metrics.count('reservations_refused_total');
+        memory.noteRefusal(agent.agentId, value.kind, answeredAt);
         reservations.remove(agent.agentId, key);
         return false;
       });
--- a/packages/entry/src/tasks/hold-system.ts
+++ b/packages/entry/src/tasks/hold-system.ts
@@ -8,9 +8,9 @@
 import type { PlacementVm } from '@figjunction/decisions';
 import type { Instant } from '@figjunction/time';
 import { DecisionKind, TaskState, TaskType } from '@figjunction/types';
-import type { TaskRow } from '@figjunction/types';
-import { placementVms, sizeOf } from './placement-view.js';
-import type { LearntSize } from './placement-view.js';
+import type { AgentId, Resources, TaskRow } from '@figjunction/types';
+import { declaredSizeOf, placementVms } from './placement-view.js';
+import type { SizeEstimates } from './placement-view.js';
 import { configurationOf, runAside, scopeOf, taskDecision } from './task-context.js';
 import type { TaskContext } from './task-context.js';
 import { shardOfRow } from './task-identifiers.js';
@@ -18,6 +18,8 @@
 
 /** A young process does not know the whole fleet, so it does not conclude that a task never fits. */
 const FLEET_KNOWN_MS = 10_000;
+/** A VM that was replaced usually comes back with the same size. */
+const VM_REMEMBERED_MS = 600_000;
 /** Bounds the writes of one run, so that a flood of impossible jobs is held in steps. */
 const CHANGES_MAXIMUM = 256;
 const SCOPE_INPUT = 'scopeHash';
@@ -37,9 +39,11 @@
 }
 
 export class HoldSystem {
+  private readonly seen = new Map<AgentId, { vm: PlacementVm; at: Instant }>();
+
   constructor(
     private readonly context: TaskContext,
-    private readonly learntSize: LearntSize,
+    private readonly estimates: SizeEstimates,
   ) {}
 
   run(now: Instant): void {
@@ -47,7 +51,7 @@
     if (configuration === null || !this.context.entry.configuration.isConfirmed(now)) {
       return;
     }
-    const vms = placementVms(this.context, now);
+    const vms = this.knownVms(now);
     let changes = 0;
     for (const entry of this.candidates(TaskState.Pending)) {
       const hold = this.holdFor(configuration, entry.value, vms, now);
@@ -65,6 +69,19 @@
     }
   }
 
+  /** VMs that announced themselves lately, so that a restarting VM does not count as gone. */
+  private knownVms(now: Instant): PlacementVm[] {
+    for (const vm of placementVms(this.context, now)) {
+      this.seen.set(vm.agentId, { vm, at: now });
+    }
+    for (const [agentId, { at }] of this.seen) {
+      if (now - at > VM_REMEMBERED_MS) {
+        this.seen.delete(agentId);
+      }
+    }
+    return [...this.seen.values()].map(({ vm }) => vm);
+  }
+
   private candidates(state: TaskState): TaskEntry[] {
     return [...this.context.store.rows.inState(state)].filter(
       ({ key, value }) =>
@@ -90,7 +107,7 @@
         return failing;
       }
     }
-    const size = sizeOf(configuration, row, this.learntSize);
+    const size = this.sizeFor(configuration, row);
     const isFleetKnown = now - this.context.startedAt >= FLEET_KNOWN_MS;
     if (isFleetKnown && possibleFit(size, scope.allowed, vms) === PossibleFit.TooLarge) {
       const { processorMillicores, memoryMegabytes, accelerators } = size;
@@ -151,7 +168,7 @@
     if (inputOf(row, CAUSE_INPUT) !== HoldCause.NeverFits) {
       return null;
     }
-    const size = sizeOf(configuration, row, this.learntSize);
+    const size = this.sizeFor(configuration, row);
     return possibleFit(size, scope.allowed, vms) === PossibleFit.Possible
       ? 'the fleet has a VM that is large enough'
       : null;
@@ -174,6 +191,12 @@
     };
   }
 
+  /** Only a size that is declared or well known makes a task impossible. */
+  private sizeFor(configuration: OperatorConfiguration, row: TaskRow): Resources {
+    const declared = declaredSizeOf(configuration, row);
+    return this.estimates.isKnown(row.kind) ? this.estimates.sizeOf(row.kind, declared) : declared;
+  }
+
   private write(entry: TaskEntry, value: TaskRow): void {
     runAside(this.context, 'hold', async () => {
       const { applied } = await this.context.store.write(entry.key, entry, value);
--- a/packages/entry/src/tasks/holding.test.ts
+++ b/packages/entry/src/tasks/holding.test.ts
@@ -44,6 +44,18 @@
   assert.deepEqual(fixture.illegal, []);
 });
 
+// Guards against the caution for unknown sizes making a run impossible that fits as declared.
+test('a run that fits as declared starts although its widened estimate fits nowhere', async () => {
+  const size = { processorMillicores: 3_500, memoryMegabytes: 512 };
+  const fixture = new TaskFixture(configurationWith(kinds({ size })));
+  fixture.policy = { learning: true };
+  const entry = fixture.addEntry('entry-1');
+  const agent = await addVm(fixture, 'vm-1');
+  await submitTasks(fixture, entry, ['a']);
+  await fixture.runUntil(() => agent.runningTasks().length === 1, 15_000);
+  assert.equal(agent.usedMillicores(), 4_000);
+});
+
 // Guards against a new entry that holds everything because it does not know the fleet yet.
 test('a run is not held while no VM is known', async () => {
   const fixture = new TaskFixture();
--- a/packages/entry/src/tasks/placement-system.ts
+++ b/packages/entry/src/tasks/placement-system.ts
@@ -17,7 +17,7 @@
 import { LeaseReader } from './lease-reader.js';
 import { PendingDelays } from './pending-delays.js';
 import { placementTask, placementTeams, placementVms } from './placement-view.js';
-import type { LearntSize } from './placement-view.js';
+import type { SizeEstimates } from './placement-view.js';
 import type { ProposalBook } from './proposal-book.js';
 import { configurationOf, runAside, scopeOf } from './task-context.js';
 import type { TaskContext } from './task-context.js';
@@ -33,7 +33,7 @@
 export interface PlacementSystemOptions {
   context: TaskContext;
   proposals: ProposalBook;
-  learntSize: LearntSize;
+  estimates: SizeEstimates;
   interference: InterferenceEstimate;
 }
 
@@ -58,18 +58,20 @@
   run(now: Instant): void {
     const { context } = this.options;
     context.reservations.dropExpired(now);
+    context.refusals.forgetAbsent((agentId) => context.entry.agents.get(agentId) !== undefined);
     const configuration = configurationOf(context);
     if (configuration === null || !context.entry.configuration.isConfirmed(now)) {
       context.orders.dropStarts();
       return;
     }
-    const tasks = this.collectTasks(configuration, now);
+    const vms = this.usableVms(now);
+    const tasks = this.collectTasks(configuration, vms, now);
     if (tasks.length === 0) {
       return;
     }
     const plan = planPlacements({
       tasks,
-      vms: this.usableVms(now),
+      vms,
       teams: placementTeams(context, configuration),
       weights: configuration.weights,
       random: context.entry.random,
@@ -81,8 +83,12 @@
     this.carryOut(configuration, plan.placements, now);
   }
 
-  private collectTasks(configuration: OperatorConfiguration, now: Instant): PlacementTask[] {
-    const { context, proposals, learntSize } = this.options;
+  private collectTasks(
+    configuration: OperatorConfiguration,
+    vms: PlacementVm[],
+    now: Instant,
+  ): PlacementTask[] {
+    const { context, proposals, estimates } = this.options;
     const groupSizes = new Map<string, number>();
     const tasks: PlacementTask[] = [];
     for (const entry of context.store.rows.inState(TaskState.Pending)) {
@@ -93,7 +99,13 @@
         const needsApproval = this.needsApproval(configuration, entry);
         const approved = needsApproval ? proposals.approvedFor(entry.value) : null;
         if (!needsApproval || approved !== null || !proposals.hasOpen(entry.value)) {
-          const task = placementTask(configuration, entry, learntSize, approved?.agentId ?? null);
+          const task = placementTask(
+            configuration,
+            entry,
+            estimates,
+            vms,
+            approved?.agentId ?? null,
+          );
           if (task !== null) {
             groupSizes.set(group, groupSize + 1);
             tasks.push(task);
--- a/packages/entry/src/tasks/placement-view.ts
+++ b/packages/entry/src/tasks/placement-view.ts
@@ -2,8 +2,13 @@
  * Builds the tables over which placement runs, from rows, heartbeats and reservations in progress.
  */
 import type { OperatorConfiguration } from '@figjunction/config';
-import { largerResources } from '@figjunction/decisions';
-import type { PlacementTask, PlacementTeam, PlacementVm } from '@figjunction/decisions';
+import { PossibleFit, minimumOfResources, possibleFit } from '@figjunction/decisions';
+import type {
+  AllowedVmNames,
+  PlacementTask,
+  PlacementTeam,
+  PlacementVm,
+} from '@figjunction/decisions';
 import type { Instant } from '@figjunction/time';
 import { PlacementMode } from '@figjunction/types';
 import type { KindName, Resources, TaskRow } from '@figjunction/types';
@@ -12,30 +17,54 @@
 import type { TaskContext } from './task-context.js';
 import type { TaskEntry } from './task-table.js';
 
-/** What is learnt about the true size of a kind; null when nothing is known. */
-export type LearntSize = (row: Pick<TaskRow, 'type' | 'kind'>) => Resources | null;
+/** What is learnt about the sizes of kinds. */
+export interface SizeEstimates {
+  /** The size to count for a task of the kind; wider than declared while little is known. */
+  sizeOf(kind: KindName, declared: Resources): Resources;
+  /** Whether enough was measured to trust the size. */
+  isKnown(kind: KindName): boolean;
+}
 
-/** The larger of the declared and the learnt size. The configuration in force overrides the row's. */
-export function sizeOf(
+/** The declared size; the configuration in force overrides the row's. */
+export function declaredSizeOf(
   configuration: OperatorConfiguration,
   row: Pick<TaskRow, 'type' | 'kind' | 'declaredSize'>,
-  learntSize: LearntSize,
 ): Resources {
-  const declared = scopeOf(configuration, row)?.size ?? row.declaredSize;
-  const learnt = learntSize(row);
-  return learnt === null ? declared : largerResources(declared, learnt);
+  return scopeOf(configuration, row)?.size ?? row.declaredSize;
+}
+
+/**
+ * The size to reserve. While a kind is not known its estimate is only a caution, which must not make a task
+ * impossible that fits as declared: it is cut to the largest VM on which the declared size fits.
+ */
+export function sizeToReserve(
+  declared: Resources,
+  estimate: Resources,
+  allowed: AllowedVmNames,
+  vms: PlacementVm[],
+): Resources {
+  if (possibleFit(estimate, allowed, vms) !== PossibleFit.TooLarge) {
+    return estimate;
+  }
+  const largest = vms
+    .filter((vm) => possibleFit(declared, allowed, [vm]) === PossibleFit.Possible)
+    .sort((left, right) => right.capacity.processorMillicores - left.capacity.processorMillicores);
+  return largest[0] === undefined ? estimate : minimumOfResources(estimate, largest[0].capacity);
 }
 
 export function placementTask(
   configuration: OperatorConfiguration,
   { key, value }: TaskEntry,
-  learntSize: LearntSize,
+  estimates: SizeEstimates,
+  vms: PlacementVm[],
   onlyVm: string | null,
 ): PlacementTask | null {
   const scope = scopeOf(configuration, value);
   if (scope === undefined) {
     return null;
   }
+  const declared = declaredSizeOf(configuration, value);
+  const estimate = estimates.sizeOf(value.kind, declared);
   const urgencyClass = configuration.urgencyClasses.find(({ name }) => name === value.urgency);
   return {
     key,
@@ -43,7 +72,9 @@
     team: value.team,
     kind: value.kind,
     urgencyRank: urgencyClass?.rank ?? Number.MAX_SAFE_INTEGER,
-    size: sizeOf(configuration, value, learntSize),
+    size: estimates.isKnown(value.kind)
+      ? estimate
+      : sizeToReserve(declared, estimate, scope.allowed, vms),
     allowed: scope.allowed,
     failedOn: value.failedOn,
     order: value.submittedAtMs,
@@ -95,12 +126,20 @@
     hostsService: agent.instances.length > 0,
     startsAllowed: limit.starts,
     limitReason: limit.reason,
-    kindStarts: context.entry.settings.policy.quarantine
-      ? context.failures.kindStarts(agent.agentId, now)
-      : new Map(),
+    kindStarts: kindStarts(context, agent, now),
   };
 }
 
+function kindStarts(context: TaskContext, agent: KnownAgent, now: Instant): Map<KindName, number> {
+  const starts = context.entry.settings.policy.quarantine
+    ? context.failures.kindStarts(agent.agentId, now)
+    : new Map<KindName, number>();
+  for (const kind of context.refusals.refusedKinds(agent.agentId, now)) {
+    starts.set(kind, 0);
+  }
+  return starts;
+}
+
 function startLimit(
   context: TaskContext,
   agent: KnownAgent,
--- a/packages/entry/src/tasks/task-context.ts
+++ b/packages/entry/src/tasks/task-context.ts
@@ -18,6 +18,7 @@
 import type { EntryContext } from '../entry-context.js';
 import type { AgentOrders } from './agent-orders.js';
 import type { LeaseTracker } from './lease-tracker.js';
+import type { RefusalMemory } from './refusal-memory.js';
 import type { ReservationTable } from './reservation-table.js';
 import type { ShardLoader } from './shard-loader.js';
 import type { RowWriter, TaskStore } from './task-store.js';
@@ -32,6 +33,7 @@
   reservations: ReservationTable;
   leases: LeaseTracker;
   failures: FailureHistory;
+  refusals: RefusalMemory;
   /** When this process began to serve; a younger one does not know the whole fleet yet. */
   startedAt: Instant;
 }
--- a/packages/entry/src/tasks/task-module.ts
+++ b/packages/entry/src/tasks/task-module.ts
@@ -17,13 +17,14 @@
 import { LeaseTracker } from './lease-tracker.js';
 import { OrderRepair } from './order-repair.js';
 import { PlacementSystem } from './placement-system.js';
-import type { LearntSize } from './placement-view.js';
 import { ProposalBook } from './proposal-book.js';
+import { RefusalMemory } from './refusal-memory.js';
 import { ReservationTable } from './reservation-table.js';
 import { routeReports } from './report-forwarding.js';
 import { RetentionSweep } from './retention.js';
 import { ShardLoader } from './shard-loader.js';
 import type { TaskContext } from './task-context.js';
+import { TaskLearning } from './task-learning.js';
 import { TaskStore, TaskWriteKind } from './task-store.js';
 import { TaskTable } from './task-table.js';
 
@@ -32,12 +33,10 @@
 const REQUEUE_INTERVAL_MS = 200;
 const INSTANCE_INTERVAL_MS = 500;
 const REPAIR_INTERVAL_MS = 500;
+const LEARN_INTERVAL_MS = 1_000;
 const HOLD_INTERVAL_MS = 1_000;
 const RETENTION_INTERVAL_MS = 10_000;
 
-/** Nothing is learnt yet: the declared size counts. */
-const noLearntSize: LearntSize = () => null;
-
 /** The module and the tables behind it. */
 export interface TaskParts {
   context: TaskContext;
@@ -71,6 +70,7 @@
     reservations: new ReservationTable(),
     leases: new LeaseTracker(),
     failures: new FailureHistory(),
+    refusals: new RefusalMemory(),
     startedAt: clock.now(),
   };
   const module = {
@@ -105,19 +105,21 @@
   const recovery = new LeaseRecovery(context);
   const instances = new InstanceReconciler(context);
   const repair = new OrderRepair(context);
-  const holds = new HoldSystem(context, noLearntSize);
+  const learning = new TaskLearning(context.entry);
+  const holds = new HoldSystem(context, learning);
   const retention = new RetentionSweep(context);
   const placement = new PlacementSystem({
     context,
     proposals,
-    learntSize: noLearntSize,
-    interference: () => 0,
+    estimates: learning,
+    interference: (task, vm) => learning.slowdownFrom(task, vm),
   });
   return [
     { name: 'load-shards', intervalMs: 0, run: (now) => context.shards.run(now) },
     { name: 'scan-leases', intervalMs: LEASE_SCAN_INTERVAL_MS, run: () => recovery.scan() },
     { name: 'requeue', intervalMs: REQUEUE_INTERVAL_MS, run: (now) => recovery.requeue(now) },
     { name: 'instances', intervalMs: INSTANCE_INTERVAL_MS, run: (now) => instances.run(now) },
+    { name: 'learn', intervalMs: LEARN_INTERVAL_MS, run: () => learning.run() },
     { name: 'hold', intervalMs: HOLD_INTERVAL_MS, run: (now) => holds.run(now) },
     { name: 'proposals', intervalMs: HOLD_INTERVAL_MS, run: (now) => proposals.run(now) },
     { name: 'place', intervalMs: PLACEMENT_INTERVAL_MS, run: (now) => placement.run(now) },
--- a/packages/entry/src/tasks/testing/task-fixture.test.ts
+++ b/packages/entry/src/tasks/testing/task-fixture.test.ts
@@ -82,6 +82,9 @@
 
   private nextRenewal = 0;
 
+  /** Learnt sizes are off by default, so that tests count with declared sizes. */
+  policy: Record<string, unknown> = { learning: false };
+
   constructor(readonly configuration: OperatorConfiguration = configurationWith()) {
     this.recordTransitions();
   }
@@ -94,6 +97,7 @@
         platformAddress: 'http://127.0.0.1:1',
         sharedToken: OPERATOR_TOKEN,
         seed: this.entries.length + 1,
+        policy: this.policy,
       }),
       logger: createLogger({ name: entryId, level: 'silent' }),
       table: this.table,
