--- a/packages/entry/src/tasks/placement-view.ts
+++ b/packages/entry/src/tasks/placement-view.ts
@@ -10,7 +10,7 @@
   PlacementVm,
 } from '@figjunction/decisions';
 import type { Instant } from '@figjunction/time';
-import { PlacementMode } from '@figjunction/types';
+import { PlacementMode, TaskType } from '@figjunction/types';
 import type { KindName, Resources, TaskRow } from '@figjunction/types';
 import type { KnownAgent } from '../agent-directory.js';
 import { scopeOf } from './task-context.js';
@@ -52,6 +52,21 @@
   return largest[0] === undefined ? estimate : minimumOfResources(estimate, largest[0].capacity);
 }
 
+function sizeFor(
+  { type, kind }: TaskRow,
+  declared: Resources,
+  estimates: SizeEstimates,
+  allowed: AllowedVmNames,
+  vms: PlacementVm[],
+): Resources {
+  if (type === TaskType.Instance) {
+    // The agent counts an instance as declared or measured; its room is reserved for load to come.
+    return declared;
+  }
+  const estimate = estimates.sizeOf(kind, declared);
+  return estimates.isKnown(kind) ? estimate : sizeToReserve(declared, estimate, allowed, vms);
+}
+
 export function placementTask(
   configuration: OperatorConfiguration,
   { key, value }: TaskEntry,
@@ -64,7 +79,6 @@
     return null;
   }
   const declared = declaredSizeOf(configuration, value);
-  const estimate = estimates.sizeOf(value.kind, declared);
   const urgencyClass = configuration.urgencyClasses.find(({ name }) => name === value.urgency);
   return {
     key,
@@ -72,9 +86,7 @@
     team: value.team,
     kind: value.kind,
     urgencyRank: urgencyClass?.rank ?? Number.MAX_SAFE_INTEGER,
-    size: estimates.isKnown(value.kind)
-      ? estimate
-      : sizeToReserve(declared, estimate, scope.allowed, vms),
+    size: sizeFor(value, declared, estimates, scope.allowed, vms),
     allowed: scope.allowed,
     failedOn: value.failedOn,
     order: value.submittedAtMs,
