--- a/packages/entry/src/tasks/claim-procedure.ts
+++ b/packages/entry/src/tasks/claim-procedure.ts
@@ -107,7 +107,7 @@
           return true;
         }
         entry.metrics.count('reservations_refused_total');
-        memory.noteRefusal(agent.agentId, value.kind, answeredAt);
+        memory.noteRefusal(entry.agents.get(agent.agentId) ?? agent, value.kind, answeredAt);
         reservations.remove(agent.agentId, key);
         return false;
       });
--- a/packages/entry/src/tasks/placement-view.ts
+++ b/packages/entry/src/tasks/placement-view.ts
@@ -146,7 +146,7 @@
   const starts = context.entry.settings.policy.quarantine
     ? context.failures.kindStarts(agent.agentId, now)
     : new Map<KindName, number>();
-  for (const kind of context.refusals.refusedKinds(agent.agentId, now)) {
+  for (const kind of context.refusals.refusedKinds(agent, now)) {
     starts.set(kind, 0);
   }
   return starts;
--- a/packages/entry/src/tasks/refusal-memory.ts
+++ b/packages/entry/src/tasks/refusal-memory.ts
@@ -1,9 +1,11 @@
 /**
  * Refusals of agents. An agent counts more than the free room it announces, for example tasks whose size
- * is not known yet, so a refused kind is not offered to it again at once.
+ * is not known yet, so a refused kind is not offered to it again at once, unless its heartbeat shows a
+ * change of what it holds.
  */
 import type { Instant } from '@figjunction/time';
 import type { AgentId, KindName } from '@figjunction/types';
+import type { KnownAgent } from '../agent-directory.js';
 
 const FIRST_DELAY_MS = 250;
 const LAST_DELAY_MS = 2_000;
@@ -11,21 +13,26 @@
 interface Refusal {
   delayMs: number;
   retryAt: Instant;
+  /** What the agent held when it refused. */
+  held: string;
 }
 
 export class RefusalMemory {
   private readonly refusals = new Map<AgentId, Map<KindName, Refusal>>();
 
-  noteRefusal(agentId: AgentId, kind: KindName, now: Instant): void {
+  noteRefusal(agent: KnownAgent, kind: KindName, now: Instant): void {
+    const { agentId } = agent;
+    const held = heldBy(agent);
     const kinds = this.refusals.get(agentId) ?? new Map<KindName, Refusal>();
     this.refusals.set(agentId, kinds);
     const known = kinds.get(kind);
-    if (known !== undefined && now < known.retryAt) {
+    if (known?.held === held && now < known.retryAt) {
       // Refusals of one call count once.
       return;
     }
-    const delayMs = Math.min((known?.delayMs ?? FIRST_DELAY_MS / 2) * 2, LAST_DELAY_MS);
-    kinds.set(kind, { delayMs, retryAt: now + delayMs });
+    const delayMs =
+      known?.held === held ? Math.min(known.delayMs * 2, LAST_DELAY_MS) : FIRST_DELAY_MS;
+    kinds.set(kind, { delayMs, retryAt: now + delayMs, held });
   }
 
   noteAdmission(agentId: AgentId, kind: KindName): void {
@@ -33,9 +40,12 @@
   }
 
   /** Kinds that are not offered to the agent now. */
-  refusedKinds(agentId: AgentId, now: Instant): KindName[] {
-    const kinds = [...(this.refusals.get(agentId) ?? [])];
-    return kinds.filter(([, { retryAt }]) => now < retryAt).map(([kind]) => kind);
+  refusedKinds(agent: KnownAgent, now: Instant): KindName[] {
+    const held = heldBy(agent);
+    const kinds = [...(this.refusals.get(agent.agentId) ?? [])];
+    return kinds
+      .filter(([, refusal]) => refusal.held === held && now < refusal.retryAt)
+      .map(([kind]) => kind);
   }
 
   forgetAbsent(isPresent: (agentId: AgentId) => boolean): void {
@@ -46,3 +56,7 @@
     }
   }
 }
+
+function heldBy({ incarnation, tasks, free }: KnownAgent): string {
+  return [incarnation, tasks.length, free.processorMillicores, free.memoryMegabytes].join('/');
+}
