--- a/packages/decisions/src/placement/vm-choice.ts
+++ b/packages/decisions/src/placement/vm-choice.ts
@@ -137,7 +137,7 @@
   return (
     spreadCost(task, draft, spread) +
     loadCost(task, draft, weights) +
-    sensitivity * interference(task.kind, draft.kinds) +
+    sensitivity * interference(task, draft.vm) +
     failures * FAILED_BEFORE_COST +
     random.fraction() * RANDOM_COST
   );
