--- a/packages/client/src/commands/apply.ts
+++ b/packages/client/src/commands/apply.ts
@@ -3,6 +3,7 @@
  * until every known process has it in force.
  */
 import type { CommandModule } from 'yargs';
+import { toError } from '@figjunction/errors';
 import { SystemClock } from '@figjunction/time';
 import { applyFile } from '../apply-file.js';
 import { ClientError } from '../client-error.js';
@@ -68,15 +69,7 @@
   const entry = connect(context, flags);
   const baseRevision = flags['base-revision'] ?? (await agreeOnBase(context, flags, entry, file));
   const revision = await applyFile(context, flags, { entry, file, baseRevision });
-  const rollout = flags.wait
-    ? await waitForRollout({
-        entry,
-        revision,
-        terminal: context.terminal,
-        clock: new SystemClock(),
-        timeoutMs: flags['wait-seconds'] * MILLISECONDS_PER_SECOND,
-      })
-    : null;
+  const rollout = flags.wait ? await followRollout(context, flags, entry, revision) : null;
   show(context, flags, { revision, rollout }, () => describeResult(revision, rollout));
   if (rollout !== null && rollout.missing.length > 0) {
     throw new ClientError(`revision ${revision} is applied but not confirmed by all processes`, {
@@ -86,6 +79,31 @@
   }
 }
 
+async function followRollout(
+  context: ClientContext,
+  flags: Flags,
+  entry: EntryConnection,
+  revision: number,
+): Promise<Rollout> {
+  try {
+    return await waitForRollout({
+      entry,
+      revision,
+      terminal: context.terminal,
+      clock: new SystemClock(),
+      timeoutMs: flags['wait-seconds'] * MILLISECONDS_PER_SECOND,
+    });
+  } catch (error) {
+    throw new ClientError(
+      `revision ${revision} is applied, but its progress cannot be read: ${toError(error).message}`,
+      {
+        exitCode: ExitCode.NotConfirmed,
+        nextStep: 'see "figjunction status" with the token of an operator of the new file',
+      },
+    );
+  }
+}
+
 function describeResult(revision: number, rollout: Rollout | null): string {
   const applied = `revision ${revision} is applied`;
   return rollout === null ? applied : `${applied}\n${formatRollout(rollout)}`;
--- a/packages/client/src/configuration-file.ts
+++ b/packages/client/src/configuration-file.ts
@@ -15,6 +15,7 @@
 import { ExitCode } from './exit-code.js';
 
 const STANDARD_INPUT = '-';
+const VALUE_LENGTH_SHOWN = 70;
 const SIGNS: Record<ConfigurationDifference['kind'], string> = {
   added: '+',
   removed: '-',
@@ -86,10 +87,19 @@
   if (differences.length === 0) {
     return 'no differences';
   }
-  return differences
-    .map(({ kind, path, before, after }) => {
-      const values = [before, after].filter((value) => value !== null).join(' -> ');
-      return `${SIGNS[kind]} ${path}: ${values}`;
-    })
-    .join('\n');
+  return differences.map(formatDifference).join('\n');
+}
+
+function formatDifference({ kind, path, before, after }: ConfigurationDifference): string {
+  const line = `${SIGNS[kind]} ${path}`;
+  if (after === null) {
+    return line;
+  }
+  const values = [before, after].filter((value) => value !== null).map(shorten);
+  return `${line}: ${values.join(' -> ')}`;
+}
+
+/** The JSON output has the whole values. */
+function shorten(value: string): string {
+  return value.length <= VALUE_LENGTH_SHOWN ? value : `${value.slice(0, VALUE_LENGTH_SHOWN)}…`;
 }
--- a/packages/config/src/load-settings.ts
+++ b/packages/config/src/load-settings.ts
@@ -59,16 +59,22 @@
     result.error.issues.flatMap((issue) => {
       const path = pathOf(issue);
       const source = applied.filter(({ override }) => startsWith(path, override.path)).pop();
-      return source === undefined
-        ? describeIssue(document, issue, schema)
-        : [describeOverride(source, issue)];
+      if (source !== undefined) {
+        return [describeOverride(source, issue)];
+      }
+      const problems = describeIssue(document, issue, schema);
+      return sources.file === undefined ? problems.map(withoutPosition) : problems;
     }),
   );
 }
 
+function withoutPosition(problem: ConfigurationProblem): ConfigurationProblem {
+  return { ...problem, line: 0, column: 0 };
+}
+
 function readDocument(file: string | undefined): ConfigurationDocument {
   if (file === undefined) {
-    return new ConfigurationDocument('{}', 'settings without a file');
+    return new ConfigurationDocument('{}', 'settings');
   }
   const document = new ConfigurationDocument(readText(file), file);
   if (document.problems.length > 0) {
--- a/packages/entry/src/operators/apply-configuration.ts
+++ b/packages/entry/src/operators/apply-configuration.ts
@@ -14,6 +14,7 @@
 /** A write whose result is still open after this time is reported as unknown. */
 const RESOLVE_TIMEOUT_MS = 10_000;
 const RETRY_DELAY_MS = 200;
+const STORE_ATTEMPTS_MAXIMUM = 4;
 
 /** The row is read by every entry each second, so it keeps a bounded history. */
 export const HISTORY_MAXIMUM = 50;
@@ -55,7 +56,7 @@
   if ((current?.value.revision ?? 0) !== options.baseRevision) {
     return conflictWith(current);
   }
-  await context.objects.put(configurationObjectKey(bodyHash), Buffer.from(options.body));
+  await storeBody(context, bodyHash, options.body);
   const row = nextRow(context, current, bodyHash, options.appliedBy);
   const result = await writeRow(context, current, row);
   if (result.conflict === null) {
@@ -69,6 +70,24 @@
   return row ?? null;
 }
 
+/** Repeats a write whose answer was lost: the key is the hash of the body, so any number of writes is one. */
+async function storeBody(context: EntryContext, bodyHash: string, body: string): Promise<void> {
+  for (let attempt = 1; ; attempt += 1) {
+    try {
+      await context.objects.put(configurationObjectKey(bodyHash), Buffer.from(body));
+      return;
+    } catch (error) {
+      if (attempt === STORE_ATTEMPTS_MAXIMUM) {
+        throw new EntryError('the object store is unavailable; nothing was applied', {
+          code: ErrorCode.Unavailable,
+          cause: toError(error),
+        });
+      }
+    }
+    await sleep(context.random.jitter(RETRY_DELAY_MS));
+  }
+}
+
 /** A client that lost the answer sends the file again; the second call must not look like a conflict. */
 function isRepeated(row: ConfigurationRow, bodyHash: string, options: ApplyOptions): boolean {
   return (
--- a/packages/entry/src/operators/status.ts
+++ b/packages/entry/src/operators/status.ts
@@ -2,9 +2,10 @@
  * What is known of the processes: which revision each has in force, whether it is confirmed, and what a
  * starting process waits for.
  */
+import type { IncomingMessage } from 'node:http';
 import { ErrorCode } from '@figjunction/errors';
-import { HttpClient, sendJson } from '@figjunction/http';
-import type { Route, RouteMatch } from '@figjunction/http';
+import { sendJson } from '@figjunction/http';
+import type { HttpClient, Route, RouteMatch } from '@figjunction/http';
 import { bearerHeader, bearerToken, equalsInConstantTime } from '@figjunction/rpc';
 import type { KnownEntry } from '@figjunction/types';
 import type { KnownAgent } from '../agent-directory.js';
@@ -42,7 +43,10 @@
   http: HttpClient,
   match: RouteMatch,
 ): Promise<void> {
-  authenticateOperator(context, match.request);
+  // After the first file the shared token is no operator's any more, but its apply still waits.
+  if (!hasSharedToken(context, match.request)) {
+    authenticateOperator(context, match.request);
+  }
   const own = describeSelf(context);
   const others = await Promise.all(
     context.peers.others().map((peer) => askPeer(context, http, peer)),
@@ -57,13 +61,17 @@
 
 /** For other entries, which hold the shared token but no token of an operator. */
 async function showOwnStatus(context: EntryContext, match: RouteMatch): Promise<void> {
-  const token = bearerToken(match.request.headers.authorization);
-  if (token === null || !equalsInConstantTime(token, context.settings.sharedToken)) {
+  if (!hasSharedToken(context, match.request)) {
     throw new EntryError('this path is for entries', { code: ErrorCode.Unauthenticated });
   }
   sendJson(match.response, 200, describeSelf(context));
 }
 
+function hasSharedToken(context: EntryContext, request: IncomingMessage): boolean {
+  const token = bearerToken(request.headers.authorization);
+  return token !== null && equalsInConstantTime(token, context.settings.sharedToken);
+}
+
 function describeSelf(context: EntryContext): EntryStatus {
   const self = context.peers.live().find(({ entryId }) => entryId === context.settings.entryId);
   return {
