--- a/packages/client/src/configuration-file.ts
+++ b/packages/client/src/configuration-file.ts
@@ -14,7 +14,8 @@
 import { OutputFormat } from './client-context.js';
 import { ExitCode } from './exit-code.js';
 
-const STANDARD_INPUT = '-';
+/** What the command line calls `-`; its parser drops a single hyphen. */
+export const STANDARD_INPUT = '/dev/stdin';
 const VALUE_LENGTH_SHOWN = 70;
 const SIGNS: Record<ConfigurationDifference['kind'], string> = {
   added: '+',
--- a/packages/client/src/run-client.ts
+++ b/packages/client/src/run-client.ts
@@ -7,6 +7,7 @@
 import { ClientError } from './client-error.js';
 import { OutputFormat } from './client-context.js';
 import type { ClientContext, CommonFlags } from './client-context.js';
+import { STANDARD_INPUT } from './configuration-file.js';
 import { createCommands } from './commands/index.js';
 import { EXIT_CODE_HELP, ExitCode } from './exit-code.js';
 
@@ -21,7 +22,8 @@
 }
 
 function createParser(commandLine: string[], context: ClientContext): Argv<CommonFlags> {
-  const parser = yargs(commandLine)
+  const words = commandLine.map((word) => (word === '-' ? STANDARD_INPUT : word));
+  const parser = yargs(words)
     .scriptName('figjunction')
     .usage('$0 <command>\n\nTalks to an entry of figjunction.')
     .option('address', {
