--- /dev/null
+++ b/packages/bench/src/proofs/configuration/outage-cases.ts
@@ -0,0 +1,168 @@
+/**
+ * Cases about processes that cannot see the table: one that starts in an outage, a late old message, and
+ * processes that cannot confirm their revision.
+ */
+import assert from 'node:assert/strict';
+import { RpcClient } from '@figjunction/rpc';
+import { ExecutionEvent, TEST_SHARED_TOKEN, waitUntil } from '@figjunction/test-support';
+import type { Cluster, ExecutionRecord } from '@figjunction/test-support';
+import { sleep } from '@figjunction/time';
+import { RequestOutcome, RpcMethod } from '@figjunction/types';
+import {
+  AGENTS,
+  IN_FORCE_BOUND_MS,
+  PROCESSES,
+  TEAM,
+  TEAM_TOKEN,
+  apply,
+  applyEverywhere,
+  currentRevision,
+  fileWith,
+  parse,
+} from './fixture.js';
+import type { ProofFixture } from './fixture.js';
+import { LatePeer } from './late-peer.js';
+
+/** Section 9: 6 s without a confirmation, and one poll that was already on its way. */
+const PLACEMENT_BOUND_MS = 7_000;
+const OBSERVED_MS = 6_000;
+const REQUEST_INTERVAL_MS = 200;
+const TASKS = 6;
+const TASK_DURATION_MS = 9_000;
+const JOB_TIMEOUT_MS = 60_000;
+
+/** A process that starts during an outage takes the newest revision of its peers, or says what it lacks. */
+export async function startsDuringOutage(fixture: ProofFixture): Promise<void> {
+  const { cluster, watch } = fixture;
+  await cluster.entries[1]?.terminate();
+  watch.forget('entry-2');
+  const base = await currentRevision(cluster);
+  assert.equal((await apply(cluster, 0, base, fileWith('newer'))).status, 200);
+  await cluster.platformControl.setFaults({ outage: true });
+  await cluster.startEntry(1);
+  await waitUntil(async () => (await watch.read(1)).some((one) => isAt(one, 'entry-2', base + 1)), {
+    what: 'the entry that started in the outage takes the revision of its peer',
+  });
+  await cluster.entries[0]?.terminate();
+  await cluster.entries[1]?.terminate();
+  watch.forget('entry-2');
+  await cluster.startEntry(1);
+  const health = await waitUntil(async () => {
+    const answer = await cluster.entryClient(1).call('GET', '/healthz', '');
+    return answer.status === 503 ? answer : null;
+  });
+  assert.match(health.body.toString(), /a configuration/u, 'it says what it waits for');
+  await cluster.platformControl.setFaults({ outage: false });
+  watch.forget('entry-1');
+  await cluster.startEntry(0);
+  await watch.waitForRevision(base + 1, PROCESSES, IN_FORCE_BOUND_MS);
+}
+
+function isAt(one: { name: string; revision: number }, name: string, revision: number): boolean {
+  return one.name === name && one.revision === revision;
+}
+
+/** An old revision that arrives late, at entries and at agents, changes nothing. */
+export async function ignoresLateMessages(fixture: ProofFixture): Promise<void> {
+  const { cluster, watch } = fixture;
+  const rpc = new RpcClient({ sharedToken: TEST_SHARED_TOKEN });
+  const address = cluster.entries[0]?.address ?? '';
+  const ask = (slice: boolean): ReturnType<typeof rpc.call<RpcMethod.ConfigurationGet>> =>
+    rpc.call(address, RpcMethod.ConfigurationGet, { revision: 1, slice });
+  const old = { body: await ask(false), slice: await ask(true) };
+  rpc.close();
+  const revision = await applyEverywhere(fixture, 'after the late message was sent');
+  const peer = new LatePeer(address, old, revision + 1);
+  await peer.start();
+  await waitUntil(() => peer.bodiesSent > 0 && peer.slicesSent >= AGENTS, {
+    what: 'the old revision was delivered to entries and agents',
+  });
+  await peer.stop();
+  await sleep(2 * REQUEST_INTERVAL_MS);
+  for (const one of await watch.read(0)) {
+    assert.equal(one.revision, revision, `${one.name} must not take an old revision`);
+  }
+  await applyEverywhere(fixture, 'after the late message arrived');
+}
+
+/**
+ * The table takes writes but answers no reads, so that nobody can confirm a revision while a placement
+ * could still be written.
+ */
+export async function placesNothingUnconfirmed({ cluster, watch }: ProofFixture): Promise<void> {
+  await submit(cluster);
+  await waitUntil(async () => countTasks(await cluster.readExecutionLog()).started >= 1, {
+    what: 'a run starts',
+  });
+  const { readsPerSecond } = await cluster.platformControl.setFaults({});
+  await cluster.platformControl.setFaults({ readsPerSecond: 0 });
+  await sleep(PLACEMENT_BOUND_MS);
+  const before = await snapshot(cluster);
+  const refused = await requestLabels(cluster, OBSERVED_MS);
+  const after = await snapshot(cluster);
+  const known = await watch.read(0);
+  await cluster.platformControl.setFaults({ readsPerSecond });
+  assert.deepEqual(refused, [], 'requests go on without the table');
+  assert.ok(known.length >= PROCESSES, 'all processes are known');
+  assert.deepEqual(
+    known.filter(({ confirmed }) => confirmed),
+    [],
+    'no process claims to be confirmed',
+  );
+  assert.equal(after.started, before.started, 'no run starts');
+  const ended = after.ended - before.ended;
+  const written = after.rowsWritten - before.rowsWritten;
+  assert.ok(ended >= 1, 'a run ended, so that the quota had room for another one');
+  assert.ok(written <= ended, `${written} task rows were written for ${ended} runs that ended`);
+  await waitUntil(async () => countTasks(await cluster.readExecutionLog()).ended >= TASKS, {
+    what: 'all runs end once the revision is confirmed again',
+    timeoutMs: JOB_TIMEOUT_MS,
+  });
+}
+
+async function submit(cluster: Cluster): Promise<void> {
+  const tasks = Array.from({ length: TASKS }, (_, index) => ({
+    name: `menu-${index}`,
+    parameters: { durationMs: String(TASK_DURATION_MS) },
+  }));
+  const job = { jobId: 'unconfirmed', team: TEAM, kind: 'menu', tasks };
+  await cluster.entryClient(0).submit(job, TEAM_TOKEN);
+}
+
+interface Snapshot {
+  started: number;
+  ended: number;
+  rowsWritten: number;
+}
+
+async function snapshot(cluster: Cluster): Promise<Snapshot> {
+  const stats = await cluster.platformControl.readStats();
+  const counts = countTasks(await cluster.readExecutionLog());
+  return { ...counts, rowsWritten: stats.rowsWrittenByPrefix.tasks ?? 0 };
+}
+
+function countTasks(log: ExecutionRecord[]): { started: number; ended: number } {
+  const menus = log.filter(({ kind }) => kind === 'menu');
+  return {
+    started: menus.filter(({ event }) => event === ExecutionEvent.TaskStart).length,
+    ended: menus.filter(({ event }) => event === ExecutionEvent.TaskComplete).length,
+  };
+}
+
+/** Sends requests through both entries in turn and returns those that were not completed. */
+async function requestLabels(cluster: Cluster, durationMs: number): Promise<string[]> {
+  const failures: string[] = [];
+  const rounds = Math.ceil(durationMs / REQUEST_INTERVAL_MS);
+  for (let round = 0; round < rounds; round += 1) {
+    const client = cluster.entryClient(round % cluster.entries.length);
+    const body = JSON.stringify({ round });
+    const answer = await client.request({ service: 'label', body, token: TEAM_TOKEN });
+    if (answer.outcome !== RequestOutcome.Completed) {
+      failures.push(
+        `${answer.status} ${parse<{ message: string }>({ ...answer, headers: {} }).message}`,
+      );
+    }
+    await sleep(REQUEST_INTERVAL_MS);
+  }
+  return failures;
+}
