Describe the project in one screen and compare revisions per observer

The proof of invariant 9 compared what two entries knew of one agent: their heartbeats arrive at different times, which looks like a revert. Each observer is now compared with itself.

--- a/packages/bench/src/proofs/configuration/revision-watch.ts
+++ b/packages/bench/src/proofs/configuration/revision-watch.ts
@@ -27,6 +27,7 @@
 
   private readonly http = new HttpClient();
 
+  /** By observing entry and process: heartbeats of one agent reach two entries at different times. */
   private readonly highest = new Map<string, number>();
 
   private stopped = false;
@@ -77,24 +78,31 @@
 
   /** A process that was stopped starts from nothing, which is no revert. */
   forget(name: string): void {
-    this.highest.delete(name);
+    for (const observer of this.cluster.entries.keys()) {
+      this.highest.delete(keyOf(observer, name));
+    }
   }
 
   private async sampleUntilStopped(): Promise<void> {
     while (!this.stopped) {
       for (const index of this.cluster.entries.keys()) {
         const sample = await this.read(index).catch(() => []);
-        sample.forEach((one) => this.compare(one));
+        sample.forEach((one) => this.compare(index, one));
       }
       await sleep(SAMPLE_INTERVAL_MS);
     }
   }
 
-  private compare({ name, revision }: ProcessRevision): void {
-    const highest = this.highest.get(name) ?? 0;
+  private compare(observer: number, { name, revision }: ProcessRevision): void {
+    const key = keyOf(observer, name);
+    const highest = this.highest.get(key) ?? 0;
     if (revision < highest) {
       this.reverts.push(`${name} went from revision ${highest} back to ${revision}`);
     }
-    this.highest.set(name, Math.max(highest, revision));
+    this.highest.set(key, Math.max(highest, revision));
   }
 }
+
+function keyOf(observer: number, name: string): string {
+  return `${observer} ${name}`;
+}
--- a/packages/bench/src/quickstart/stay.ts
+++ b/packages/bench/src/quickstart/stay.ts
@@ -18,9 +18,9 @@
 
   npx figjunction status
   npx figjunction runs
-  npx figjunction explain vm vm-1
   npx figjunction plan examples/pindos.jsonc
   npx figjunction drain vm-1
+  npx figjunction explain vm vm-1
   npx figjunction drain vm-1 --end
   FIGJUNCTION_TOKEN=${BANQUET_TOKEN} npx figjunction submit examples/overnight-menus.jsonc --job-id second-night --wait
   curl -X POST -H "authorization: Bearer ${KITCHEN_TOKEN}" -d '{"dish": "mantı"}' ${addresses[0]}/v1/services/label/requests
--- a/packages/client/src/commands/explain.ts
+++ b/packages/client/src/commands/explain.ts
@@ -3,10 +3,12 @@
  */
 import type { CommandModule } from 'yargs';
 import { ExplainSubject } from '@figjunction/types';
-import type { DecisionRecord } from '@figjunction/types';
+import type { DecisionInput, DecisionRecord } from '@figjunction/types';
 import { connect, show } from '../client-context.js';
 import type { ClientContext, CommonFlags } from '../client-context.js';
 
+const FRACTION_DIGITS = 3;
+
 interface Flags extends CommonFlags {
   subject: ExplainSubject;
   id: string;
@@ -25,7 +27,7 @@
       command
         .positional('subject', { choices: Object.values(ExplainSubject), demandOption: true })
         .positional('id', { type: 'string', demandOption: true })
-        .example('$0 explain run overnight-1/menu-3', 'why a run is where it is')
+        .example('$0 explain run banquet-house.overnight-menus.gala', 'why a run is where it is')
         .example('$0 explain vm vm-3', 'what happened on a VM'),
     async handler(flags): Promise<void> {
       const path = `/v1/explain/${flags.subject}/${encodeURIComponent(flags.id)}`;
@@ -48,9 +50,12 @@
   return [
     `${decidedAt}  ${kind}  by ${decidedBy} under revision ${configurationRevision}`,
     `  decision: ${decision}`,
-    ...(inputs.length === 0
-      ? []
-      : [`  inputs:   ${inputs.map(({ name, value }) => `${name}=${value}`).join(', ')}`]),
+    ...(inputs.length === 0 ? [] : [`  inputs:   ${inputs.map(formatInput).join(', ')}`]),
     ...rejected.map(({ option, reason }) => `  rejected: ${option}: ${reason}`),
   ].join('\n');
 }
+
+function formatInput({ name, value }: DecisionInput): string {
+  const isFraction = typeof value === 'number' && !Number.isInteger(value);
+  return `${name}=${isFraction ? value.toFixed(FRACTION_DIGITS) : value}`;
+}
