Keep refusals of another incarnation out of the attempt table

An attempt that ran in an earlier process and arrived a second time at its successor was recorded there as refused, and an inquiry took the record for a proof of "not run". Questions to agents also end at the deadline now; one took up to 2 s longer. Streams that break end their lines instead of failing the watch.

--- a/packages/agent/src/attempts/attempt-service.ts
+++ b/packages/agent/src/attempts/attempt-service.ts
@@ -58,7 +58,10 @@
       return known;
     }
     if (incarnation !== this.context.incarnation) {
-      return this.refuse(parameters, OutcomeCode.WrongIncarnation, 'the agent restarted');
+      // Not recorded: the attempt may have run in the process before this one, and a record here would
+      // be taken for a proof that it did not.
+      this.countRefusal(OutcomeCode.WrongIncarnation);
+      return notRun(OutcomeCode.WrongIncarnation, 'the agent restarted');
     }
     if (this.attempts.isExpired(attempt)) {
       this.countRefusal(OutcomeCode.AttemptExpired);
--- a/packages/agent/src/attempts/watch-lines.ts
+++ b/packages/agent/src/attempts/watch-lines.ts
@@ -1,8 +1,8 @@
 /**
  * Lines of newline-delimited JSON. A line that a cut left incomplete is dropped.
  */
-import { createInterface } from 'node:readline';
 import type { Readable } from 'node:stream';
+import { readLines } from '@figjunction/http';
 
 /** A whole line and the cursor in it. */
 export interface WatchLine {
@@ -13,11 +13,7 @@
 }
 
 export async function* readWatchLines(stream: Readable): AsyncGenerator<WatchLine> {
-  const lines = createInterface({ input: stream, crlfDelay: Number.POSITIVE_INFINITY });
-  // A broken stream ends the lines; readline alone would wait for its end.
-  stream.on('error', () => lines.close());
-  stream.once('close', () => lines.close());
-  for await (const text of lines) {
+  for await (const text of readLines(stream)) {
     const line = parseLine(text);
     if (line !== null) {
       yield line;
--- a/packages/agent/src/attempts/watch-service.ts
+++ b/packages/agent/src/attempts/watch-service.ts
@@ -108,7 +108,6 @@
       await writeLine(response, line.text, signal);
       cursor = line.cursor;
     }
-    target.destroy();
     response.end(`${JSON.stringify({ cursor, end: 'drained' })}\n`);
   }
 
--- a/packages/bench/src/proofs/request-pair.ts
+++ b/packages/bench/src/proofs/request-pair.ts
@@ -20,6 +20,7 @@
 import { createLogger } from '@figjunction/logger';
 import { createRpcRoute } from '@figjunction/rpc';
 import { FakePlatform, MemoryObjectStore, MemoryTableService } from '@figjunction/test-support';
+import type { TickSystem } from '@figjunction/time';
 import { AgentState } from '@figjunction/types';
 import type { HeartbeatParameters } from '@figjunction/types';
 import type { Worker } from '@figjunction/worker';
@@ -70,6 +71,10 @@
     this.address = await listen(this.server);
   }
 
+  cutConnections(): void {
+    this.server.closeAllConnections();
+  }
+
   close(): void {
     this.server.close();
     this.server.closeAllConnections();
@@ -88,6 +93,8 @@
 
   private sequence = 0;
 
+  private systems: TickSystem[] = [];
+
   constructor(readonly agentId: string) {}
 
   get taskId(): string {
@@ -108,6 +115,13 @@
     await this.startProcess(incarnation + 1);
   }
 
+  /** What the tick loop of a daemon does. */
+  runSystems(): void {
+    this.systems.forEach(({ run }) => {
+      Promise.resolve(run(this.context.clock.now())).catch(() => {});
+    });
+  }
+
   heartbeat(): HeartbeatParameters {
     this.sequence += 1;
     return {
@@ -163,7 +177,8 @@
       connectionsUsed: 0,
       draining: false,
     });
-    const { routes = [], rpcHandlers = {} } = createAttemptModule(this.context);
+    const { routes = [], rpcHandlers = {}, systems = [] } = createAttemptModule(this.context);
+    this.systems = systems;
     this.server = new HttpServer({
       routes: [...routes, createRpcRoute({ sharedToken: SHARED_TOKEN, handlers: rpcHandlers })],
     });
--- a/packages/entry/src/requests/attempt-client.ts
+++ b/packages/entry/src/requests/attempt-client.ts
@@ -51,6 +51,19 @@
 
 type AttemptEnd = RequestEnd & { slotsUsed?: number };
 
+/** What an agent said of an attempt. */
+interface Settlement {
+  /** Null while it is not known. */
+  end: AttemptEnd | null;
+  /** Whether the agent answered at all. */
+  reached: boolean;
+}
+
+const NOT_REACHED: Settlement = { end: null, reached: false };
+
+/** Timers fire a little early; a deadline this close has passed. */
+const DEADLINE_SLACK_MS = 5;
+
 /** The last question after the deadline may take this long; it can still prove "not run". */
 const LAST_CANCEL_MS = 250;
 
@@ -86,16 +99,15 @@
    * Asks an agent how an attempt ended, and cancels it there when it never arrived. Null when the answer
    * is not known yet.
    */
-  async settle(order: Pick<AttemptOrder, 'agent' | 'attempt' | 'silenceBoundMs'>): Promise<{
-    end: AttemptEnd | null;
-    reached: boolean;
-  }> {
+  async settle(
+    order: Pick<AttemptOrder, 'agent' | 'attempt' | 'silenceBoundMs'>,
+  ): Promise<Settlement> {
     const reference = { attempt: order.attempt, incarnation: order.agent.incarnation };
     try {
       const inquiry = await this.inquire(order.agent, reference, order.silenceBoundMs);
       this.context.metrics.count('attempt_inquiries_total', { state: inquiry.state });
       if (!isAnswerTo(order.attempt, inquiry)) {
-        return { end: null, reached: false };
+        return NOT_REACHED;
       }
       switch (inquiry.state) {
         case AttemptState.Running:
@@ -111,7 +123,7 @@
       if (errorCodeOf(error) === ErrorCode.Conflict) {
         return { end: restarted(), reached: true };
       }
-      return { end: null, reached: false };
+      return NOT_REACHED;
     }
   }
 
@@ -152,7 +164,7 @@
       if (end !== null) {
         open = null;
       }
-      if (order.signal?.aborted || remainingMs(clock, order.deadline) === 0) {
+      if (order.signal?.aborted || remainingMs(clock, order.deadline) < DEADLINE_SLACK_MS) {
         return this.giveUp(order);
       }
       const asked = await this.settleOrAnswer(order, open);
@@ -167,19 +179,17 @@
     }
   }
 
-  /** Asks, unless the call answers in the meantime. */
-  private settleOrAnswer(
-    order: AttemptOrder,
-    open: Promise<CallEnd> | null,
-  ): Promise<{ end: AttemptEnd | null; reached: boolean }> {
+  /** Asks until the deadline, unless the call answers in the meantime. */
+  private settleOrAnswer(order: AttemptOrder, open: Promise<CallEnd> | null): Promise<Settlement> {
     const asked = this.settle(order);
+    const late = sleep(remainingMs(this.context.clock, order.deadline)).then(() => NOT_REACHED);
     if (open === null) {
-      return asked;
+      return Promise.race([asked, late]);
     }
     const answered = open.then((end) =>
       end.result === null ? asked : { end: endOfCall(end), reached: true },
     );
-    return Promise.race([asked, answered]);
+    return Promise.race([asked, answered, late]);
   }
 
   private async giveUp(order: AttemptOrder): Promise<AttemptEnd> {
--- a/packages/entry/src/requests/watch-stream.ts
+++ b/packages/entry/src/requests/watch-stream.ts
@@ -4,8 +4,7 @@
  */
 import { once } from 'node:events';
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { createInterface } from 'node:readline';
-import { HttpClient } from '@figjunction/http';
+import { HttpClient, readLines } from '@figjunction/http';
 import { bearerHeader } from '@figjunction/rpc';
 import { inSpan, traceHeaders } from '@figjunction/telemetry';
 import { sleep } from '@figjunction/time';
@@ -130,11 +129,7 @@
 
   private async forward(stream: IncomingMessage, target: ChosenTarget): Promise<void> {
     this.sendHeaders();
-    const lines = createInterface({ input: stream, crlfDelay: Number.POSITIVE_INFINITY });
-    // A broken stream ends the lines; readline alone would wait for its end.
-    stream.on('error', () => lines.close());
-    stream.once('close', () => lines.close());
-    for await (const text of lines) {
+    for await (const text of readLines(stream)) {
       const event = parseEvent(text);
       this.link.countStream(target.agent.address, text.length + 1);
       if (event?.cursor === undefined) {
@@ -146,7 +141,6 @@
       await this.write(text);
       this.cursor = String(event.cursor);
     }
-    stream.destroy();
   }
 
   private sendHeaders(): void {
--- a/packages/http/src/index.ts
+++ b/packages/http/src/index.ts
@@ -4,3 +4,4 @@
 export * from './http-client.js';
 export * from './http-error.js';
 export * from './http-server.js';
+export * from './read-lines.js';
