Send no attempt to an incarnation that ended or without time left

An agent that restarted got further attempts until its next heartbeat, and an attempt sent in the last milliseconds ended as unknown.

--- a/packages/entry/src/requests/attempt-client.ts
+++ b/packages/entry/src/requests/attempt-client.ts
@@ -62,7 +62,7 @@
 const NOT_REACHED: Settlement = { end: null, reached: false };
 
 /** Timers fire a little early; a deadline this close has passed. */
-const DEADLINE_SLACK_MS = 5;
+const DEADLINE_SLACK_MS = 2;
 
 /** The last question after the deadline may take this long; it can still prove "not run". */
 const LAST_CANCEL_MS = 250;
--- a/packages/entry/src/requests/attempt-runner.ts
+++ b/packages/entry/src/requests/attempt-runner.ts
@@ -128,6 +128,9 @@
         attributes,
         () => this.client.run(this.orderOf(request, target, attempt, signal)),
       );
+      if (end.code === OutcomeCode.WrongIncarnation) {
+        this.selector.noteEnded(target.agent);
+      }
       this.stats.recordEnd(row, end, clock.now() - sentAt);
       metrics.count('entry_attempts_total', { service, outcome: end.outcome, code: end.code });
       return end;
--- a/packages/entry/src/requests/request-runner.ts
+++ b/packages/entry/src/requests/request-runner.ts
@@ -30,6 +30,9 @@
   OutcomeCode.ConnectionLost,
 ]);
 
+/** An attempt with less time left would end as unknown more often than as completed. */
+const ATTEMPT_MS_MINIMUM = 5;
+
 const BACKOFF_MS = 5;
 const BACKOFF_MS_MAXIMUM = 100;
 
@@ -83,6 +86,9 @@
       if (request.callerGone.aborted) {
         return notRunOrUnknown(mayHaveRun, callerWentAway());
       }
+      if (this.leftMs(request) < ATTEMPT_MS_MINIMUM) {
+        return this.conclude(request, tooLate(), mayHaveRun);
+      }
       const slots = this.selector.slotsOf(request.service.name);
       const end =
         slots === 0
@@ -99,7 +105,7 @@
   }
 
   private mayRepeat(request: InteractiveRequest, end: RequestEnd & { isFinal?: boolean }): boolean {
-    if (end.isFinal || request.callerGone.aborted || this.leftMs(request) <= 0) {
+    if (end.isFinal || request.callerGone.aborted) {
       return false;
     }
     if (end.outcome === RequestOutcome.NotRun) {
@@ -151,6 +157,10 @@
   return notRun(OutcomeCode.NoTarget, `service ${request.service.name} has no target`);
 }
 
+function tooLate(): RequestEnd {
+  return notRun(OutcomeCode.DeadlineTooShort, 'the deadline leaves no time for an attempt');
+}
+
 function callerWentAway(): RequestEnd {
   return notRun(OutcomeCode.AttemptCancelled, 'the caller went away');
 }
--- a/packages/entry/src/requests/target-selector.ts
+++ b/packages/entry/src/requests/target-selector.ts
@@ -13,7 +13,14 @@
 import { remainingMs } from '@figjunction/time';
 import type { Instant } from '@figjunction/time';
 import { DecisionKind, ExplainSubject } from '@figjunction/types';
-import type { RequestId, ServiceName, TaskId, TeamName } from '@figjunction/types';
+import type {
+  AgentId,
+  AgentIncarnation,
+  RequestId,
+  ServiceName,
+  TaskId,
+  TeamName,
+} from '@figjunction/types';
 import type { KnownInstance } from '../agent-directory.js';
 import type { EntryContext } from '../entry-context.js';
 import type { AgentAddress } from './attempt-client.js';
@@ -40,20 +47,27 @@
 const OTHER_REGION_EXTRA_MS = 30;
 
 export class TargetSelector {
+  /** Incarnations that have ended although no heartbeat of the next one came yet. */
+  private readonly ended = new Map<AgentId, AgentIncarnation>();
+
   constructor(
     private readonly context: EntryContext,
     private readonly stats: InstanceStatsTable,
     private readonly link: RegionLink,
   ) {}
 
+  /** An agent answered that it is another incarnation: the known one gets no more attempts. */
+  noteEnded({ agentId, incarnation }: AgentAddress): void {
+    this.ended.set(agentId, Math.max(incarnation, this.ended.get(agentId) ?? 0));
+  }
+
   /** Slots of all instances of a service that are known. */
   slotsOf(service: ServiceName): number {
-    const known = this.context.agents.instancesOf(service);
-    return known.reduce((sum, { instance }) => sum + instance.slots, 0);
+    return this.instancesOf(service).reduce((sum, { instance }) => sum + instance.slots, 0);
   }
 
   choose(question: TargetQuestion): ChosenTarget | null {
-    const known = this.context.agents.instancesOf(question.service);
+    const known = this.instancesOf(question.service);
     const fresh = known.filter(({ instance }) => !question.avoid.has(instance.taskId));
     const pool = fresh.length > 0 ? fresh : known;
     const routing: RoutingQuestion = {
@@ -88,6 +102,12 @@
     this.stats.retain(new Set(all.map(({ taskId }) => taskId)));
   }
 
+  private instancesOf(service: ServiceName): KnownInstance[] {
+    return this.context.agents
+      .instancesOf(service)
+      .filter(({ agent }) => agent.incarnation > (this.ended.get(agent.agentId) ?? 0));
+  }
+
   private candidateOf({ agent, instance }: KnownInstance): RoutingCandidate {
     const row = this.stats.of(instance.taskId, instance.service);
     return {
