--- a/packages/bench/src/measure/measured-cluster.ts
+++ b/packages/bench/src/measure/measured-cluster.ts
@@ -58,7 +58,9 @@
 async function countInstances(cluster: Cluster): Promise<number> {
   const log = await cluster.readExecutionLog();
   return new Set(
-    log.filter(({ event, kind }) => event === ExecutionEvent.TaskStart && kind === SERVICE).map(taskIdOf),
+    log
+      .filter(({ event, kind }) => event === ExecutionEvent.TaskStart && kind === SERVICE)
+      .map(taskIdOf),
   ).size;
 }
 
