Prove the bound on confirmations with everything else of the platform working

With all reads of the table refused, claims failed for lack of the lease row, so the case would have held without the bound. A proxy now refuses reads of the configuration row only.

--- a/packages/bench/src/proofs/configuration/fixture.ts
+++ b/packages/bench/src/proofs/configuration/fixture.ts
@@ -4,8 +4,15 @@
 import assert from 'node:assert/strict';
 import { createHash } from 'node:crypto';
 import type { HttpAnswer } from '@figjunction/http';
-import { TEST_SHARED_TOKEN, startCluster, waitUntil } from '@figjunction/test-support';
-import type { Cluster } from '@figjunction/test-support';
+import {
+  Cluster,
+  DEFAULT_LOCATIONS,
+  TEST_SHARED_TOKEN,
+  TcpRelay,
+  completeOptions,
+  waitUntil,
+} from '@figjunction/test-support';
+import { PlatformProxy } from './platform-proxy.js';
 import { RevisionWatch } from './revision-watch.js';
 
 export const ENTRIES = 2;
@@ -49,16 +56,31 @@
 
 export interface ProofFixture {
   cluster: Cluster;
+  proxy: PlatformProxy;
   watch: RevisionWatch;
 }
 
 export async function startFixture(): Promise<ProofFixture> {
-  const cluster = await startCluster({ entries: ENTRIES, agents: AGENTS });
+  const cluster = new Cluster(completeOptions({ entries: ENTRIES, agents: AGENTS }));
+  const proxy = await placeProxy(cluster);
+  await cluster.start();
   const watch = new RevisionWatch(cluster);
   const answer = await apply(cluster, 0, 0, fileWith('first'), TEST_SHARED_TOKEN);
   assert.equal(answer.status, 200, answer.body.toString());
   await watch.waitForRevision(1, PROCESSES, IN_FORCE_BOUND_MS);
-  return { cluster, watch };
+  return { cluster, proxy, watch };
+}
+
+/** All processes of the proof are in one region, so one relay leads them all to the proxy. */
+async function placeProxy(cluster: Cluster): Promise<PlatformProxy> {
+  const proxy = new PlatformProxy(() => cluster.platform.address);
+  await proxy.listen();
+  const relay = new TcpRelay({ targetAddress: proxy.address });
+  await relay.listen();
+  cluster.platformRelays.set(DEFAULT_LOCATIONS[0]?.region ?? '', relay);
+  cluster.harness.onClose(() => relay.close());
+  cluster.harness.onClose(() => proxy.close());
+  return proxy;
 }
 
 export function apply(
