Name silent processes in the status and warn before a lock-out

A process that is cut off disappeared from the status after seconds, so that apply said everywhere although nobody could tell.

--- a/packages/client/src/commands/apply.ts
+++ b/packages/client/src/commands/apply.ts
@@ -117,6 +117,7 @@
   file: CheckedFile,
 ): Promise<number> {
   const plan = await requestPlan(entry, file);
+  plan.warnings.forEach((warning) => context.terminal.report(`warning: ${warning}`));
   if (flags.output !== OutputFormat.Json) {
     context.terminal.report(
       `changes against revision ${plan.currentRevision}:\n${formatDifferences(plan.differences)}`,
--- a/packages/client/src/commands/plan.ts
+++ b/packages/client/src/commands/plan.ts
@@ -30,6 +30,7 @@
         [
           `${file.fileName} against revision ${plan.currentRevision}:`,
           formatDifferences(plan.differences),
+          ...plan.warnings.map((warning) => `warning: ${warning}`),
           '',
           `To apply exactly this: figjunction apply ${flags.file} --base-revision ${plan.currentRevision}`,
         ].join('\n'),
--- a/packages/client/src/commands/status.ts
+++ b/packages/client/src/commands/status.ts
@@ -7,6 +7,7 @@
 import type { ClientContext, CommonFlags } from '../client-context.js';
 import { requestStatus } from '../entry-requests.js';
 import type { AgentStatus, EntryStatus, StatusAnswer } from '../entry-requests.js';
+import { formatAbsent } from '../rollout.js';
 import { formatTable } from '../table.js';
 
 const MILLICORES_PER_CORE = 1_000;
@@ -51,6 +52,7 @@
       status.agents.map(describeAgent),
       'no agent has announced itself',
     ),
+    ...status.absent.map(formatAbsent),
   ].join('\n');
 }
 
--- a/packages/client/src/entry-requests.ts
+++ b/packages/client/src/entry-requests.ts
@@ -9,6 +9,7 @@
 export interface PlanAnswer {
   currentRevision: number;
   differences: ConfigurationDifference[];
+  warnings: string[];
 }
 
 export interface RevisionSummary {
@@ -44,11 +45,19 @@
   heardMsAgo: number;
 }
 
+export interface AbsentProcess {
+  name: string;
+  revision: number | null;
+  silentMs: number;
+}
+
 export interface StatusAnswer {
   answeredBy: string;
   revision: number;
   entries: EntryStatus[];
   agents: AgentStatus[];
+  /** Known earlier, not heard of any more. */
+  absent: AbsentProcess[];
 }
 
 export function requestPlan(entry: EntryConnection, file: ConfigurationFile): Promise<PlanAnswer> {
--- a/packages/client/src/rollout.ts
+++ b/packages/client/src/rollout.ts
@@ -5,11 +5,12 @@
 import type { Clock } from '@figjunction/time';
 import type { EntryConnection } from './entry-connection.js';
 import { requestStatus } from './entry-requests.js';
-import type { StatusAnswer } from './entry-requests.js';
+import type { AbsentProcess, StatusAnswer } from './entry-requests.js';
 import { formatTable } from './table.js';
 import type { Terminal } from './terminal.js';
 
 const POLL_INTERVAL_MS = 500;
+const MILLISECONDS_PER_SECOND = 1_000;
 
 export interface RolloutOptions {
   entry: EntryConnection;
@@ -30,6 +31,8 @@
   revision: number;
   confirmed: RolloutProcess[];
   missing: RolloutProcess[];
+  /** Cut off or gone, so that nobody can tell; they are not waited for. */
+  absent: AbsentProcess[];
 }
 
 /** Returns when all have the revision or the time is up; `missing` tells which. */
@@ -51,9 +54,11 @@
 }
 
 async function readRollout(entry: EntryConnection, revision: number): Promise<Rollout> {
-  const processes = listProcesses(await requestStatus(entry), revision);
+  const status = await requestStatus(entry);
+  const processes = listProcesses(status, revision);
   return {
     revision,
+    absent: status.absent,
     confirmed: processes.filter(({ reason }) => reason === null),
     missing: processes.filter(({ reason }) => reason !== null),
   };
@@ -85,10 +90,11 @@
   return state.confirmed ? null : 'has the revision but cannot confirm it';
 }
 
-export function formatRollout({ revision, confirmed, missing }: Rollout): string {
+export function formatRollout({ revision, confirmed, missing, absent }: Rollout): string {
   if (missing.length === 0) {
     const names = confirmed.map(({ name }) => name).join(', ');
-    return `in force on all ${confirmed.length} known processes: ${names}`;
+    const lines = [`in force on all ${confirmed.length} known processes: ${names}`];
+    return [...lines, ...absent.map(formatAbsent)].join('\n');
   }
   return [
     `revision ${revision} is confirmed by ${confirmed.length} processes and not by:`,
@@ -96,5 +102,11 @@
       ['process', 'reason'],
       missing.map(({ name, reason }) => [name, reason ?? '']),
     ),
+    ...absent.map(formatAbsent),
   ].join('\n');
 }
+
+/** For example `vm-3 is not heard of for 40 s`. */
+export function formatAbsent({ name, silentMs }: AbsentProcess): string {
+  return `${name} is not heard of for ${Math.round(silentMs / MILLISECONDS_PER_SECOND)} s`;
+}
--- a/packages/client/src/run-client.test.ts
+++ b/packages/client/src/run-client.test.ts
@@ -65,7 +65,10 @@
   received = [];
   const status = statusWith([{ revision: 7, confirmed: true }]);
   answers = {
-    'POST /v1/configuration/plan': { status: 200, body: { currentRevision: 6, differences: [] } },
+    'POST /v1/configuration/plan': {
+      status: 200,
+      body: { currentRevision: 6, differences: [], warnings: ['locked out'] },
+    },
     'POST /v1/configuration': { status: 200, body: { revision: 7 } },
     'GET /v1/status': { status: 200, body: status },
   };
@@ -96,6 +99,7 @@
     revision: 7,
     entries: [{ ...entry, revision: 7, confirmed: true }],
     agents: agents.map((agent, index) => ({ agentId: `vm-${index + 1}`, ...agent })),
+    absent: [{ name: 'vm-9', revision: 6, silentMs: 40_000 }],
   };
 }
 
@@ -190,9 +194,10 @@
 
 test('applies against the revision that was shown to the operator', async () => {
   const terminal = new TestTerminal('yes');
-  const { exitCode, output } = await run(['apply', file], { terminal });
+  const { exitCode, output, errors } = await run(['apply', file], { terminal });
   assert.equal(exitCode, ExitCode.Success);
-  assert.match(output, /in force on all 2 known processes: entry-1, vm-1/u);
+  assert.match(errors, /warning: locked out/u);
+  assert.match(output, /on all 2 known processes: entry-1, vm-1\nvm-9 is not heard of for 40 s/u);
   const applied = received.find(({ call }) => call === 'POST /v1/configuration');
   assert.equal((applied?.body as { baseRevision: number }).baseRevision, 6);
 });
--- a/packages/entry/src/operators/configuration-routes.ts
+++ b/packages/entry/src/operators/configuration-routes.ts
@@ -1,15 +1,18 @@
 /**
  * The paths by which operators read, plan and apply configuration.
  */
+import { createHash } from 'node:crypto';
+import type { IncomingMessage } from 'node:http';
 import {
   CONFIGURATION_BYTES_MAXIMUM,
   compareConfigurations,
   parseOperatorConfiguration,
 } from '@figjunction/config';
-import type { ParsedOperatorConfiguration } from '@figjunction/config';
+import type { OperatorConfiguration, ParsedOperatorConfiguration } from '@figjunction/config';
 import { ErrorCode } from '@figjunction/errors';
 import { readJson, sendJson } from '@figjunction/http';
 import type { Route, RouteMatch } from '@figjunction/http';
+import { bearerToken, equalsInConstantTime } from '@figjunction/rpc';
 import { z } from 'zod';
 import { authenticateOperator } from '../authentication.js';
 import type { EntryContext } from '../entry-context.js';
@@ -19,6 +22,8 @@
 
 /** Every byte of the file may be escaped in JSON. */
 const REQUEST_BYTES_MAXIMUM = 2 * CONFIGURATION_BYTES_MAXIMUM + 64 * 1024;
+const WARNING_LOCKED_OUT =
+  'the file names no operator with the token in use; once it is applied, this token is refused';
 const STATUS_CONFLICT = 409;
 const STATUS_INVALID_FILE = 422;
 
@@ -119,6 +124,7 @@
   sendJson(match.response, 200, {
     currentRevision: context.configuration.revision(),
     differences: compareConfigurations(inForce?.configuration ?? null, parsed.configuration),
+    warnings: knowsToken(parsed.configuration, match.request) ? [] : [WARNING_LOCKED_OUT],
   });
 }
 
@@ -150,6 +156,16 @@
   });
 }
 
+/** Without operators in the file, the shared token remains the operator's. */
+function knowsToken({ operators }: OperatorConfiguration, request: IncomingMessage): boolean {
+  const token = bearerToken(request.headers.authorization) ?? '';
+  const hash = createHash('sha256').update(token).digest('hex');
+  return (
+    operators.length === 0 ||
+    operators.some(({ tokens }) => tokens.some(({ sha256 }) => equalsInConstantTime(sha256, hash)))
+  );
+}
+
 function sendProblems(
   match: RouteMatch,
   parsed: Extract<ParsedOperatorConfiguration, { problems: unknown }>,
--- a/packages/entry/src/operators/index.ts
+++ b/packages/entry/src/operators/index.ts
@@ -5,6 +5,7 @@
 import { RpcMethod } from '@figjunction/types';
 import type { EntryContext } from '../entry-context.js';
 import type { EntryModule } from '../entry-module.js';
+import { AbsenceLog } from './absence-log.js';
 import { createConfigurationRoutes } from './configuration-routes.js';
 import { createDrainRoutes } from './drain.js';
 import { createExplainRoute } from './explain.js';
@@ -12,13 +13,16 @@
 import { createProposalRoute } from './proposals.js';
 import { createStatusRoutes } from './status.js';
 
+const ABSENCE_INTERVAL_MS = 1_000;
+
 export function createOperatorModule(context: EntryContext): EntryModule {
   const http = new HttpClient();
+  const absences = new AbsenceLog(context);
   let stopping = false;
   return {
     routes: [
       ...createConfigurationRoutes(context),
-      ...createStatusRoutes(context, http),
+      ...createStatusRoutes({ context, http, absences }),
       createExplainRoute(context),
       createProposalRoute(context),
       ...createDrainRoutes(context),
@@ -29,6 +33,13 @@
         records: context.decisions.find(subject, subjectId),
       }),
     },
+    systems: [
+      {
+        name: 'note absences',
+        intervalMs: ABSENCE_INTERVAL_MS,
+        run: (now) => absences.note(now),
+      },
+    ],
     async stop(): Promise<void> {
       stopping = true;
     },
--- a/packages/entry/src/operators/operators-fixture.test.ts
+++ b/packages/entry/src/operators/operators-fixture.test.ts
@@ -7,6 +7,7 @@
 import { createLogger } from '@figjunction/logger';
 import { createRpcRoute } from '@figjunction/rpc';
 import { FakePlatform, MemoryObjectStore, MemoryTableService } from '@figjunction/test-support';
+import type { TickSystem } from '@figjunction/time';
 import { DecisionKind, ExplainSubject } from '@figjunction/types';
 import type { DecisionRecord } from '@figjunction/types';
 import { createEntryContext } from '../entry-context.js';
@@ -56,6 +57,8 @@
 export class TestEntry {
   readonly context: EntryContext;
 
+  readonly systems: TickSystem[];
+
   private readonly http = new HttpClient();
 
   private readonly server: HttpServer;
@@ -75,7 +78,12 @@
       table: new MemoryTableService(platform),
       objects: new MemoryObjectStore(platform),
     });
-    const { routes = [], rpcHandlers: handlers = {} } = createOperatorModule(this.context);
+    const {
+      routes = [],
+      rpcHandlers: handlers = {},
+      systems = [],
+    } = createOperatorModule(this.context);
+    this.systems = systems;
     this.server = new HttpServer({
       routes: [...routes, createRpcRoute({ sharedToken: SHARED_TOKEN, handlers })],
     });
--- a/packages/entry/src/operators/operators.test.ts
+++ b/packages/entry/src/operators/operators.test.ts
@@ -11,7 +11,7 @@
   RpcMethod,
   proposalKey,
 } from '@figjunction/types';
-import type { DecisionRecord } from '@figjunction/types';
+import type { DecisionRecord, HeartbeatParameters } from '@figjunction/types';
 import { LOCATION, SHARED_TOKEN, TestEntry, fileWith, record } from './operators-fixture.test.js';
 
 let entry: TestEntry;
@@ -141,6 +141,15 @@
   assert.equal((await entry.call('GET', '/healthz', null)).status, 200);
 });
 
+function heartbeatOf(agentId: string, state: AgentState): HeartbeatParameters {
+  const none = { processorMillicores: 0, memoryMegabytes: 0, accelerators: 0 };
+  return {
+    ...{ agentId, incarnation: 1, sequence: 1, state, address: '', location: LOCATION },
+    ...{ capacity: none, free: none, instances: [], tasks: [], usage: [] },
+    ...{ wantsWork: false, revision: 1, confirmed: true },
+  };
+}
+
 test('explain joins the records of all entries and hides those of other teams', async () => {
   await entry.apply(0, fileWith('a'), SHARED_TOKEN);
   const peer = new TestEntry('entry-2');
@@ -183,12 +192,7 @@
   const agent = new HttpServer({
     routes: [createRpcRoute({ sharedToken: SHARED_TOKEN, handlers })],
   });
-  const none = { processorMillicores: 0, memoryMegabytes: 0, accelerators: 0 };
-  const heartbeat = {
-    ...{ agentId: 'vm-1', incarnation: 1, sequence: 1, state: AgentState.Serving },
-    ...{ address: await agent.listen(), location: LOCATION, capacity: none, free: none },
-    ...{ instances: [], tasks: [], usage: [], wantsWork: false, revision: 1, confirmed: true },
-  };
+  const heartbeat = { ...heartbeatOf('vm-1', AgentState.Serving), address: await agent.listen() };
   entry.context.agents.accept(heartbeat, entry.context.clock.now());
   await entry.call('POST', '/v1/vms/vm-1/drain', 'operator-token');
   await entry.call('DELETE', '/v1/vms/vm-1/drain', 'operator-token');
@@ -212,6 +216,30 @@
   await agent.close();
 });
 
+test('status names processes that fell silent, but not those that left as planned', async () => {
+  await entry.apply(0, fileWith('a'), SHARED_TOKEN);
+  const { agents, clock } = entry.context;
+  const [system] = entry.systems;
+  agents.accept(heartbeatOf('vm-1', AgentState.Serving), clock.now());
+  agents.accept(heartbeatOf('vm-2', AgentState.Leaving), clock.now());
+  await system?.run(clock.now());
+  agents.remove('vm-1');
+  agents.remove('vm-2');
+  const { body } = await entry.call('GET', '/v1/status', 'operator-token');
+  const names = (body.absent as { name: string }[]).map(({ name }) => name);
+  assert.deepEqual(names, ['vm-1']);
+});
+
+test('a plan warns before a file locks its operator out', async () => {
+  await entry.apply(0, fileWith('a'), SHARED_TOKEN);
+  const plan = async (body: string): Promise<unknown> =>
+    (await entry.call('POST', '/v1/configuration/plan', 'operator-token', { body })).body.warnings;
+  assert.deepEqual(await plan(fileWith('b')), []);
+  const locked = JSON.parse(fileWith('b')) as { operators: { tokens: { sha256: string }[] }[] };
+  locked.operators[0]!.tokens[0]!.sha256 = 'f'.repeat(64);
+  assert.equal(((await plan(JSON.stringify(locked))) as string[]).length, 1);
+});
+
 test('the check of the load balancer fails while the entry waits for something', async () => {
   entry.context.waitingFor.add('a configuration');
   const { status, body } = await entry.call('GET', '/healthz', null);
--- a/packages/entry/src/operators/status.ts
+++ b/packages/entry/src/operators/status.ts
@@ -12,6 +12,7 @@
 import { authenticateOperator } from '../authentication.js';
 import type { EntryContext } from '../entry-context.js';
 import { EntryError } from '../entry-error.js';
+import type { AbsenceLog } from './absence-log.js';
 
 const ASK_TIMEOUT_MS = 1_000;
 const OWN_STATUS_PATH = '/v1/status/own';
@@ -23,12 +24,19 @@
   waitingFor: string[];
 }
 
-export function createStatusRoutes(context: EntryContext, http: HttpClient): Route[] {
+export interface StatusParts {
+  context: EntryContext;
+  http: HttpClient;
+  absences: AbsenceLog;
+}
+
+export function createStatusRoutes(parts: StatusParts): Route[] {
+  const { context } = parts;
   return [
     {
       method: 'GET',
       pattern: /^\/v1\/status$/u,
-      handle: (match) => showStatus(context, http, match),
+      handle: (match) => showStatus(parts, match),
     },
     {
       method: 'GET',
@@ -38,11 +46,8 @@
   ];
 }
 
-async function showStatus(
-  context: EntryContext,
-  http: HttpClient,
-  match: RouteMatch,
-): Promise<void> {
+async function showStatus(parts: StatusParts, match: RouteMatch): Promise<void> {
+  const { context, http, absences } = parts;
   // After the first file the shared token is no operator's any more, but its apply still waits.
   if (!hasSharedToken(context, match.request)) {
     authenticateOperator(context, match.request);
@@ -56,6 +61,11 @@
     revision: Math.max(own.revision ?? 0, ...others.map(({ revision }) => revision ?? 0)),
     entries: [own, ...others],
     agents: context.agents.all().map((agent) => describeAgent(context, agent)),
+    absent: absences.absent().map(({ name, revision, lastSeen }) => ({
+      name,
+      revision,
+      silentMs: Math.round(context.clock.now() - lastSeen),
+    })),
   });
 }
 
