Explain runs from their row and name the agents concerned

explain reads one row instead of the row's key in all 64 shards, and asks the agents that a decision names, that hold the run or on which it failed. The client tells a value that an entry refuses from other failures.

--- a/packages/client/src/client-error.ts
+++ b/packages/client/src/client-error.ts
@@ -31,6 +31,11 @@
 }
 
 const REACTIONS: Partial<Record<ErrorCode, Reaction>> = {
+  [ErrorCode.InvalidInput]: {
+    exitCode: ExitCode.Usage,
+    nextStep: 'correct the value and see "figjunction --help"',
+  },
+  [ErrorCode.TooLarge]: { exitCode: ExitCode.InvalidFile, nextStep: 'make the file smaller' },
   [ErrorCode.Unauthenticated]: {
     exitCode: ExitCode.NotAllowed,
     nextStep: 'set FIGJUNCTION_TOKEN to a token whose hash is in the configuration in force',
--- a/packages/client/src/commands/submit.ts
+++ b/packages/client/src/commands/submit.ts
@@ -2,6 +2,7 @@
  * `figjunction submit`: submits a job of batch runs; repeating it with the same content is safe.
  */
 import type { CommandModule } from 'yargs';
+import { ErrorCode, errorCodeOf, toError } from '@figjunction/errors';
 import { SystemClock, deadlineAfter, hasPassed, sleep } from '@figjunction/time';
 import { TaskState } from '@figjunction/types';
 import { ClientError } from '../client-error.js';
@@ -9,7 +10,8 @@
 import type { ClientContext, CommonFlags } from '../client-context.js';
 import type { EntryConnection } from '../entry-connection.js';
 import { ExitCode } from '../exit-code.js';
-import { readJobFile } from '../job-file.js';
+import { invalidJob, readJobFile } from '../job-file.js';
+import type { JobFile } from '../job-file.js';
 import { formatCounts, isFinished, requestJob } from '../job-requests.js';
 import type { JobAnswer } from '../job-requests.js';
 
@@ -52,7 +54,7 @@
   requireNumbers(flags, ['wait-seconds']);
   const entry = connect(context, flags);
   const job = readJobFile(flags.file, flags['job-id']);
-  const answer = await entry.call('POST', '/v1/jobs', job);
+  const answer = await submitJob(entry, job, flags.file);
   if (!flags.wait) {
     show(
       context,
@@ -77,6 +79,17 @@
   }
 }
 
+async function submitJob(entry: EntryConnection, job: JobFile, file: string): Promise<unknown> {
+  try {
+    return await entry.call('POST', '/v1/jobs', job);
+  } catch (error) {
+    if (errorCodeOf(error) === ErrorCode.InvalidInput) {
+      throw invalidJob(file, toError(error).message);
+    }
+    throw error;
+  }
+}
+
 async function waitForJob(
   context: ClientContext,
   flags: Flags,
--- a/packages/client/src/exit-code.ts
+++ b/packages/client/src/exit-code.ts
@@ -5,9 +5,9 @@
   Success = 0,
   /** Something that has no code of its own. */
   Failed = 1,
-  /** The command line is wrong. */
+  /** The command line is wrong, or an entry refused a value of it. */
   Usage = 2,
-  /** The file is not valid; nothing was sent or applied. */
+  /** The file is not valid; nothing was applied or submitted. */
   InvalidFile = 3,
   /** Another configuration was applied first, or a job id exists with other content. */
   Conflict = 4,
@@ -28,8 +28,8 @@
   'Exit codes:',
   '   0  success',
   '   1  another failure',
-  '   2  wrong command line',
-  '   3  the file is not valid; nothing was applied',
+  '   2  wrong command line or value',
+  '   3  the file is not valid; nothing was applied or submitted',
   '   4  conflict: another revision was applied first, or a job id has other content',
   '   5  applied, but not confirmed everywhere in time',
   '   6  the token is missing, unknown or not allowed to do this',
--- a/packages/client/src/job-file.ts
+++ b/packages/client/src/job-file.ts
@@ -18,11 +18,11 @@
 export function readJobFile(file: string, jobId: string | undefined): JobFile {
   const fields = parseJsonWithComments(readText(file), file);
   if ('problems' in fields) {
-    throw invalid(file, 'it is not JSON');
+    throw invalidJob(file, 'it is not JSON');
   }
   const job = { ...(fields.value as JobFile), ...(jobId === undefined ? {} : { jobId }) };
   if (typeof job.jobId !== 'string' || typeof job.team !== 'string' || !Array.isArray(job.tasks)) {
-    throw invalid(file, '"jobId", "team", "kind" and "tasks" are needed');
+    throw invalidJob(file, '"jobId", "team", "kind" and "tasks" are needed');
   }
   return job;
 }
@@ -31,11 +31,12 @@
   try {
     return readFileSync(file, 'utf8');
   } catch (error) {
-    throw invalid(file, toError(error).message);
+    throw invalidJob(file, toError(error).message);
   }
 }
 
-function invalid(file: string, reason: string): ClientError {
+/** A job that cannot be submitted, for a reason found here or by the entry. */
+export function invalidJob(file: string, reason: string): ClientError {
   return new ClientError(`${file} is no job: ${reason}`, {
     exitCode: ExitCode.InvalidFile,
     nextStep: 'see examples/overnight-menus.jsonc for the form',
--- a/packages/client/src/run-client.test.ts
+++ b/packages/client/src/run-client.test.ts
@@ -233,6 +233,18 @@
   assert.match(errors, /then apply with --base-revision 7\n$/u);
 });
 
+test('names the file of a job that the entry refuses, and the reason', async () => {
+  const job = path.join(folder, 'job.jsonc');
+  writeFileSync(job, '{"jobId": "j", "team": "t", "kind": "k", "tasks": [{"name": "a"}]}');
+  answers['POST /v1/jobs'] = {
+    status: 400,
+    body: { code: 'invalid-input', message: 'kind: k is not in the configuration' },
+  };
+  const { exitCode, errors } = await run(['submit', job]);
+  assert.equal(exitCode, ExitCode.InvalidFile);
+  assert.match(errors, /job\.jsonc is no job: kind: k is not in the configuration; see /u);
+});
+
 test('asks the next address when an entry does not answer or has no table', async () => {
   const addresses = `http://127.0.0.1:1, ${address}`;
   const { exitCode, output } = await run(['status', '-o', 'json'], { addresses });
--- a/packages/entry/src/operators/explain.ts
+++ b/packages/entry/src/operators/explain.ts
@@ -5,14 +5,7 @@
 import { ErrorCode } from '@figjunction/errors';
 import { sendJson } from '@figjunction/http';
 import type { Route, RouteMatch } from '@figjunction/http';
-import {
-  ExplainSubject,
-  Role,
-  RpcMethod,
-  SHARD_COUNT,
-  proposalKey,
-  taskKey,
-} from '@figjunction/types';
+import { ExplainSubject, Role, RpcMethod, proposalKey } from '@figjunction/types';
 import type {
   AgentId,
   DecisionRecord,
@@ -24,9 +17,13 @@
 import type { Identity } from '../authentication.js';
 import type { EntryContext } from '../entry-context.js';
 import { EntryError } from '../entry-error.js';
+import { keyOfTaskId } from '../tasks/task-identifiers.js';
 
 const ASK_TIMEOUT_MS = 1_000;
 
+/** Ids hold letters, digits and hyphens; what is around them in a sentence does not. */
+const WORD_SEPARATOR = /[^A-Za-z0-9-]+/u;
+
 interface Collected {
   records: DecisionRecord[];
   /** Processes and stores that gave no answer, so that a gap is visible. */
@@ -76,7 +73,7 @@
       .map(({ entryId, address }) => ask(context, entryId, address, parameters)),
   ]);
   const known = join([{ records: own, unavailable: [] }, stored, ...fromPeers]);
-  const agents = findAgents(parameters, known.records, stored.agents);
+  const agents = findAgents(context, parameters, known.records, stored.agents);
   const fromAgents = await Promise.all(
     agents.map((agentId) => askAgent(context, agentId, parameters)),
   );
@@ -124,8 +121,9 @@
   return ask(context, agentId, agent.address, parameters);
 }
 
-/** The agents that may have decided about the subject. */
+/** The agents that may have decided about the subject: those in its row and those in known decisions. */
 function findAgents(
+  context: EntryContext,
   { subject, subjectId }: ExplainGetParameters,
   records: DecisionRecord[],
   storedAgents: AgentId[],
@@ -133,11 +131,9 @@
   if (subject === ExplainSubject.Vm) {
     return [subjectId];
   }
-  const named = records
-    .flatMap(({ inputs }) => inputs)
-    .filter(({ name }) => name === 'agent')
-    .map(({ value }) => String(value));
-  return [...new Set([...named, ...storedAgents])];
+  const words = new Set(records.flatMap(({ decision }) => decision.split(WORD_SEPARATOR)));
+  const named = context.agents.all().map(({ agentId }) => agentId);
+  return [...new Set([...named.filter((agentId) => words.has(agentId)), ...storedAgents])];
 }
 
 interface Stored extends Collected {
@@ -162,18 +158,20 @@
   }
 }
 
-/** The shard follows from the team, which an operator need not name; one call reads all shards. */
 async function readTaskRow(context: EntryContext, taskId: string): Promise<Stored> {
-  const keys = Array.from({ length: SHARD_COUNT }, (_, shard) => taskKey(shard, taskId));
-  const rows = await context.table.read<TaskRow>(keys);
-  const row = rows.find((candidate) => candidate !== null)?.value;
+  const key = keyOfTaskId(taskId);
+  const [row] = key === null ? [] : await context.table.read<TaskRow>([key]);
   return {
-    records: row?.lastDecision ? [row.lastDecision] : [],
+    records: row?.value.lastDecision ? [row.value.lastDecision] : [],
     unavailable: [],
-    agents: row?.holder ? [row.holder.agentId] : [],
+    agents: row ? [...holderOf(row.value), ...row.value.failedOn] : [],
   };
 }
 
+function holderOf({ holder }: TaskRow): AgentId[] {
+  return holder === null ? [] : [holder.agentId];
+}
+
 async function readProposal(context: EntryContext, proposalId: string): Promise<Stored> {
   const [row] = await context.table.read<ProposalRow>([proposalKey(proposalId)]);
   return {
--- a/packages/entry/src/operators/operators.test.ts
+++ b/packages/entry/src/operators/operators.test.ts
@@ -12,6 +12,7 @@
   proposalKey,
 } from '@figjunction/types';
 import type { DecisionRecord, HeartbeatParameters } from '@figjunction/types';
+import { keyOfTaskId } from '../tasks/task-identifiers.js';
 import { LOCATION, SHARED_TOKEN, TestEntry, fileWith, record } from './operators-fixture.test.js';
 
 let entry: TestEntry;
@@ -168,6 +169,18 @@
   await peer.stop();
 });
 
+test('explain of a run reads its row and asks the agents that failed it', async () => {
+  await entry.apply(0, fileWith('a'), SHARED_TOKEN);
+  const subjectId = 'kitchen.night.menu';
+  const lastDecision = record({ subject: ExplainSubject.Run, subjectId });
+  const value = { team: 'kitchen', lastDecision, holder: null, failedOn: ['vm-7'] };
+  const writes = [{ key: keyOfTaskId(subjectId) ?? '', expectedVersion: 0, value }];
+  await entry.context.table.transact({ checks: [], writes });
+  const { body } = await entry.call('GET', `/v1/explain/run/${subjectId}`, 'kitchen-token');
+  assert.deepEqual(body.records, [lastDecision]);
+  assert.deepEqual(body.unavailable, ['vm-7']);
+});
+
 test('explain of a proposal reads the stored explanation, which outlives its entry', async () => {
   await entry.apply(0, fileWith('a'), SHARED_TOKEN);
   const explanation = record({ subject: ExplainSubject.Proposal, subjectId: 'p-1' });
