Add measured policies that change one mechanism each

Ruled out: flags for each setting, which make the reported lines hard to name. Change: policies for pull placement and for the product without one mechanism.

--- a/packages/bench/src/measure.ts
+++ b/packages/bench/src/measure.ts
@@ -13,11 +13,15 @@
 
 const USAGE_EXIT_CODE = 2;
 const DEFAULT_SEED = 1;
+const DEFAULT_POLICIES = [Policy.Baseline, Policy.Product];
 
 const flags = await yargs(hideBin(process.argv))
   .scriptName('npm run measure --')
   .option('scenario', { type: 'string', describe: 'scenario to run, see --list' })
-  .option('policy', { choices: Object.values(Policy), describe: 'run one policy; both by default' })
+  .option('policy', {
+    choices: Object.values(Policy),
+    describe: 'run one policy; baseline and product by default',
+  })
   .option('seed', { type: 'number', default: DEFAULT_SEED, describe: 'seed of load and processes' })
   .option('list', { type: 'boolean', default: false, describe: 'list the scenarios' })
   .strict()
@@ -33,7 +37,7 @@
   process.exit(USAGE_EXIT_CODE);
 }
 try {
-  await measure(scenario, flags.policy === undefined ? Object.values(Policy) : [flags.policy]);
+  await measure(scenario, flags.policy === undefined ? DEFAULT_POLICIES : [flags.policy]);
   process.exit(0);
 } catch (error) {
   console.error(errorMessage(error));
--- a/packages/bench/src/measure/scenario.ts
+++ b/packages/bench/src/measure/scenario.ts
@@ -8,6 +8,14 @@
   /** Every mechanism of the product off. */
   Baseline = 'baseline',
   Product = 'product',
+  /** The product with one mechanism changed, to show what that one is worth. */
+  Pull = 'pull',
+  WithoutRouting = 'without-routing',
+  WithoutFairness = 'without-fairness',
+  WithoutLearning = 'without-learning',
+  WithoutInterference = 'without-interference',
+  WithoutGuards = 'without-guards',
+  WithoutQuarantine = 'without-quarantine',
 }
 
 /** Names and values that a line of the report holds. A figure that could not be taken is null. */
@@ -31,6 +39,16 @@
   run(run: ScenarioRun): Promise<ScenarioResult>;
 }
 
+const PRODUCT_SETTINGS: PolicySettings = {
+  routing: true,
+  fairness: true,
+  learning: true,
+  interference: true,
+  guards: true,
+  quarantine: true,
+  placementMode: PlacementMode.Push,
+};
+
 const SETTINGS_BY_POLICY: Record<Policy, PolicySettings> = {
   [Policy.Baseline]: {
     routing: false,
@@ -41,15 +59,14 @@
     quarantine: false,
     placementMode: PlacementMode.Push,
   },
-  [Policy.Product]: {
-    routing: true,
-    fairness: true,
-    learning: true,
-    interference: true,
-    guards: true,
-    quarantine: true,
-    placementMode: PlacementMode.Push,
-  },
+  [Policy.Product]: PRODUCT_SETTINGS,
+  [Policy.Pull]: { ...PRODUCT_SETTINGS, placementMode: PlacementMode.Pull },
+  [Policy.WithoutRouting]: { ...PRODUCT_SETTINGS, routing: false },
+  [Policy.WithoutFairness]: { ...PRODUCT_SETTINGS, fairness: false },
+  [Policy.WithoutLearning]: { ...PRODUCT_SETTINGS, learning: false },
+  [Policy.WithoutInterference]: { ...PRODUCT_SETTINGS, interference: false },
+  [Policy.WithoutGuards]: { ...PRODUCT_SETTINGS, guards: false },
+  [Policy.WithoutQuarantine]: { ...PRODUCT_SETTINGS, quarantine: false },
 };
 
 export function settingsOf(policy: Policy): PolicySettings {
