--- a/packages/bench/src/measure/execution-figures.ts
+++ b/packages/bench/src/measure/execution-figures.ts
@@ -3,6 +3,7 @@
  */
 import { ExecutionEvent } from '@figjunction/test-support';
 import type { ExecutionRecord } from '@figjunction/test-support';
+import { Latency } from './latency.js';
 
 /** What became of one batch task over all its attempts. */
 export interface TaskHistory {
@@ -68,3 +69,43 @@
 export function countEvents(log: ExecutionRecord[], event: ExecutionEvent): number {
   return log.filter((record) => record.event === event).length;
 }
+
+/** Batch tasks completed between two host times. */
+export function completionsBetween(
+  histories: Map<string, TaskHistory>,
+  fromMs: number,
+  toMs: number,
+): number {
+  return [...histories.values()].filter(
+    ({ completedAtMs }) =>
+      completedAtMs !== null && completedAtMs >= fromMs && completedAtMs < toMs,
+  ).length;
+}
+
+/** Figures of what happened to tasks beyond running once. */
+export function repetitionFigures(histories: Map<string, TaskHistory>): Record<string, number> {
+  const all = [...histories.values()];
+  return {
+    startedTasks: all.length,
+    completedTasks: all.filter(({ completions }) => completions > 0).length,
+    completedTwice: all.filter(({ completions }) => completions > 1).length,
+    startedMoreThanOnce: all.filter(({ starts }) => starts > 1).length,
+    evictions: all.reduce((sum, { stops }) => sum + stops, 0),
+    failures: all.reduce((sum, { failures }) => sum + failures, 0),
+  };
+}
+
+/** Waits from submission to first start; tasks that never started have none. */
+export function startWaits(
+  histories: Map<string, TaskHistory>,
+  submittedAtMs: Map<string, number>,
+): Latency {
+  const latency = new Latency();
+  for (const [taskId, submitted] of submittedAtMs) {
+    const history = histories.get(taskId);
+    if (history !== undefined) {
+      latency.record(history.firstStartAtMs - submitted);
+    }
+  }
+  return latency;
+}
--- a/packages/bench/src/measure/load-generator.ts
+++ b/packages/bench/src/measure/load-generator.ts
@@ -21,6 +21,8 @@
   Completed = 'completed',
   NotRun = 'not-run',
   Unknown = 'unknown',
+  /** The target itself answered with an error. */
+  TargetFailed = 'target-failed',
   /** The answer was not the one to this request. */
   WrongAnswer = 'wrong-answer',
   NoAnswer = 'no-answer',
--- a/packages/bench/src/measure/service-load.ts
+++ b/packages/bench/src/measure/service-load.ts
@@ -3,7 +3,7 @@
  */
 import { HttpClient } from '@figjunction/http';
 import { EntryClient, hashBody } from '@figjunction/test-support';
-import type { Cluster, TargetAnswer } from '@figjunction/test-support';
+import type { Cluster, ServiceAnswer, TargetAnswer } from '@figjunction/test-support';
 import { RandomSource } from '@figjunction/time';
 import { RequestOutcome } from '@figjunction/types';
 import { RequestEnding, generateLoad } from './load-generator.js';
@@ -28,6 +28,7 @@
 
 const CALLER_TIMEOUT_MS = 10_000;
 const CONNECTIONS_MAXIMUM = 1_024;
+const FIRST_SERVER_ERROR_STATUS = 500;
 
 export async function loadService(options: ServiceLoadOptions): Promise<LoadResult> {
   const { cluster, label, team, seed, urgency, timeoutMs, idempotent = true } = options;
@@ -49,7 +50,7 @@
       timeoutMs,
       callerTimeoutMs: CALLER_TIMEOUT_MS,
     });
-    return endingOf(answer.outcome, answer.body, body);
+    return endingOf(answer, body);
   };
   try {
     const { ratePerSecond, durationMs } = options;
@@ -64,13 +65,16 @@
   }
 }
 
-function endingOf(outcome: RequestOutcome | null, answer: Buffer, body: string): RequestEnding {
+function endingOf({ outcome, status, body: answer }: ServiceAnswer, body: string): RequestEnding {
   if (outcome === RequestOutcome.NotRun) {
     return RequestEnding.NotRun;
   }
   if (outcome !== RequestOutcome.Completed) {
     return RequestEnding.Unknown;
   }
+  if (status >= FIRST_SERVER_ERROR_STATUS) {
+    return RequestEnding.TargetFailed;
+  }
   return isAnswerTo(answer, body) ? RequestEnding.Completed : RequestEnding.WrongAnswer;
 }
 
@@ -91,6 +95,7 @@
       offered === 0 ? null : endings[RequestEnding.Completed] / offered,
     [`${prefix}NotRun`]: endings[RequestEnding.NotRun],
     [`${prefix}Unknown`]: endings[RequestEnding.Unknown] + endings[RequestEnding.NoAnswer],
+    [`${prefix}TargetFailed`]: endings[RequestEnding.TargetFailed],
     [`${prefix}WrongAnswers`]: endings[RequestEnding.WrongAnswer],
     [`${prefix}NotSent`]: endings[RequestEnding.NotSent],
   };
--- a/packages/bench/src/measure/workload.ts
+++ b/packages/bench/src/measure/workload.ts
@@ -16,9 +16,12 @@
 export const OVERNIGHT_KIND = 'menu-reprint';
 /** A kind that slows services on the same VM down more than others. */
 export const NOISY_KIND = 'image-render';
+/** A kind that fits on no VM of a measurement. */
+export const IMPOSSIBLE_KIND = 'giant-render';
 export const OPERATOR_TOKEN = 'operator-token-of-a-measurement';
 
 export const BATCH_SIZE = { processorMillicores: 500, memoryMegabytes: 512, accelerators: 0 };
+const IMPOSSIBLE_SIZE = { processorMillicores: 1_000_000, memoryMegabytes: 512, accelerators: 0 };
 const INSTANCE_SIZE = { processorMillicores: 2_000, memoryMegabytes: 4_096, accelerators: 0 };
 
 export interface WorkloadOptions {
@@ -63,6 +66,7 @@
       { name: URGENT_KIND, urgency: URGENT_CLASS, size: batchSize },
       { name: OVERNIGHT_KIND, urgency: OVERNIGHT_CLASS, size: batchSize },
       { name: NOISY_KIND, urgency: OVERNIGHT_CLASS, size: batchSize },
+      { name: IMPOSSIBLE_KIND, urgency: URGENT_CLASS, size: IMPOSSIBLE_SIZE },
     ],
     teams: teams.map((name) => ({
       name,
