--- a/packages/agent/src/tasks/admission.ts
+++ b/packages/agent/src/tasks/admission.ts
@@ -3,16 +3,12 @@
  * with stale views that place at once are answered one after the other.
  */
 import { AgentState } from '@figjunction/types';
-import { freeRoom, refusalForRoom } from '@figjunction/decisions';
-import type {
-  Resources,
-  TaskReservation,
-  TaskReserveParameters,
-  TaskReserveResult,
-} from '@figjunction/types';
+import type { TaskReservation, TaskReserveParameters, TaskReserveResult } from '@figjunction/types';
 import { TaskPhase } from './task-table.js';
 import type { NewTaskEntry, TaskEntry } from './task-table.js';
-import { holdsLease, roomLoads } from './task-runtime.js';
+import { refusalFor } from './room-loads.js';
+import { updateRoomReport } from './room-report.js';
+import { holdsLease } from './task-runtime.js';
 import type { TaskRuntime } from './task-runtime.js';
 
 /** A reservation lasts at most this long, whatever the entry asks for. */
@@ -31,12 +27,8 @@
     {},
     refusals.filter((refusal) => refusal !== null).length,
   );
-  return { refusals, free: freeOf(runtime) };
-}
-
-/** What is left for new work; negative where tasks use more than they were admitted with. */
-export function freeOf(runtime: TaskRuntime): Resources {
-  return freeRoom(runtime.context.room.capacity, roomLoads(runtime));
+  updateRoomReport(runtime);
+  return { refusals, free: runtime.context.room.free };
 }
 
 /** Reservations whose claim did not arrive in time make room. */
@@ -80,14 +72,7 @@
     return `attempt ${present.attempt} of the task is ${present.phase} here`;
   }
   const candidate = describeReservation(runtime, reservation, remainingMs);
-  const others = runtime.tasks
-    .all()
-    .filter((entry) => entry !== present && entry.phase !== TaskPhase.Ended);
-  const refusal = refusalForRoom(
-    runtime.context.room.capacity,
-    others.map((entry) => runtime.loadOf(entry)),
-    { declared: candidate.declared, learnt: null, measured: null },
-  );
+  const refusal = refusalFor(runtime, { ...candidate, measured: null }, present);
   if (refusal === null) {
     runtime.tasks.add(candidate);
   }
--- a/packages/agent/src/tasks/task-table.ts
+++ b/packages/agent/src/tasks/task-table.ts
@@ -5,6 +5,7 @@
 import type { Instant } from '@figjunction/time';
 import type {
   AgentIncarnation,
+  DecisionRecord,
   KindName,
   Resources,
   TaskId,
@@ -29,6 +30,15 @@
   /** Save a checkpoint first and give the task back; otherwise drop it. */
   checkpoint: boolean;
   reason: string;
+  /** Keep the task when no checkpoint can be saved, instead of trying again. */
+  optional?: boolean;
+  decision?: DecisionRecord | null;
+}
+
+/** A throttle and when the worker took it, to read lagging measurements with the right one. */
+export interface ThrottleChange {
+  at: Instant;
+  throttle: number;
 }
 
 export interface TaskEntry {
@@ -37,7 +47,7 @@
   type: TaskType;
   kind: KindName;
   team: TeamName;
-  /** Size to count before anything is measured or learnt. */
+  /** Size that the entry reserved; before that, the one in the row. */
   declared: Resources;
   /** Key of the table row; null until it is known. */
   key: string | null;
@@ -51,8 +61,19 @@
   busy: boolean;
   /** When the worker accepted the start, or when the task was adopted. */
   startedAt: Instant;
+  /** Latest use, without the effect of the throttle. */
   measured: Resources | null;
+  /** Earlier measurements are of an earlier attempt; an adopted task was running before. */
+  measurableFrom: Instant;
+  /** It ran before this incarnation, which bounded it then; its throttle stays until it is measured. */
+  isAdopted: boolean;
+  /** What the worker applies now. */
   throttle: number;
+  throttleChanges: ThrottleChange[];
+  /** What the guards ask for; the overload control may ask for less. */
+  guardThrottle: number;
+  /** No new try of a failed exchange before this time. */
+  retryAt: Instant;
   progress: number;
   evictions: number;
 }
@@ -73,18 +94,36 @@
   busy: false,
   startedAt: Number.NEGATIVE_INFINITY,
   measured: null,
+  measurableFrom: Number.NEGATIVE_INFINITY,
+  isAdopted: false,
   throttle: 1,
+  guardThrottle: 1,
+  retryAt: Number.NEGATIVE_INFINITY,
   progress: 0,
   evictions: 0,
 };
 
+/** Measurements lag, so those of a short task arrive after its end. */
+const ENDED_ROWS_KEPT = 256;
+
 export class TaskTable {
   private readonly rows = new Map<TaskId, TaskEntry>();
 
+  /** The newest rows that were removed after they had run, oldest first. */
+  private readonly endedRows = new Map<TaskId, TaskEntry>();
+
   get(taskId: TaskId): TaskEntry | undefined {
     return this.rows.get(taskId);
   }
 
+  /** The row that ran at a time in the past, also when it has been removed since. */
+  findRunningAt(taskId: TaskId, at: Instant): TaskEntry | undefined {
+    const candidates = [this.rows.get(taskId), this.endedRows.get(taskId)];
+    return candidates.find(
+      (entry) => entry !== undefined && hasRun(entry) && entry.measurableFrom <= at,
+    );
+  }
+
   /** The row of exactly this attempt. */
   find(taskId: TaskId, attempt: number): TaskEntry | undefined {
     const entry = this.rows.get(taskId);
@@ -100,7 +139,7 @@
   }
 
   add(entry: NewTaskEntry): TaskEntry {
-    const row: TaskEntry = { ...BLANK, ...entry };
+    const row: TaskEntry = { ...BLANK, throttleChanges: [], ...entry };
     this.rows.set(row.taskId, row);
     return row;
   }
@@ -109,6 +148,23 @@
   remove(entry: TaskEntry): void {
     if (this.rows.get(entry.taskId) === entry) {
       this.rows.delete(entry.taskId);
+      this.keepEnded(entry);
     }
   }
+
+  private keepEnded(entry: TaskEntry): void {
+    if (!hasRun(entry)) {
+      return;
+    }
+    this.endedRows.delete(entry.taskId);
+    this.endedRows.set(entry.taskId, entry);
+    if (this.endedRows.size > ENDED_ROWS_KEPT) {
+      const [oldest] = this.endedRows.keys();
+      this.endedRows.delete(oldest ?? '');
+    }
+  }
+}
+
+function hasRun(entry: TaskEntry): boolean {
+  return entry.phase === TaskPhase.Running || entry.phase === TaskPhase.Ended;
 }
