--- a/packages/bench/src/measure/measured-cluster.ts
+++ b/packages/bench/src/measure/measured-cluster.ts
@@ -31,8 +31,9 @@
     policy: settingsOf(run.policy),
   });
   try {
-    await cluster.apply(createConfiguration(workload));
+    const revision = await cluster.apply(createConfiguration(workload));
     cluster.operatorToken = OPERATOR_TOKEN;
+    await cluster.waitUntilInForce(revision);
     await waitForInstances(cluster, workload);
     return await body(cluster);
   } finally {
--- a/packages/test-support/src/cluster/cluster.ts
+++ b/packages/test-support/src/cluster/cluster.ts
@@ -9,6 +9,8 @@
 import { ProcessHarness } from '../harness/process-harness.js';
 import { HarnessError, waitUntil } from '../harness/wait-until.js';
 import { TcpRelay } from '../relay/tcp-relay.js';
+import { isInForce } from './cluster-status.js';
+import type { ClusterStatus } from './cluster-status.js';
 import { PlatformControl, WorkerControl } from './control-client.js';
 import { EntryClient } from './entry-client.js';
 import {
@@ -156,6 +158,17 @@
     return result.revision;
   }
 
+  /** Waits until every entry and agent has confirmed the revision and every agent serves. */
+  async waitUntilInForce(revision: number): Promise<void> {
+    const checkAll = async (): Promise<boolean> => {
+      const statuses = await Promise.all(
+        this.entries.map((_entry, index) => this.entryClient(index).readStatus(TEST_SHARED_TOKEN)),
+      );
+      return statuses.every((status) => isInForce(status as ClusterStatus, revision, this.plan));
+    };
+    await waitUntil(checkAll, { what: `revision ${revision} is in force everywhere` });
+  }
+
   /** What executed on all workers, in the order of the host's clock. */
   async readExecutionLog(): Promise<ExecutionRecord[]> {
     const logs = await Promise.all(
--- a/packages/test-support/src/index.ts
+++ b/packages/test-support/src/index.ts
@@ -14,6 +14,7 @@
 export * from './worker/worker-server.js';
 export * from './cluster/cluster.js';
 export * from './cluster/cluster-settings.js';
+export * from './cluster/cluster-status.js';
 export * from './cluster/control-client.js';
 export * from './cluster/entry-client.js';
 export * from './harness/free-port.js';
