--- a/packages/bench/src/proofs/request-at-most-once.test.ts
+++ b/packages/bench/src/proofs/request-at-most-once.test.ts
@@ -96,5 +96,10 @@
       assert.ok(completed < 0 || !later.includes('not-run'), `${body}: ${outcomes.join(', ')}`);
     }
   });
-  await fc.assert(property, { seed: SEED, numRuns: RUNS, endOnFailure: true, includeErrorInReport: true });
+  await fc.assert(property, {
+    seed: SEED,
+    numRuns: RUNS,
+    endOnFailure: true,
+    includeErrorInReport: true,
+  });
 });
