--- a/packages/agent/src/tasks/task-table.test.ts
+++ b/packages/agent/src/tasks/task-table.test.ts
@@ -7,7 +7,7 @@
 import { TaskPhase, TaskTable } from './task-table.js';
 import type { TaskEntry } from './task-table.js';
 
-function addTask(table: TaskTable, phase: TaskPhase, startedAt: number): TaskEntry {
+function addTask(table: TaskTable, phase: TaskPhase, measurableFrom: number): TaskEntry {
   return table.add({
     taskId: 'run-1',
     attempt: 1,
@@ -15,7 +15,7 @@
     kind: 'reprint',
     declared: { processorMillicores: 100, memoryMegabytes: 64, accelerators: 0 },
     phase,
-    startedAt,
+    measurableFrom,
   });
 }
 
--- a/packages/bench/src/proofs/index.ts
+++ b/packages/bench/src/proofs/index.ts
@@ -13,3 +13,7 @@
   atMostOnceProof,
   gracefulStopProof,
 ];
+import { configurationProof } from './configuration.js';
+import type { Proof } from './proof.js';
+
+export const PROOFS: Proof[] = [configurationProof];
