--- a/packages/bench/src/proofs/index.ts
+++ b/packages/bench/src/proofs/index.ts
@@ -3,6 +3,7 @@
  */
 import { atMostOnceProof } from './at-most-once.js';
 import { completeAnswersProof } from './complete-answers.js';
+import { configurationProof } from './configuration.js';
 import { gracefulStopProof } from './graceful-stop.js';
 import { notRunIsTrueProof } from './not-run-is-true.js';
 import type { Proof } from './proof.js';
@@ -12,8 +13,5 @@
   notRunIsTrueProof,
   atMostOnceProof,
   gracefulStopProof,
+  configurationProof,
 ];
-import { configurationProof } from './configuration.js';
-import type { Proof } from './proof.js';
-
-export const PROOFS: Proof[] = [configurationProof];
