Let the proof of graceful stops wait for its own requests

It counted requests of the load as its own, and with three agents the only region in reach had no target left.

--- a/packages/bench/src/proofs/graceful-stop.ts
+++ b/packages/bench/src/proofs/graceful-stop.ts
@@ -7,29 +7,36 @@
 import type { Cluster } from '@figjunction/test-support';
 import { RequestOutcome } from '@figjunction/types';
 import type { Proof } from './proof.js';
-import { Callers, OPERATOR_TOKEN, repeatFor, startRequestCluster } from './requests/fixture.js';
+import {
+  Callers,
+  OPERATOR_TOKEN,
+  executionsOf,
+  readExecutions,
+  repeatFor,
+  startRequestCluster,
+} from './requests/fixture.js';
+
+/** Enough that the load still has targets in its own region when two VMs are gone. */
+const AGENTS = 5;
 
 const LONG_WORK_MS = 1_500;
 const LONG_REQUESTS = 12;
 const LOAD_WORKERS = 8;
 const LOAD_MS = 9_000;
 
-/** Sends long requests, waits until all of them execute, stops something and returns what was told. */
+/** Sends long requests, waits until all of them execute, stops something and checks what was told. */
 async function stopDuring(
   cluster: Cluster,
   callers: Callers,
   entryIndex: number,
   stop: () => Promise<void>,
 ): Promise<void> {
-  const begun = await countEvents(cluster, ExecutionEvent.RequestBegin);
   const address = cluster.entries[entryIndex]?.address ?? '';
-  const answers = Array.from({ length: LONG_REQUESTS }, () =>
-    callers.send({ address, body: callers.uniqueBody({ workMs: LONG_WORK_MS }) }),
-  );
-  await waitUntil(
-    async () => (await countEvents(cluster, ExecutionEvent.RequestBegin)) >= begun + LONG_REQUESTS,
-    { what: 'the long requests execute' },
+  const bodies = Array.from({ length: LONG_REQUESTS }, () =>
+    callers.uniqueBody({ workMs: LONG_WORK_MS }),
   );
+  const answers = bodies.map((body) => callers.send({ address, body }));
+  await waitUntil(() => allExecute(cluster, bodies), { what: 'the long requests execute' });
   const [told] = await Promise.all([Promise.all(answers), stop()]);
   assert.deepEqual(
     told.filter((outcome) => outcome !== RequestOutcome.Completed),
@@ -38,8 +45,13 @@
   );
 }
 
+async function allExecute(cluster: Cluster, bodies: string[]): Promise<boolean> {
+  const executions = await readExecutions(cluster);
+  return bodies.every((body) => executionsOf(executions, body) > 0);
+}
+
 async function run(): Promise<void> {
-  const cluster = await startRequestCluster();
+  const cluster = await startRequestCluster({ agents: AGENTS });
   const callers = new Callers();
   try {
     // Entry 1 serves the load; entry 2 is the one that stops.
@@ -75,11 +87,6 @@
   assert.ok(answer.status < 300, `draining ${agentId} was answered with ${answer.status}`);
 }
 
-async function countEvents(cluster: Cluster, event: ExecutionEvent): Promise<number> {
-  const records = await cluster.readExecutionLog();
-  return records.filter((record) => record.event === event).length;
-}
-
 async function check(cluster: Cluster, callers: Callers): Promise<void> {
   const records = await cluster.readExecutionLog();
   const cut = records.filter(({ detail }) => detail === 'caller-gone');
