Make the requests of the graceful stop proof outlast the linger time

With 1.5 s of work they ended before the agent's own linger time, so that the proof held although the agent did not wait.

--- a/packages/bench/src/proofs/graceful-stop.ts
+++ b/packages/bench/src/proofs/graceful-stop.ts
@@ -19,7 +19,7 @@
 /** Enough that the load still has targets in its own region when two VMs are gone. */
 const AGENTS = 5;
 
-const LONG_WORK_MS = 1_500;
+const LONG_WORK_MS = 2_500;
 const LONG_REQUESTS = 12;
 const LOAD_WORKERS = 8;
 const LOAD_MS = 9_000;
