--- a/packages/entry/src/operators/apply-configuration.test.ts
+++ b/packages/entry/src/operators/apply-configuration.test.ts
@@ -38,6 +38,9 @@
   await entry.apply(0, fileWith('a'), SHARED_TOKEN);
   await entry.apply(1, fileWith('b'));
   assert.deepEqual((await entry.apply(1, fileWith('b'))).body, { revision: 2 });
+  await entry.apply(2, fileWith('c'));
+  assert.deepEqual((await entry.apply(1, fileWith('b'))).body, { revision: 2 });
+  assert.equal(entry.context.configuration.revision(), 3);
 });
 
 test('a lost answer of the winning write is resolved by the write id of the row', async () => {
--- a/packages/entry/src/operators/apply-configuration.ts
+++ b/packages/entry/src/operators/apply-configuration.ts
@@ -51,7 +51,7 @@
   const bodyHash = createHash('sha256').update(options.body).digest('hex');
   const current = await readCurrentRow(context);
   if (current !== null && isRepeated(current.value, bodyHash, options)) {
-    return { revision: current.value.revision, conflict: null };
+    return { revision: options.baseRevision + 1, conflict: null };
   }
   if ((current?.value.revision ?? 0) !== options.baseRevision) {
     return conflictWith(current);
@@ -90,10 +90,11 @@
 
 /** A client that lost the answer sends the file again; the second call must not look like a conflict. */
 function isRepeated(row: ConfigurationRow, bodyHash: string, options: ApplyOptions): boolean {
-  return (
-    row.bodyHash === bodyHash &&
-    row.appliedBy === options.appliedBy &&
-    row.revision === options.baseRevision + 1
+  return [row, ...row.history].some(
+    (earlier) =>
+      earlier.revision === options.baseRevision + 1 &&
+      earlier.bodyHash === bodyHash &&
+      earlier.appliedBy === options.appliedBy,
   );
 }
 
