--- a/packages/test-support/src/cluster/cluster.ts
+++ b/packages/test-support/src/cluster/cluster.ts
@@ -4,7 +4,8 @@
 import { fileURLToPath } from 'node:url';
 import { ErrorCode, errorCodeOf } from '@figjunction/errors';
 import { HttpClient } from '@figjunction/http';
-import { findFreePort } from '../harness/free-port.js';
+import { reservePort } from '../harness/free-port.js';
+import type { PortReservation } from '../harness/free-port.js';
 import type { ManagedProcess } from '../harness/managed-process.js';
 import { ProcessHarness } from '../harness/process-harness.js';
 import { HarnessError, waitUntil } from '../harness/wait-until.js';
@@ -53,7 +54,9 @@
 
   private entryAddresses: string[] = [];
 
-  private agentPorts: number[] = [];
+  private entryPorts: PortReservation[] = [];
+
+  private agentPorts: PortReservation[] = [];
 
   constructor(private readonly plan: ClusterPlan) {}
 
@@ -122,6 +125,7 @@
   async startEntry(index: number): Promise<ManagedProcess> {
     const { region } = locationOf(this.plan.entryLocations, index);
     const file = writeEntrySettings(this.settingsContext(index, region));
+    await pick(this.entryPorts, index, 'entry').release();
     const started = await this.startDaemon(`entry-${index + 1}`, 'entry', file);
     this.entries[index] = started;
     return started;
@@ -132,7 +136,9 @@
     const { region } = locationOf(this.plan.agentLocations, index);
     const { address } = pick(this.workers, index, 'worker');
     const context = this.settingsContext(index, region);
-    const file = writeAgentSettings(context, address, this.agentPorts[index] ?? 0);
+    const reservation = pick(this.agentPorts, index, 'agent');
+    const file = writeAgentSettings(context, address, reservation.port);
+    await reservation.release();
     const started = await this.startDaemon(agentIdOf(index), 'agent', file);
     this.agents[index] = started;
     return started;
@@ -191,9 +197,13 @@
 
   private async reservePorts(): Promise<void> {
     const { entries, agents } = this.plan;
-    const ports = await Promise.all(range(entries + agents).map(() => findFreePort()));
-    this.entryAddresses = ports.slice(0, entries).map((port) => `http://127.0.0.1:${port}`);
+    const ports = await Promise.all(range(entries + agents).map(() => reservePort()));
+    this.harness.onClose(async () => {
+      await Promise.all(ports.map((reservation) => reservation.release()));
+    });
+    this.entryPorts = ports.slice(0, entries);
     this.agentPorts = ports.slice(entries);
+    this.entryAddresses = this.entryPorts.map(({ port }) => `http://127.0.0.1:${port}`);
   }
 
   private startDaemon(name: string, role: string, settings: string): Promise<ManagedProcess> {
