--- a/packages/bench/src/measure/scenarios/start-rate.ts
+++ b/packages/bench/src/measure/scenarios/start-rate.ts
@@ -12,6 +12,7 @@
 import type { TaskHistory } from '../execution-figures.js';
 import { Latency } from '../latency.js';
 import { withMeasuredCluster } from '../measured-cluster.js';
+import { readEntryMetrics, riseOf } from '../metrics-reader.js';
 import type { Figures, Scenario } from '../scenario.js';
 import { OVERNIGHT_KIND, URGENT_KIND } from '../workload.js';
 
@@ -45,6 +46,7 @@
       async (cluster) => {
         await warmUp(cluster);
         await cluster.platformControl.resetStats();
+        const metricsBefore = await readEntryMetrics(cluster);
         const submitted = await submitJobs({
           cluster,
           label: 'rate',
@@ -54,6 +56,8 @@
         });
         const histories = await waitForCompletion(cluster, submitted, FINISH_TIMEOUT_MS);
         const stats = await cluster.platformControl.readStats();
+        const metricsAfter = await readEntryMetrics(cluster);
+        const rise = (name: string): number => riseOf(name, metricsBefore, metricsAfter);
         return {
           load: {
             tasksPerSecond: STARTS_PER_SECOND,
@@ -62,7 +66,11 @@
             agents: AGENTS,
             entries: ENTRIES,
           },
-          figures: figuresOf(submitted, histories, stats),
+          figures: {
+            ...figuresOf(submitted, histories, stats),
+            reservationsRefused: rise('reservations_refused_total'),
+            reservationsUnanswered: rise('reservations_failed_total'),
+          },
         };
       },
     ),
