--- a/packages/bench/src/proofs/evicted-resumes-once.ts
+++ b/packages/bench/src/proofs/evicted-resumes-once.ts
@@ -10,6 +10,7 @@
   ProofError,
   checkCheckpointsUsedOnce,
   checkEachOnce,
+  checkNothingLost,
   checkOnePlace,
 } from './execution-intervals.js';
 import type { Proof } from './proof.js';
@@ -23,6 +24,7 @@
   const records = await cluster.readLog();
   checkOnePlace(records);
   checkEachOnce(records, taskIds);
+  checkNothingLost(records);
   if (checkCheckpointsUsedOnce(records) === 0) {
     throw new ProofError('no run was evicted, so the proof shows nothing');
   }
@@ -68,7 +70,7 @@
   await checkLog(cluster, taskIds);
 }
 
-export const EVICTED_RESUMES_ONCE: Proof = {
+export const evictedResumesOnceProof: Proof = {
   number: 3,
   property: 'evicted work resumes exactly once',
   async run(): Promise<void> {
--- a/packages/bench/src/proofs/execution-intervals.ts
+++ b/packages/bench/src/proofs/execution-intervals.ts
@@ -91,6 +91,17 @@
   return resumed.length;
 }
 
+/** Fails when a run that had executed before began anew without a checkpoint. */
+export function checkNothingLost(records: ExecutionRecord[]): void {
+  const starts = records.filter(({ event }) => event === ExecutionEvent.TaskStart);
+  for (const [taskId, attempts] of groupBy(starts, (one) => one.taskId)) {
+    const anew = attempts.slice(1).find(({ detail }) => detail === undefined);
+    if (anew !== undefined) {
+      throw new ProofError(`attempt ${anew.attempt} of ${taskId} began anew`);
+    }
+  }
+}
+
 function describe({ workerId, attempt, from, to }: ExecutionInterval): string {
   return `attempt ${attempt} on ${workerId} from ${Math.round(from)} to ${Math.round(to)} ms`;
 }
--- a/packages/bench/src/proofs/run-in-one-place.ts
+++ b/packages/bench/src/proofs/run-in-one-place.ts
@@ -122,7 +122,7 @@
   }
 }
 
-export const RUN_IN_ONE_PLACE: Proof = {
+export const runInOnePlaceProof: Proof = {
   number: 2,
   property: 'a run never executes in two places at once',
   async run(): Promise<void> {
