--- a/packages/decisions/src/placement/placement-plan.ts
+++ b/packages/decisions/src/placement/placement-plan.ts
@@ -72,23 +72,32 @@
   let team = nextTeam(group, draft.ledger);
   while (team !== null && draft.placements.length < placementsMaximum) {
     const queue = group.queues.get(team) ?? [];
-    const position = positions.get(team) ?? 0;
-    const task = queue[position];
-    positions.set(team, position + 1);
-    if (task === undefined) {
+    const position = placeFirst(draft, queue, positions.get(team) ?? 0);
+    positions.set(team, position);
+    if (position >= queue.length) {
       group.queues.delete(team);
-    } else {
-      planTask(draft, task);
     }
     team = nextTeam(group, draft.ledger);
   }
 }
 
-function planTask(draft: PlanDraft, task: PlacementTask): void {
+/** Places the first task of a team's queue that can be placed; returns the position after it. */
+function placeFirst(draft: PlanDraft, queue: PlacementTask[], start: number): number {
+  for (let position = start; position < queue.length; position += 1) {
+    const task = queue[position];
+    if (task !== undefined && planTask(draft, task)) {
+      return position + 1;
+    }
+  }
+  return queue.length;
+}
+
+/** Returns whether the task was placed. */
+function planTask(draft: PlanDraft, task: PlacementTask): boolean {
   const refusal = draft.ledger.refusal(task) ?? draft.unplaceable.get(shapeOf(task)) ?? null;
   if (refusal !== null) {
     wait(draft, task, refusal);
-    return;
+    return false;
   }
   const { weights, random, interference = () => 0 } = draft.inputs;
   const { chosen, rejected } = chooseVm({
@@ -103,7 +112,7 @@
     const reason = summarize(rejected.map((alternative) => alternative.reason));
     draft.unplaceable.set(shapeOf(task), reason);
     wait(draft, task, reason);
-    return;
+    return false;
   }
   occupy(draft, task, chosen.draft);
   draft.placements.push({
@@ -112,6 +121,7 @@
     inputs: describeInputs(task, chosen),
     rejected,
   });
+  return true;
 }
 
 function wait(draft: PlanDraft, task: PlacementTask, reason: string): void {
--- a/packages/entry/src/tasks/cancellation.ts
+++ b/packages/entry/src/tasks/cancellation.ts
@@ -2,8 +2,10 @@
  * Cancellation: the row changes first, which fences a running task, then its agent is told to stop. The
  * writes of a wave share transactions and the stop orders to one agent share a message.
  */
+import { ErrorCode } from '@figjunction/errors';
 import { DecisionKind, TaskState } from '@figjunction/types';
 import type { TaskRow } from '@figjunction/types';
+import { EntryError } from '../entry-error.js';
 import { notifyOwners } from './shard-notices.js';
 import { taskDecision } from './task-context.js';
 import type { TaskContext } from './task-context.js';
@@ -14,6 +16,8 @@
 
 const ATTEMPTS_MAXIMUM = 5;
 const CANCEL_TIMEOUT_MS = 10_000;
+/** Twice what a row takes when 64 rows share a transaction every 100 ms. */
+const CANCEL_MS_PER_ROW = 3;
 
 /** Cancels rows and returns how many were cancelled by this call. */
 export async function cancelRows(
@@ -21,15 +25,25 @@
   rows: TaskEntry[],
   reason: string,
 ): Promise<number> {
-  const results = await Promise.all(rows.map((row) => cancelRow(context, row, reason)));
+  const timeoutMs = CANCEL_TIMEOUT_MS + rows.length * CANCEL_MS_PER_ROW;
+  const results = await Promise.allSettled(
+    rows.map((row) => cancelRow(context, row, reason, timeoutMs)),
+  );
   notifyOwners(context, [...new Set(rows.map(({ value }) => shardOfRow(value)))]);
-  return results.filter(Boolean).length;
+  const failures = results.filter(({ status }) => status === 'rejected').length;
+  if (failures > 0) {
+    throw new EntryError(`${failures} of ${rows.length} tasks could not be cancelled; try again`, {
+      code: ErrorCode.Unavailable,
+    });
+  }
+  return results.filter((result) => result.status === 'fulfilled' && result.value).length;
 }
 
 export async function cancelRow(
   context: TaskContext,
   entry: TaskEntry,
   reason: string,
+  timeoutMs = CANCEL_TIMEOUT_MS,
 ): Promise<boolean> {
   let current: TaskEntry | null = entry;
   for (let attempt = 0; attempt < ATTEMPTS_MAXIMUM && current !== null; attempt += 1) {
@@ -41,7 +55,7 @@
       before.key,
       before,
       cancelledRow(context, before.value, reason),
-      { kind: TaskWriteKind.Cancel, timeoutMs: CANCEL_TIMEOUT_MS },
+      { kind: TaskWriteKind.Cancel, timeoutMs },
     );
     if (result.applied) {
       stopHolder(context, before.value, reason);
--- a/packages/entry/src/tasks/placement-system.ts
+++ b/packages/entry/src/tasks/placement-system.ts
@@ -4,12 +4,7 @@
  */
 import type { OperatorConfiguration } from '@figjunction/config';
 import { planPlacements } from '@figjunction/decisions';
-import type {
-  InterferenceEstimate,
-  Placement,
-  PlacementTask,
-  PlacementVm,
-} from '@figjunction/decisions';
+import type { InterferenceEstimate, Placement, PlacementVm } from '@figjunction/decisions';
 import type { Instant } from '@figjunction/time';
 import { ApprovalMode, PlacementMode, TaskState } from '@figjunction/types';
 import type { AgentId } from '@figjunction/types';
@@ -37,6 +32,12 @@
   interference: InterferenceEstimate;
 }
 
+/** A pending task, and the VM that an approved proposal names for it. */
+interface ReadyTask {
+  entry: TaskEntry;
+  onlyVm: AgentId | null;
+}
+
 export class PlacementSystem {
   private readonly delays = new PendingDelays();
 
@@ -64,11 +65,16 @@
       context.orders.dropStarts();
       return;
     }
-    const vms = this.usableVms(now);
-    const tasks = this.collectTasks(configuration, vms, now);
-    if (tasks.length === 0) {
+    const ready = this.collectReady(configuration, now);
+    if (ready.length === 0) {
       return;
     }
+    const vms = this.usableVms(now);
+    const tasks = ready
+      .map(({ entry, onlyVm }) =>
+        placementTask(configuration, entry, this.options.estimates, vms, onlyVm),
+      )
+      .filter((task) => task !== null);
     const plan = planPlacements({
       tasks,
       vms,
@@ -83,37 +89,36 @@
     this.carryOut(configuration, plan.placements, now);
   }
 
-  private collectTasks(
-    configuration: OperatorConfiguration,
-    vms: PlacementVm[],
-    now: Instant,
-  ): PlacementTask[] {
-    const { context, proposals, estimates } = this.options;
+  /** Pending tasks that may start now; of each group no more than a tick can place. */
+  private collectReady(configuration: OperatorConfiguration, now: Instant): ReadyTask[] {
     const groupSizes = new Map<string, number>();
-    const tasks: PlacementTask[] = [];
-    for (const entry of context.store.rows.inState(TaskState.Pending)) {
+    const ready: ReadyTask[] = [];
+    for (const entry of this.options.context.store.rows.inState(TaskState.Pending)) {
       const { team, kind, urgency } = entry.value;
       const group = `${team}|${kind}|${urgency}`;
       const groupSize = groupSizes.get(group) ?? 0;
       if (groupSize < GROUP_MAXIMUM && this.isReady(entry, now)) {
-        const needsApproval = this.needsApproval(configuration, entry);
-        const approved = needsApproval ? proposals.approvedFor(entry.value) : null;
-        if (!needsApproval || approved !== null || !proposals.hasOpen(entry.value)) {
-          const task = placementTask(
-            configuration,
-            entry,
-            estimates,
-            vms,
-            approved?.agentId ?? null,
-          );
-          if (task !== null) {
-            groupSizes.set(group, groupSize + 1);
-            tasks.push(task);
-          }
+        const task = this.underApproval(configuration, entry);
+        if (task !== null) {
+          groupSizes.set(group, groupSize + 1);
+          ready.push(task);
         }
       }
     }
-    return tasks;
+    return ready;
+  }
+
+  /** Null while a proposal for the task waits for approval. */
+  private underApproval(configuration: OperatorConfiguration, entry: TaskEntry): ReadyTask | null {
+    const { proposals } = this.options;
+    if (!this.needsApproval(configuration, entry)) {
+      return { entry, onlyVm: null };
+    }
+    const approved = proposals.approvedFor(entry.value);
+    if (approved !== null) {
+      return { entry, onlyVm: approved.agentId };
+    }
+    return proposals.hasOpen(entry.value) ? null : { entry, onlyVm: null };
   }
 
   private isReady(entry: TaskEntry, now: Instant): boolean {
--- a/packages/entry/src/tasks/placement-view.ts
+++ b/packages/entry/src/tasks/placement-view.ts
@@ -10,7 +10,7 @@
   PlacementVm,
 } from '@figjunction/decisions';
 import type { Instant } from '@figjunction/time';
-import { PlacementMode, TaskType } from '@figjunction/types';
+import { AgentState, PlacementMode, TaskType } from '@figjunction/types';
 import type { KindName, Resources, TaskRow } from '@figjunction/types';
 import type { KnownAgent } from '../agent-directory.js';
 import { scopeOf } from './task-context.js';
@@ -158,7 +158,7 @@
   now: Instant,
 ): { starts: number; reason: string | null } {
   const { policy } = context.entry.settings;
-  if (!context.entry.agents.serving().includes(agent)) {
+  if (agent.state !== AgentState.Serving) {
     return { starts: 0, reason: `it is ${agent.state}` };
   }
   if (!agent.confirmed) {
--- a/packages/entry/src/tasks/retention.ts
+++ b/packages/entry/src/tasks/retention.ts
@@ -68,9 +68,11 @@
       after: this.positions.get(prefix) ?? '',
       limit: SCAN_ROWS_MAXIMUM,
     });
-    this.positions.set(prefix, page.nextAfter ?? '');
     const before = this.context.entry.clock.wallTimeMs() - RETENTION_MS;
     const expired = page.rows.filter((row) => isExpired(row, before)).slice(0, DELETIONS_MAXIMUM);
+    if (expired.length < DELETIONS_MAXIMUM) {
+      this.positions.set(prefix, page.nextAfter ?? '');
+    }
     await Promise.all(
       expired.map(({ key, version }) =>
         this.context.leaseWriter.submit({
