--- a/packages/bench/src/proofs/index.ts
+++ b/packages/bench/src/proofs/index.ts
@@ -4,15 +4,15 @@
 import { atMostOnceProof } from './at-most-once.js';
 import { completeAnswersProof } from './complete-answers.js';
 import { configurationProof } from './configuration.js';
-import { EVICTED_RESUMES_ONCE } from './evicted-resumes-once.js';
+import { evictedResumesOnceProof } from './evicted-resumes-once.js';
 import { gracefulStopProof } from './graceful-stop.js';
 import { notRunIsTrueProof } from './not-run-is-true.js';
 import type { Proof } from './proof.js';
-import { RUN_IN_ONE_PLACE } from './run-in-one-place.js';
+import { runInOnePlaceProof } from './run-in-one-place.js';
 
 export const PROOFS: Proof[] = [
-  RUN_IN_ONE_PLACE,
-  EVICTED_RESUMES_ONCE,
+  runInOnePlaceProof,
+  evictedResumesOnceProof,
   completeAnswersProof,
   notRunIsTrueProof,
   atMostOnceProof,
