Keep callers connected while the proof of single runs kills an agent

The proof cut the callers' connections at the same moment, and an entry does not repeat a request whose caller went away; a retry after an unknown end went unnoticed.

--- a/packages/bench/src/proofs/at-most-once.ts
+++ b/packages/bench/src/proofs/at-most-once.ts
@@ -37,9 +37,11 @@
   const resumed = sleep(LONG_PAUSE_MS).then(() => cluster.agents[2]?.continue());
   await platform.setFaults({ loseAnswers: 10 });
   await sleep(STEP_MS);
-  relays.forEach((relay) => relay.reset());
+  // Callers stay connected, so that the entries themselves decide about the attempts that broke.
   await cluster.agents[1]?.kill();
   await sleep(STEP_MS);
+  relays.forEach((relay) => relay.reset());
+  await sleep(STEP_MS);
   await Promise.all([cluster.startAgent(1), cluster.entries[0]?.kill()]);
   await sleep(STEP_MS);
   await cluster.startEntry(0);
--- a/packages/bench/src/proofs/graceful-stop.ts
+++ b/packages/bench/src/proofs/graceful-stop.ts
@@ -20,6 +20,7 @@
 const AGENTS = 5;
 
 const LONG_WORK_MS = 2_500;
+const LONG_TIMEOUT_MS = 10_000;
 const LONG_REQUESTS = 12;
 const LOAD_WORKERS = 8;
 const LOAD_MS = 9_000;
@@ -35,7 +36,7 @@
   const bodies = Array.from({ length: LONG_REQUESTS }, () =>
     callers.uniqueBody({ workMs: LONG_WORK_MS }),
   );
-  const answers = bodies.map((body) => callers.send({ address, body }));
+  const answers = bodies.map((body) => callers.send({ address, body, timeoutMs: LONG_TIMEOUT_MS }));
   await waitUntil(() => allExecute(cluster, bodies), { what: 'the long requests execute' });
   const [told] = await Promise.all([Promise.all(answers), stop()]);
   assert.deepEqual(
