Limit how many requests run by class

One limit for all classes fell when agents refused a flooding class, and held the others back; it also fell several times for one burst of refusals.

--- a/packages/decisions/src/admission/fair-queue.ts
+++ b/packages/decisions/src/admission/fair-queue.ts
@@ -5,11 +5,10 @@
  */
 import type { UrgencyClassName } from '@figjunction/types';
 import { RequestQueue } from './queue-entry.js';
-import type { ClassShare, QueueEntry } from './queue-entry.js';
+import type { ClassShare, QueueEntry, QueueKey, RequestQueueOptions } from './queue-entry.js';
 import { TeamQueue } from './team-queue.js';
 
-export interface FairQueueOptions {
-  maximum: () => number;
+export interface FairQueueOptions extends RequestQueueOptions {
   /** The classes of the configuration in force. */
   classes: () => ClassShare[];
 }
@@ -43,6 +42,10 @@
     return size;
   }
 
+  override get readySize(): number {
+    return this.ready().reduce((sum, row) => sum + row.teams.size, 0);
+  }
+
   override enqueue(entry: QueueEntry<Item>): QueueEntry<Item> | null {
     const { teams } = this.rowOf(entry.urgency);
     if (entry.returned || this.hasPlace(entry.urgency)) {
@@ -58,7 +61,7 @@
   }
 
   override dequeue(): QueueEntry<Item> | undefined {
-    const waiting = [...this.rows.values()].filter((row) => row.teams.size > 0);
+    const waiting = this.ready();
     const shares = this.shares();
     for (const row of waiting) {
       row.credit += shares.get(row.urgency)?.guaranteedShare ?? 0;
@@ -79,8 +82,8 @@
     return [...this.rows.values()].flatMap((row) => row.teams.items());
   }
 
-  override turnsBefore(entry: Pick<QueueEntry<Item>, 'urgency' | 'team' | 'weight'>): number {
-    const ahead = this.rowOf(entry.urgency).teams.ahead(entry.team, entry.weight);
+  override turnsBefore(entry: QueueKey): number {
+    const ahead = this.aheadInClass(entry);
     const shares = this.shares();
     const others = [...this.rows.values()].filter(
       (row) => row.urgency !== entry.urgency && row.teams.size > 0,
@@ -96,6 +99,15 @@
     return Math.min(ahead / share, ahead + othersWaiting);
   }
 
+  override aheadInClass(entry: QueueKey): number {
+    return this.rowOf(entry.urgency).teams.ahead(entry.team, entry.weight);
+  }
+
+  private ready(): ClassRow<Item>[] {
+    const { mayRun = () => true } = this.options;
+    return [...this.rows.values()].filter((row) => row.teams.size > 0 && mayRun(row.urgency));
+  }
+
   /** Whether one more entry of the class leaves the places that the other classes are guaranteed. */
   private hasPlace(urgency: UrgencyClassName): boolean {
     const maximum = this.options.maximum();
--- a/packages/decisions/src/admission/fifo-queue.ts
+++ b/packages/decisions/src/admission/fifo-queue.ts
@@ -2,12 +2,12 @@
  * First in, first out, for comparison with the fair queue.
  */
 import { RequestQueue } from './queue-entry.js';
-import type { QueueEntry } from './queue-entry.js';
+import type { QueueEntry, RequestQueueOptions } from './queue-entry.js';
 
 export class FifoQueue<Item> extends RequestQueue<Item> {
   private readonly entries: QueueEntry<Item>[] = [];
 
-  constructor(private readonly maximum: () => number) {
+  constructor(private readonly options: RequestQueueOptions) {
     super();
   }
 
@@ -15,12 +15,18 @@
     return this.entries.length;
   }
 
+  override get readySize(): number {
+    const [first] = this.entries;
+    const { mayRun = () => true } = this.options;
+    return first !== undefined && mayRun(first.urgency) ? this.size : 0;
+  }
+
   override enqueue(entry: QueueEntry<Item>): QueueEntry<Item> | null {
     if (entry.returned) {
       this.entries.unshift(entry);
       return null;
     }
-    if (this.entries.length >= this.maximum()) {
+    if (this.entries.length >= this.options.maximum()) {
       return entry;
     }
     this.entries.push(entry);
@@ -47,4 +53,8 @@
   override turnsBefore(): number {
     return this.entries.length;
   }
+
+  override aheadInClass(): number {
+    return this.entries.length;
+  }
 }
--- a/packages/decisions/src/admission/index.ts
+++ b/packages/decisions/src/admission/index.ts
@@ -1,6 +1,7 @@
 /**
  * Who may use a slot, a queue or a quota, and in which order.
  */
+export * from './class-limits.js';
 export * from './fair-queue.js';
 export * from './fifo-queue.js';
 export * from './queue-entry.js';
--- a/packages/decisions/src/admission/queue-entry.ts
+++ b/packages/decisions/src/admission/queue-entry.ts
@@ -13,6 +13,15 @@
   returned: boolean;
 }
 
+/** Where a request waits. */
+export type QueueKey = Pick<QueueEntry<unknown>, 'urgency' | 'team' | 'weight'>;
+
+export interface RequestQueueOptions {
+  maximum: () => number;
+  /** False while a class has as many requests running as it may. */
+  mayRun?: (urgency: UrgencyClassName) => boolean;
+}
+
 export interface ClassShare {
   urgency: UrgencyClassName;
   /** 0 is the most urgent. */
@@ -25,6 +34,9 @@
 export abstract class RequestQueue<Item> {
   abstract get size(): number;
 
+  /** Entries of classes that may run now: `dequeue` gives one of them. */
+  abstract get readySize(): number;
+
   /** Adds an entry. Returns the one that found no place: the new one, one pushed out for it, or null. */
   abstract enqueue(entry: QueueEntry<Item>): QueueEntry<Item> | null;
 
@@ -35,5 +47,8 @@
   abstract items(): Item[];
 
   /** How many dequeues it takes until a new request of the team comes up. */
-  abstract turnsBefore(entry: Pick<QueueEntry<Item>, 'urgency' | 'team' | 'weight'>): number;
+  abstract turnsBefore(key: QueueKey): number;
+
+  /** How many requests of the same class go before it. */
+  abstract aheadInClass(key: QueueKey): number;
 }
--- a/packages/entry/src/requests/service-queue.ts
+++ b/packages/entry/src/requests/service-queue.ts
@@ -1,14 +1,15 @@
 /**
  * Requests of one service that wait for a slot. p-queue drives how many run at once; the queue class
- * decides which goes next. The number that may run follows what the agents admit, since other entries use
- * the same slots.
+ * decides which goes next. How many of each class may run follows what the agents admit, since other
+ * entries use the same slots.
  */
 import PQueue from 'p-queue';
-import { FairQueue, FifoQueue } from '@figjunction/decisions';
+import { ClassLimits, FairQueue, FifoQueue } from '@figjunction/decisions';
 import type { ClassShare, RequestQueue } from '@figjunction/decisions';
 import { remainingMs } from '@figjunction/time';
 import type { Clock } from '@figjunction/time';
 import { OutcomeCode, RequestOutcome } from '@figjunction/types';
+import type { UrgencyClassName } from '@figjunction/types';
 import type { TurnEnd } from './attempt-runner.js';
 import { notRun } from './interactive-request.js';
 import type { InteractiveRequest } from './interactive-request.js';
@@ -23,28 +24,31 @@
   classes: () => ClassShare[];
   /** Usual time of one attempt; null before the first. */
   usualMs: () => number | null;
+  /** Entries that share the slots, this one included. */
+  entries: () => number;
 }
 
-/** Completed attempts raise the limit by this much each. */
-const LIMIT_STEP = 0.25;
+/** Without fairness all classes share one limit. */
+const ONE_CLASS = 'all';
 
 export class ServiceQueue {
   private readonly queue: PQueue<WaitingRequests, TicketOptions>;
 
   private readonly waiting: RequestQueue<Ticket>;
 
-  private ceiling = 1;
+  private readonly limits = new ClassLimits();
 
-  private limit = 1;
+  private ceiling = 1;
 
   constructor(private readonly options: ServiceQueueOptions) {
     const { fair, maximum, classes } = options;
+    const mayRun = (urgency: UrgencyClassName): boolean => this.limits.allows(this.keyOf(urgency));
     const waiting = fair
-      ? new FairQueue<Ticket>({ maximum, classes })
-      : new FifoQueue<Ticket>(maximum);
+      ? new FairQueue<Ticket>({ maximum, classes, mayRun })
+      : new FifoQueue<Ticket>({ maximum, mayRun });
     this.waiting = waiting;
     this.queue = new PQueue<WaitingRequests, TicketOptions>({
-      concurrency: 1,
+      concurrency: this.ceiling,
       queueClass: class extends WaitingRequests {
         constructor() {
           super(waiting);
@@ -82,49 +86,80 @@
       const ticket: Ticket = { request, returned, run: null, refuse: end };
       const start = async (): Promise<void> => {
         stopWaiting.abort();
-        const value = await job();
-        this.learn(value);
-        resolve(value);
+        resolve(await this.execute(request, job));
       };
       this.queue.add(start, { ticket }).catch(() => {});
       this.limitWait(ticket, stopWaiting.signal);
     });
   }
 
-  /** Slots of all instances; the limit never exceeds them. */
+  private async execute(
+    request: InteractiveRequest,
+    job: () => Promise<TurnEnd>,
+  ): Promise<TurnEnd> {
+    const key = this.keyOf(request.urgency);
+    if (this.waiting.size > 0 && this.leftMs(request) < (this.options.usualMs() ?? 0)) {
+      return notRun(OutcomeCode.DeadlineTooShort, 'the wait left too little time to run');
+    }
+    this.limits.begin(key);
+    try {
+      const end = await job();
+      this.learn(request.urgency, end);
+      return end;
+    } finally {
+      this.limits.end(key);
+      this.startWaiting();
+    }
+  }
+
+  /** Slots of all instances; no limit exceeds them. */
   private setCeiling(slots: number): void {
     if (slots !== this.ceiling) {
-      // New instances are used at once; a lower limit that agents forced stays in proportion.
-      this.limit = Math.max(1, this.limit + slots - this.ceiling);
-      this.ceiling = slots;
-      this.apply();
+      this.ceiling = Math.max(1, slots);
+      this.limits.setCeiling(this.ceiling);
+      this.startWaiting();
     }
   }
 
-  /** Follows the agents: fewer attempts at once after a refusal, slowly more after completed ones. */
-  private learn(end: TurnEnd): void {
+  private learn(urgency: UrgencyClassName, end: TurnEnd): void {
+    const key = this.keyOf(urgency);
     if (end.code === OutcomeCode.NoSlot) {
-      this.limit = Math.max(1, Math.min(this.limit, this.running - 1));
+      const shares = this.options.classes();
+      const share = shares.find((one) => one.urgency === key)?.guaranteedShare ?? 0;
+      const floor = (share * this.ceiling) / Math.max(1, this.options.entries());
+      this.limits.lower(key, floor, this.options.clock.now());
     } else if (end.outcome === RequestOutcome.Completed) {
-      this.limit += LIMIT_STEP;
+      this.limits.raise(key);
     }
-    this.apply();
   }
 
-  private apply(): void {
-    this.limit = Math.min(this.limit, this.ceiling);
-    this.queue.concurrency = Math.max(1, Math.floor(this.limit));
+  /** Setting the concurrency lets p-queue look again for requests that may start. */
+  private startWaiting(): void {
+    this.queue.concurrency = this.ceiling;
   }
 
   private canMeetDeadline(request: InteractiveRequest): boolean {
-    if (this.running < this.queue.concurrency) {
+    const limit = this.limits.of(this.keyOf(request.urgency));
+    const key = fairKey(request);
+    const isBusy = this.running >= this.ceiling || !this.limits.allows(this.keyOf(key.urgency));
+    if (!isBusy) {
       // Never refused without trying, else one slow spell would keep its latency as the estimate.
       return true;
     }
     const usualMs = this.options.usualMs() ?? 0;
-    const turns = this.waiting.turnsBefore(fairKey(request)) + 1;
-    const waitMs = (turns * usualMs) / this.queue.concurrency;
-    return remainingMs(this.options.clock, request.deadline) > waitMs + usualMs;
+    const rounds = Math.max(
+      (this.waiting.turnsBefore(key) + 1) / this.ceiling,
+      (this.waiting.aheadInClass(key) + 1) / limit,
+    );
+    return this.leftMs(request) > (rounds + 1) * usualMs;
+  }
+
+  private leftMs(request: InteractiveRequest): number {
+    return remainingMs(this.options.clock, request.deadline);
+  }
+
+  private keyOf(urgency: UrgencyClassName): UrgencyClassName {
+    return this.options.fair ? urgency : ONE_CLASS;
   }
 
   /** Takes a request out when its deadline passes or its caller goes away. */
@@ -132,7 +167,7 @@
     if (signal.aborted) {
       return;
     }
-    const { callerGone, deadline } = ticket.request;
+    const { callerGone } = ticket.request;
     const leave = (code: OutcomeCode, message: string): void => {
       if (this.waiting.remove(ticket)) {
         ticket.refuse(notRun(code, message));
@@ -141,7 +176,7 @@
     const onGone = (): void => leave(OutcomeCode.AttemptCancelled, 'the caller went away');
     const timer = setTimeout(
       () => leave(OutcomeCode.DeadlineTooShort, 'no slot became free before the deadline'),
-      remainingMs(this.options.clock, deadline),
+      this.leftMs(ticket.request),
     );
     signal.addEventListener('abort', () => clearTimeout(timer));
     callerGone.addEventListener('abort', onGone, { signal });
--- a/packages/entry/src/requests/service-queues.ts
+++ b/packages/entry/src/requests/service-queues.ts
@@ -38,6 +38,7 @@
           guaranteedShare: one.guaranteedShare,
         })),
       usualMs: () => latencies.percentile(50),
+      entries: () => context.peers.live().length,
     });
   }
 
--- a/packages/entry/src/requests/waiting-requests.ts
+++ b/packages/entry/src/requests/waiting-requests.ts
@@ -2,7 +2,7 @@
  * The queue class that p-queue takes the requests of one service from.
  */
 import type { QueueAddOptions } from 'p-queue';
-import type { QueueEntry, RequestQueue } from '@figjunction/decisions';
+import type { QueueKey, RequestQueue } from '@figjunction/decisions';
 import { OutcomeCode } from '@figjunction/types';
 import type { TurnEnd } from './attempt-runner.js';
 import { notRun } from './interactive-request.js';
@@ -26,8 +26,9 @@
 export class WaitingRequests {
   constructor(private readonly waiting: RequestQueue<Ticket>) {}
 
+  /** Only what may start: p-queue starts requests until this is zero. */
   get size(): number {
-    return this.waiting.size;
+    return this.waiting.readySize;
   }
 
   enqueue(run: Run, options?: Partial<TicketOptions>): void {
@@ -53,8 +54,6 @@
   setPriority(): void {}
 }
 
-export function fairKey(
-  request: InteractiveRequest,
-): Pick<QueueEntry<Ticket>, 'urgency' | 'team' | 'weight'> {
+export function fairKey(request: InteractiveRequest): QueueKey {
   return { urgency: request.urgency, team: request.team.name, weight: request.team.weight };
 }
