Keep the learnt size of a kind until its next sample

Cause: placement and holding ask for the estimate once for each pending task, and each call sorted up to 256 samples. A CPU profile of an entry with 3,900 pending tasks showed 2,538 ms of 3,133 ms tick time in estimateSize, which delayed label requests on the same loop. Ruled out: table and RPC traffic (under 100 ms in the same profile). Change: the percentile of a kind is kept until its next sample; samples of other kinds scale all weights alike and change no percentile.

--- a/packages/decisions/src/estimates/estimate-table.test.ts
+++ b/packages/decisions/src/estimates/estimate-table.test.ts
@@ -83,3 +83,19 @@
     assert.equal(estimateRunTimeMs(table, 'reprint'), 50);
   });
 });
+
+it('a new sample changes an estimate that was already asked for', () => {
+  const table = createEstimateTable({ samplesToTrust: 1, samplesToShrink: 1 });
+  const declared = { processorMillicores: 100, memoryMegabytes: 100, accelerators: 0 };
+  const record = (taskId: string, processorMillicores: number): void =>
+    recordUsage(table, {
+      taskId,
+      kind: 'reprint',
+      used: { ...declared, processorMillicores },
+      measuredAt: 0,
+    });
+  record('run-1', 50);
+  assert.equal(estimateSize(table, 'reprint', declared).processorMillicores, 50);
+  record('run-2', 400);
+  assert.equal(estimateSize(table, 'reprint', declared).processorMillicores, 400);
+});
--- a/packages/decisions/src/estimates/estimate-table.ts
+++ b/packages/decisions/src/estimates/estimate-table.ts
@@ -33,6 +33,11 @@
 interface KindSamples {
   sizes: Map<TaskId, SizeSample>;
   runTimes: RunTimeSample[];
+  /**
+   * The percentile of the sizes, kept until the next sample: placement asks once for each pending task.
+   * Samples of other kinds age all weights by the same factor, which changes no percentile.
+   */
+  learntSize: Resources | null;
 }
 
 export interface EstimateTable {
@@ -71,7 +76,8 @@
 }
 
 export function recordUsage(table: EstimateTable, sample: UsageSample): void {
-  const { sizes } = samplesOf(table, sample.kind);
+  const samples = samplesOf(table, sample.kind);
+  const { sizes } = samples;
   const known = sizes.get(sample.taskId);
   const peak = known === undefined ? sample.used : maximumOfResources(known.peak, sample.used);
   // Removing first keeps the map in the order of the last measurement.
@@ -79,6 +85,7 @@
   sizes.set(sample.taskId, { peak, at: sample.measuredAt });
   table.latest = Math.max(table.latest, sample.measuredAt);
   dropOldest(sizes, table.options.samplesMaximum);
+  samples.learntSize = null;
 }
 
 export function recordRunTime(
@@ -103,20 +110,20 @@
 /** The size to count for a task of the kind; at least the declared size until many were measured. */
 export function estimateSize(table: EstimateTable, kind: KindName, declared: Resources): Resources {
   const { samplesToTrust, samplesToShrink, wideningFactor } = table.options;
-  const samples = [...(table.kinds.get(kind)?.sizes.values() ?? [])];
-  const learnt: Resources = {
-    processorMillicores: percentileOf(table, samples, 'processorMillicores'),
-    memoryMegabytes: percentileOf(table, samples, 'memoryMegabytes'),
-    accelerators: Math.max(declared.accelerators, percentileOf(table, samples, 'accelerators')),
+  const samples = samplesOf(table, kind);
+  samples.learntSize ??= learnSize(table, [...samples.sizes.values()]);
+  const learnt = {
+    ...samples.learntSize,
+    accelerators: Math.max(declared.accelerators, samples.learntSize.accelerators),
   };
-  if (samples.length < samplesToTrust) {
+  if (samples.sizes.size < samplesToTrust) {
     const { accelerators } = declared;
     return maximumOfResources(learnt, {
       ...scaleResources(declared, wideningFactor),
       accelerators,
     });
   }
-  return samples.length < samplesToShrink ? maximumOfResources(learnt, declared) : learnt;
+  return samples.sizes.size < samplesToShrink ? maximumOfResources(learnt, declared) : learnt;
 }
 
 /** A run time that most tasks of the kind stay under; null until enough have ended. */
@@ -130,6 +137,14 @@
   return weightedPercentile(weighted, percentile);
 }
 
+function learnSize(table: EstimateTable, samples: readonly SizeSample[]): Resources {
+  return {
+    processorMillicores: percentileOf(table, samples, 'processorMillicores'),
+    memoryMegabytes: percentileOf(table, samples, 'memoryMegabytes'),
+    accelerators: percentileOf(table, samples, 'accelerators'),
+  };
+}
+
 function percentileOf(
   table: EstimateTable,
   samples: readonly SizeSample[],
@@ -146,7 +161,7 @@
 function samplesOf(table: EstimateTable, kind: KindName): KindSamples {
   let samples = table.kinds.get(kind);
   if (samples === undefined) {
-    samples = { sizes: new Map(), runTimes: [] };
+    samples = { sizes: new Map(), runTimes: [], learntSize: null };
     table.kinds.set(kind, samples);
   }
   return samples;
