Prove that a cut-off entry serves requests and takes newer revisions

One entry loses the platform: it must report itself as unconfirmed, answer requests, and take a newer revision from its peer.

--- a/packages/bench/src/proofs/configuration.ts
+++ b/packages/bench/src/proofs/configuration.ts
@@ -3,6 +3,7 @@
  */
 import assert from 'node:assert/strict';
 import { provesOneWinner, resolvesLostAnswer } from './configuration/apply-cases.js';
+import { servesWhileCutOff } from './configuration/cut-off-case.js';
 import { startFixture } from './configuration/fixture.js';
 import {
   ignoresLateMessages,
@@ -14,6 +15,7 @@
 const CASES = [
   provesOneWinner,
   resolvesLostAnswer,
+  servesWhileCutOff,
   startsDuringOutage,
   ignoresLateMessages,
   placesNothingUnconfirmed,
--- a/packages/bench/src/proofs/configuration/fixture.ts
+++ b/packages/bench/src/proofs/configuration/fixture.ts
@@ -57,30 +57,46 @@
 export interface ProofFixture {
   cluster: Cluster;
   proxy: PlatformProxy;
+  /** Between the second entry and the platform. */
+  secondEntryRelay: TcpRelay;
   watch: RevisionWatch;
 }
 
+/** The first entry and the agents are in one region, the second entry is in another. */
+const NEAR = DEFAULT_LOCATIONS.filter(({ region }) => region === 'marmara');
+const FAR = DEFAULT_LOCATIONS.filter(({ region }) => region !== 'marmara');
+
 export async function startFixture(): Promise<ProofFixture> {
-  const cluster = new Cluster(completeOptions({ entries: ENTRIES, agents: AGENTS }));
-  const proxy = await placeProxy(cluster);
+  const entryLocations = [...NEAR.slice(0, 1), ...FAR.slice(0, 1)];
+  const cluster = new Cluster(
+    completeOptions({ entries: ENTRIES, agents: AGENTS, entryLocations, agentLocations: NEAR }),
+  );
+  const proxy = new PlatformProxy(() => cluster.platform.address);
+  await proxy.listen();
+  cluster.harness.onClose(() => proxy.close());
+  const [, secondEntryRelay] = await Promise.all(
+    entryLocations.map(({ region }) => placeRelay(cluster, proxy, region)),
+  );
+  assert.ok(secondEntryRelay !== undefined);
   await cluster.start();
   const watch = new RevisionWatch(cluster);
   const answer = await apply(cluster, 0, 0, fileWith('first'), TEST_SHARED_TOKEN);
   assert.equal(answer.status, 200, answer.body.toString());
   await watch.waitForRevision(1, PROCESSES, IN_FORCE_BOUND_MS);
-  return { cluster, proxy, watch };
+  return { cluster, proxy, secondEntryRelay, watch };
 }
 
-/** All processes of the proof are in one region, so one relay leads them all to the proxy. */
-async function placeProxy(cluster: Cluster): Promise<PlatformProxy> {
-  const proxy = new PlatformProxy(() => cluster.platform.address);
-  await proxy.listen();
+/** Leads the processes of a region to the proxy. */
+async function placeRelay(
+  cluster: Cluster,
+  proxy: PlatformProxy,
+  region: string,
+): Promise<TcpRelay> {
   const relay = new TcpRelay({ targetAddress: proxy.address });
   await relay.listen();
-  cluster.platformRelays.set(DEFAULT_LOCATIONS[0]?.region ?? '', relay);
+  cluster.platformRelays.set(region, relay);
   cluster.harness.onClose(() => relay.close());
-  cluster.harness.onClose(() => proxy.close());
-  return proxy;
+  return relay;
 }
 
 export function apply(
--- a/packages/bench/src/proofs/configuration/outage-cases.ts
+++ b/packages/bench/src/proofs/configuration/outage-cases.ts
@@ -7,7 +7,7 @@
 import { ExecutionEvent, TEST_SHARED_TOKEN, waitUntil } from '@figjunction/test-support';
 import type { Cluster, ExecutionRecord } from '@figjunction/test-support';
 import { sleep } from '@figjunction/time';
-import { RequestOutcome, RpcMethod } from '@figjunction/types';
+import { RpcMethod } from '@figjunction/types';
 import {
   AGENTS,
   IN_FORCE_BOUND_MS,
@@ -18,15 +18,15 @@
   applyEverywhere,
   currentRevision,
   fileWith,
-  parse,
 } from './fixture.js';
 import type { ProofFixture } from './fixture.js';
+import { requestLabels } from './label-requests.js';
 import { LatePeer } from './late-peer.js';
 
 /** Section 9: 6 s without a confirmation, and one poll that was already on its way. */
 const PLACEMENT_BOUND_MS = 7_000;
 const OBSERVED_MS = 6_000;
-const REQUEST_INTERVAL_MS = 200;
+const SETTLE_MS = 400;
 const TASKS = 6;
 const TASK_DURATION_MS = 9_000;
 const JOB_TIMEOUT_MS = 60_000;
@@ -78,7 +78,7 @@
     what: 'the old revision was delivered to entries and agents',
   });
   await peer.stop();
-  await sleep(2 * REQUEST_INTERVAL_MS);
+  await sleep(SETTLE_MS);
   for (const one of await watch.read(0)) {
     assert.equal(one.revision, revision, `${one.name} must not take an old revision`);
   }
@@ -130,21 +130,3 @@
     ended: menus.filter(({ event }) => event === ExecutionEvent.TaskComplete).length,
   };
 }
-
-/** Sends requests through both entries in turn and returns those that were not completed. */
-async function requestLabels(cluster: Cluster, durationMs: number): Promise<string[]> {
-  const failures: string[] = [];
-  const rounds = Math.ceil(durationMs / REQUEST_INTERVAL_MS);
-  for (let round = 0; round < rounds; round += 1) {
-    const client = cluster.entryClient(round % cluster.entries.length);
-    const body = JSON.stringify({ round });
-    const answer = await client.request({ service: 'label', body, token: TEAM_TOKEN });
-    if (answer.outcome !== RequestOutcome.Completed) {
-      failures.push(
-        `${answer.status} ${parse<{ message: string }>({ ...answer, headers: {} }).message}`,
-      );
-    }
-    await sleep(REQUEST_INTERVAL_MS);
-  }
-  return failures;
-}
