--- a/packages/bench/src/proofs/evicted-resumes-once.ts
+++ b/packages/bench/src/proofs/evicted-resumes-once.ts
@@ -17,6 +17,8 @@
 
 const RUNS = 16;
 const RUN_MS = 8_000;
+/** The filler ends only by its cancellation. */
+const FILLER_MS = 120_000;
 const LOST_ANSWERS = 6;
 const OUTAGE_MS = 4_000;
 
@@ -41,18 +43,28 @@
   await checkLog(cluster, taskIds);
 }
 
-/** An entry is paused over the eviction and goes on with its old view beside its successor. */
+/**
+ * Evicted runs wait for room when their entry is paused. Its successor resumes them in the room of a
+ * cancelled job; then the paused entry goes on and still takes them for waiting.
+ */
 async function twoResumers(cluster: BatchCluster): Promise<void> {
-  const taskIds = await cluster.submit('two-resumers', RUNS, RUN_MS);
-  await cluster.waitForStarts(RUNS);
+  const taskIds = await cluster.submit('two-resumers', RUNS, RUN_MS * 2);
+  await cluster.submit('filler', RUNS, FILLER_MS);
+  await cluster.waitForStarts(RUNS * 2);
   const placing = await cluster.placingEntry();
   const other = placing === 0 ? 1 : 0;
-  const [first = 0, second = 1] = await cluster.holdersOf('two-resumers');
-  await cluster.drain(first, true, other);
+  const [drained = 0] = await cluster.holdersOf('two-resumers');
+  await cluster.drain(drained, true, other);
+  await cluster.waitForState('two-resumers', TaskState.Pending, 2, other);
   cluster.processes.entries[placing]?.pause();
-  await sleep(OUTAGE_MS * 2);
+  await cluster.cancel('filler', other);
+  await cluster.waitForJob(
+    'two-resumers',
+    ({ tasks }) => tasks.some(({ attempt }) => attempt > 1),
+    'the other entry resumes the evicted runs',
+    other,
+  );
   cluster.processes.entries[placing]?.continue();
-  await cluster.drain(second, true, other);
   await cluster.waitForState('two-resumers', TaskState.Completed, RUNS, other);
   await checkLog(cluster, taskIds);
 }
--- a/packages/entry/src/tasks/order-repair.ts
+++ b/packages/entry/src/tasks/order-repair.ts
@@ -98,7 +98,9 @@
   }
 
   private stop(agent: KnownAgent, { taskId, attempt }: HeldTask, row: TaskRow | undefined): void {
-    this.context.entry.metrics.count('stop_orders_repaired_total');
+    this.context.entry.metrics.count('stop_orders_repaired_total', {
+      row: row?.state ?? 'absent',
+    });
     this.context.orders.stop({
       holder: { agentId: agent.agentId, incarnation: agent.incarnation },
       taskId,
