Spread tasks of unknown size and leave completed tasks to their agent

Cause: a tick offered one VM many tasks of an unknown kind, of which its agent admitted few; agents list completed tasks until they are measured.

--- a/packages/decisions/src/placement/placement-plan.test.ts
+++ b/packages/decisions/src/placement/placement-plan.test.ts
@@ -29,7 +29,8 @@
     team: 'kitchen',
     kind: 'labels',
     urgencyRank: 1,
-    size: size(1_000),
+    size: overrides.size ?? size(1_000),
+    worstCaseSize: overrides.size ?? size(1_000),
     allowed: ANYWHERE,
     failedOn: [],
     order: 0,
@@ -141,6 +142,18 @@
   assert.equal(more.placements.length, 8);
 });
 
+// Guards against offering a VM many tasks of an unknown kind, of which its agent admits few.
+test('tasks of unknown size are spread over VMs', () => {
+  const unknown = (key: string): PlacementTask =>
+    task(key, { size: size(500), worstCaseSize: size(3_800) });
+  const { placements } = plan({
+    tasks: ['a', 'b', 'c'].map(unknown),
+    vms: [vm('vm-1'), vm('vm-2'), vm('vm-3')],
+    weights: { tailLatency: 0, throughput: 5, evictions: 0 },
+  });
+  assert.equal(new Set(placements.map(({ agentId }) => agentId)).size, 3);
+});
+
 test('only allowed VMs are used', () => {
   const allowed = { ...ANYWHERE, vms: ['vm-2'] };
   const { placements } = plan({
--- a/packages/decisions/src/placement/placement-plan.ts
+++ b/packages/decisions/src/placement/placement-plan.ts
@@ -132,7 +132,8 @@
 
 function occupy(draft: PlanDraft, task: PlacementTask, vmDraft: VmDraft): void {
   const { location } = vmDraft.vm;
-  vmDraft.free = subtractResources(vmDraft.free, task.size);
+  // The agent admits tasks of unknown kinds only with room for the worst case, so others go elsewhere.
+  vmDraft.free = subtractResources(vmDraft.free, task.worstCaseSize);
   vmDraft.kinds.set(task.kind, (vmDraft.kinds.get(task.kind) ?? 0) + 1);
   vmDraft.startsAllowed -= 1;
   const kindStarts = vmDraft.kindStarts.get(task.kind);
--- a/packages/decisions/src/placement/placement-types.ts
+++ b/packages/decisions/src/placement/placement-types.ts
@@ -30,6 +30,8 @@
   urgencyRank: number;
   /** Larger of declared, learnt and measured size. */
   size: Resources;
+  /** What the task may turn out to use; larger than the size while its kind is not known. */
+  worstCaseSize: Resources;
   allowed: AllowedVmNames;
   /** Agents on which the task failed before. */
   failedOn: readonly AgentId[];
--- a/packages/entry/src/tasks/order-repair.ts
+++ b/packages/entry/src/tasks/order-repair.ts
@@ -139,6 +139,10 @@
     // A reservation, or a claim newer than this copy.
     return false;
   }
+  if (row.state === TaskState.Completed && row.attempt === task.attempt) {
+    // The agent keeps a completed task listed until its last measurement has arrived.
+    return false;
+  }
   return (
     task.attempt < row.attempt ||
     row.state !== TaskState.Running ||
--- a/packages/entry/src/tasks/placement-view.ts
+++ b/packages/entry/src/tasks/placement-view.ts
@@ -2,7 +2,14 @@
  * Builds the tables over which placement runs, from rows, heartbeats and reservations in progress.
  */
 import type { OperatorConfiguration } from '@figjunction/config';
-import { PossibleFit, minimumOfResources, possibleFit } from '@figjunction/decisions';
+import {
+  DECLARED_SIZE_ERROR_MAXIMUM,
+  PossibleFit,
+  maximumOfResources,
+  minimumOfResources,
+  possibleFit,
+  scaleResources,
+} from '@figjunction/decisions';
 import type {
   AllowedVmNames,
   PlacementTask,
@@ -23,6 +30,8 @@
   sizeOf(kind: KindName, declared: Resources): Resources;
   /** Whether enough was measured to trust the size. */
   isKnown(kind: KindName): boolean;
+  /** False when declared sizes are taken as they are. */
+  isLearning(): boolean;
 }
 
 /** The declared size; the configuration in force overrides the row's. */
@@ -67,6 +76,19 @@
   return estimates.isKnown(kind) ? estimate : sizeToReserve(declared, estimate, allowed, vms);
 }
 
+function worstCaseFor(
+  { type, kind }: TaskRow,
+  declared: Resources,
+  size: Resources,
+  estimates: SizeEstimates,
+): Resources {
+  if (type === TaskType.Instance || estimates.isKnown(kind) || !estimates.isLearning()) {
+    return size;
+  }
+  const worst = scaleResources(declared, DECLARED_SIZE_ERROR_MAXIMUM);
+  return maximumOfResources(size, { ...worst, accelerators: declared.accelerators });
+}
+
 export function placementTask(
   configuration: OperatorConfiguration,
   { key, value }: TaskEntry,
@@ -79,6 +101,7 @@
     return null;
   }
   const declared = declaredSizeOf(configuration, value);
+  const size = sizeFor(value, declared, estimates, scope.allowed, vms);
   const urgencyClass = configuration.urgencyClasses.find(({ name }) => name === value.urgency);
   return {
     key,
@@ -86,7 +109,8 @@
     team: value.team,
     kind: value.kind,
     urgencyRank: urgencyClass?.rank ?? Number.MAX_SAFE_INTEGER,
-    size: sizeFor(value, declared, estimates, scope.allowed, vms),
+    size,
+    worstCaseSize: worstCaseFor(value, declared, size, estimates),
     allowed: scope.allowed,
     failedOn: value.failedOn,
     order: value.submittedAtMs,
--- a/packages/entry/src/tasks/task-learning.ts
+++ b/packages/entry/src/tasks/task-learning.ts
@@ -48,8 +48,12 @@
       : declared;
   }
 
+  isLearning(): boolean {
+    return this.entry.settings.policy.learning;
+  }
+
   isKnown(kind: KindName): boolean {
-    return this.entry.settings.policy.learning && isKindKnown(this.estimates, kind);
+    return this.isLearning() && isKindKnown(this.estimates, kind);
   }
 
   /** Expected slowdown minus one that placing the task on the VM adds to services, or suffers as one. */
