--- a/packages/entry/src/tasks/recovery.test.ts
+++ b/packages/entry/src/tasks/recovery.test.ts
@@ -8,10 +8,13 @@
 import type { KnownEntry, LeaseRow } from '@figjunction/types';
 import { cancelRows } from './cancellation.js';
 import { listRuns } from './job-reader.js';
+import { shardOfTeam } from './task-identifiers.js';
 import { AgentFake } from './testing/agent-fake.test.js';
 import { TaskFixture, submitTasks } from './testing/task-fixture.test.js';
 import type { TestEntry } from './testing/task-fixture.test.js';
 
+const SHARD_OF_TEAM = shardOfTeam('kitchen');
+
 function knownEntry(entryId: string): KnownEntry {
   return {
     entryId,
@@ -61,6 +64,47 @@
   assert.equal(requeues(fixture, 'kitchen.job-1.a'), 1);
 });
 
+// Guards against giving a run to an agent that lost its lease and does not know it yet.
+test('a fenced agent that still announces itself gets no claim', async () => {
+  const fixture = new TaskFixture();
+  const entry = fixture.addEntry('entry-1');
+  const agent = await fixture.addAgent(
+    new AgentFake({ agentId: 'vm-1', ...fixture.agentOptions() }),
+  );
+  fixture.unrenewed.add(agent);
+  await fixture.runUntil(async () => (await leaseOf(fixture, 'vm-1'))?.state === LeaseState.Fenced);
+  await submitTasks(fixture, entry, ['a']);
+  await fixture.run(5_000);
+  assert.equal((await fixture.rows())[0]?.state, TaskState.Pending);
+  assert.equal((await fixture.rows())[0]?.attempt, 0);
+});
+
+// Guards against the fence that lands between the read of the lease and the claim.
+test('a claim fails when the lease row changes after it was read', async () => {
+  const fixture = new TaskFixture();
+  const entry = fixture.addEntry('entry-1');
+  await fixture.addAgent(new AgentFake({ agentId: 'vm-1', ...fixture.agentOptions() }));
+  const read = fixture.table.read.bind(fixture.table);
+  let fenced = false;
+  fixture.table.read = async <Value>(keys: string[]) => {
+    const rows = await read<Value>(keys);
+    const [row] = rows;
+    if (!fenced && keys[0] === leaseKey('vm-1') && row !== null && row !== undefined) {
+      fenced = true;
+      const value = { ...(row.value as LeaseRow), state: LeaseState.Fenced };
+      await fixture.table.transact({
+        checks: [],
+        writes: [{ key: row.key, expectedVersion: row.version, value }],
+      });
+    }
+    return rows;
+  };
+  await submitTasks(fixture, entry, ['a']);
+  await fixture.run(5_000);
+  assert.equal(fenced, true);
+  assert.equal((await fixture.rows())[0]?.attempt, 0);
+});
+
 // Guards against an outage after which agents are fenced before they could renew.
 test('an outage longer than the lease fences nobody', async () => {
   const fixture = new TaskFixture();
@@ -221,31 +265,43 @@
   );
 });
 
-// Guards against stale views: an entry that trusts its own picture of free room overfills a VM.
-test('two entries with stale views never exceed the capacity of an agent', async () => {
+// Guards against stale views: an entry that trusts its own picture overfills a VM or claims a run twice.
+test('two entries with stale views neither exceed a capacity nor claim a run twice', async () => {
   await fc.assert(
     fc.asyncProperty(
-      fc.array(fc.integer({ min: 1, max: 20 }), { minLength: 2, maxLength: 4 }),
+      fc.array(fc.integer({ min: 1, max: 12 }), { minLength: 2, maxLength: 4 }),
       fc.integer({ min: 0, max: 2_000 }),
-      async (jobSizes, staleMs) => {
+      fc.integer({ min: 0, max: 3 }),
+      async (jobSizes, staleMs, lostAnswers) => {
         const fixture = new TaskFixture();
         const entries = ['entry-1', 'entry-2'].map((id) => fixture.addEntry(id));
-        const agent = new AgentFake({ agentId: 'vm-1', ...fixture.agentOptions() });
-        await fixture.addAgent(agent);
-        // Heartbeats stop: both entries go on with the room of an empty agent.
+        for (const agentId of ['vm-1', 'vm-2', 'vm-3']) {
+          await fixture.addAgent(new AgentFake({ agentId, ...fixture.agentOptions() }));
+        }
+        const checkRoom = (): void =>
+          fixture.agents.forEach((agent) => {
+            assert.ok(agent.usedMillicores() <= agent.capacity.processorMillicores);
+          });
+        // Heartbeats stop: both entries go on with the room of empty agents.
         fixture.heartbeatsPaused = true;
+        fixture.platform.faults.loseAnswers = lostAnswers;
         for (const [index, size] of jobSizes.entries()) {
           const names = Array.from({ length: size }, (_, position) => `t${position}`);
           const entry = entries[index % entries.length];
           assert.ok(entry !== undefined);
+          // Both entries learn of the job at once, so that they race for its runs.
+          entries.forEach(({ tasks }) => tasks.shards.notify([SHARD_OF_TEAM]));
           await submitTasks(fixture, entry, names, { jobId: `job-${index}` });
-          assert.ok(agent.usedMillicores() <= agent.capacity.processorMillicores);
+          entries.forEach(({ tasks }) => tasks.shards.notify([SHARD_OF_TEAM]));
+          checkRoom();
         }
         await fixture.run(staleMs);
         fixture.heartbeatsPaused = false;
         await fixture.run(2_000);
-        assert.ok(agent.usedMillicores() <= agent.capacity.processorMillicores);
+        checkRoom();
         assert.deepEqual(fixture.illegal, []);
+        const started = fixture.agents.flatMap((agent) => agent.started);
+        assert.equal(new Set(started).size, started.length);
       },
     ),
     { numRuns: 20, seed: 11 },
--- a/packages/entry/src/tasks/task-transitions.test.ts
+++ b/packages/entry/src/tasks/task-transitions.test.ts
@@ -43,6 +43,18 @@
   ['a requeue keeps the attempt', row(Running, 4), row(Pending, 4), true],
   ['a requeue that raises the attempt', row(Running, 4), row(Pending, 5), false],
   ['a second claim without a requeue', row(Running, 4), row(Running, 5), false],
+  [
+    'a running run moves to another agent',
+    row(Running, 4),
+    { ...row(Running, 4), holder: { agentId: 'vm-2', incarnation: 1 } },
+    false,
+  ],
+  [
+    'a restarted agent adopts a run',
+    row(Running, 4),
+    { ...row(Running, 4), holder: { agentId: 'vm-1', incarnation: 2 } },
+    true,
+  ],
   ['a run completes', row(Running, 4), row(Completed, 4), true],
   ['a pending run does not complete', row(Pending, 4), row(Completed, 4), false],
   ['a completed run does not run again', row(Completed, 4), row(Pending, 4), false],
--- a/packages/entry/src/tasks/task-transitions.ts
+++ b/packages/entry/src/tasks/task-transitions.ts
@@ -54,6 +54,12 @@
   return (row.state === TaskState.Running) === (row.holder !== null);
 }
 
+/** A running task changes its holder only by the agent's own adoption, which keeps the agent. */
+function keepsAgent(before: TaskRow, after: TaskRow): boolean {
+  const staysRunning = before.state === TaskState.Running && after.state === TaskState.Running;
+  return !staysRunning || before.holder?.agentId === after.holder?.agentId;
+}
+
 /** Whether a row may change from one value to the next; null stands for a row that does not exist. */
 export function isLegalTransition(before: TaskRow | null, after: TaskRow): boolean {
   if (!isLegalHolder(after)) {
@@ -63,7 +69,10 @@
     return after.state === TaskState.Pending;
   }
   return (
-    before.taskId === after.taskId && isLegalState(before, after) && isLegalAttempt(before, after)
+    before.taskId === after.taskId &&
+    isLegalState(before, after) &&
+    isLegalAttempt(before, after) &&
+    keepsAgent(before, after)
   );
 }
 
--- a/packages/entry/src/tasks/testing/task-fixture.test.ts
+++ b/packages/entry/src/tasks/testing/task-fixture.test.ts
@@ -78,6 +78,9 @@
   /** Entries keep the last heartbeat they heard. */
   heartbeatsPaused = false;
 
+  /** Agents that announce themselves but do not renew their lease. */
+  readonly unrenewed = new Set<AgentFake>();
+
   private revision = 0;
 
   private nextRenewal = 0;
@@ -213,7 +216,7 @@
       if (!this.heartbeatsPaused) {
         this.heartbeat(agent);
       }
-      if (renewalDue) {
+      if (renewalDue && !this.unrenewed.has(agent)) {
         this.renew(agent).catch(() => {});
       }
     }
