Count a reservation only until its claim is settled

Cause: an instance that ended within five seconds of its start did not start again until its old reservation had expired, because that still counted as an instance on the VM. Change: the row alone counts once the claim is settled. Instances that ran well restart without delay; leases of VMs that are gone are swept; a stopping entry places nothing and settles its writes.

--- a/packages/entry/src/tasks/claim-procedure.ts
+++ b/packages/entry/src/tasks/claim-procedure.ts
@@ -5,7 +5,7 @@
  */
 import type { Placement } from '@figjunction/decisions';
 import type { Instant } from '@figjunction/time';
-import { DecisionKind, LeaseState, RpcMethod, TaskState } from '@figjunction/types';
+import { DecisionKind, LeaseState, RpcMethod, TaskState, TaskType } from '@figjunction/types';
 import type { Holder, LeaseRow, TaskRow, VersionedRow } from '@figjunction/types';
 import type { KnownAgent } from '../agent-directory.js';
 import type { LeaseReader } from './lease-reader.js';
@@ -135,6 +135,9 @@
         { urgency: value.urgency },
       );
       const { holder, taskId, attempt } = claimed;
+      if (claimed.type === TaskType.Instance) {
+        context.instanceStarts.note(key, attempt, context.entry.clock.now());
+      }
       if (holder !== null) {
         context.orders.start({ holder, key, taskId, attempt });
       }
--- a/packages/entry/src/tasks/holding.test.ts
+++ b/packages/entry/src/tasks/holding.test.ts
@@ -3,7 +3,13 @@
  */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { PROPOSAL_PREFIX, ProposalState, TaskReportKind, TaskState } from '@figjunction/types';
+import {
+  LEASE_PREFIX,
+  PROPOSAL_PREFIX,
+  ProposalState,
+  TaskReportKind,
+  TaskState,
+} from '@figjunction/types';
 import type { ProposalRow } from '@figjunction/types';
 import { AgentFake } from './testing/agent-fake.test.js';
 import { TaskFixture, configurationWith, submitTasks } from './testing/task-fixture.test.js';
@@ -112,6 +118,29 @@
   assert.ok(bad.started.length <= 12, `${bad.started.length} starts on the failing worker`);
 });
 
+test('an instance that fails at once waits longer each time, one that ran well does not', async () => {
+  const size = { processorMillicores: 500, memoryMegabytes: 128 };
+  const api = { name: 'api', urgency: 'urgent', instances: 1, size };
+  const fixture = new TaskFixture(configurationWith({ services: [api] }));
+  fixture.policy = { learning: false, quarantine: false };
+  fixture.addEntry('entry-1');
+  const agent = await addVm(fixture, 'vm-1');
+  const delays: number[] = [];
+  for (let failure = 0; failure < 4; failure += 1) {
+    await fixture.runUntil(() => agent.runningTasks().length === 1);
+    if (failure === 3) {
+      await fixture.run(60_000);
+    }
+    await fixture.report([agent.end('instance-api-0', TaskReportKind.Failed)]);
+    const failedAt = fixture.clock.now();
+    await fixture.runUntil(() => agent.runningTasks().length === 1);
+    delays.push(fixture.clock.now() - failedAt);
+  }
+  const [first = 0, , third = 0, afterLongRun = 0] = delays;
+  assert.ok(third > first + 500, `${delays}`);
+  assert.ok(afterLongRun <= first, `${delays}`);
+});
+
 test('a proposal waits for a configuration that names it, and then acts once', async () => {
   const approval = kinds({ placement: 'approval' });
   const fixture = new TaskFixture(configurationWith(approval));
@@ -149,3 +178,45 @@
   fixture.clock.advance(24 * 60 * 60 * 1_000);
   await fixture.runUntil(async () => (await fixture.rows()).length === 0, 60_000);
 });
+
+test('the lease of a VM that is gone is deleted a day after it was fenced', async () => {
+  const fixture = new TaskFixture();
+  fixture.addEntry('entry-1');
+  const agent = await addVm(fixture, 'vm-1');
+  fixture.alive.delete(agent);
+  const leases = async (): Promise<number> => {
+    const page = await fixture.table.scan({ prefix: LEASE_PREFIX, after: '', limit: 10 });
+    return page.rows.length;
+  };
+  await fixture.run(40_000);
+  assert.equal(await leases(), 1);
+  fixture.clock.advance(24 * 60 * 60 * 1_000);
+  await fixture.runUntil(async () => (await leases()) === 0, 60_000);
+});
+
+// Guards against pull placement that gives work to agents that did not ask for it.
+test('pull placement starts runs only on agents that ask for work', async () => {
+  const fixture = new TaskFixture();
+  fixture.policy = { learning: false, placementMode: 'pull' };
+  const entry = fixture.addEntry('entry-1');
+  const asking = await addVm(fixture, 'vm-1');
+  const silent = await addVm(fixture, 'vm-2');
+  silent.wantsWork = false;
+  await submitTasks(fixture, entry, ['a', 'b', 'c', 'd', 'e', 'f']);
+  await fixture.runUntil(() => asking.runningTasks().length === 4);
+  await fixture.run(2_000);
+  assert.deepEqual(silent.started, []);
+  silent.wantsWork = true;
+  await fixture.runUntil(() => silent.runningTasks().length === 2);
+});
+
+// Guards against work that is started by an entry which is about to stop.
+test('a stopping entry places nothing and settles its writes', async () => {
+  const fixture = new TaskFixture();
+  const entry = fixture.addEntry('entry-1');
+  const agent = await addVm(fixture, 'vm-1');
+  entry.tasks.isStopping = true;
+  await submitTasks(fixture, entry, ['a']);
+  await fixture.run(3_000);
+  assert.deepEqual(agent.started, []);
+});
--- a/packages/entry/src/tasks/placement-system.ts
+++ b/packages/entry/src/tasks/placement-system.ts
@@ -65,6 +65,9 @@
       context.orders.dropStarts();
       return;
     }
+    if (context.isStopping) {
+      return;
+    }
     const ready = this.collectReady(configuration, now);
     if (ready.length === 0) {
       return;
--- a/packages/entry/src/tasks/placement-view.ts
+++ b/packages/entry/src/tasks/placement-view.ts
@@ -17,7 +17,7 @@
   PlacementVm,
 } from '@figjunction/decisions';
 import type { Instant } from '@figjunction/time';
-import { AgentState, PlacementMode, TaskType } from '@figjunction/types';
+import { AgentState, PlacementMode, TaskState, TaskType } from '@figjunction/types';
 import type { KindName, Resources, TaskRow } from '@figjunction/types';
 import type { KnownAgent } from '../agent-directory.js';
 import { scopeOf } from './task-context.js';
@@ -125,7 +125,8 @@
 ): PlacementTeam[] {
   const reserved = new Map<string, { tasks: number; millicores: number }>();
   for (const { key, team, size } of context.reservations.all()) {
-    if (context.store.rows.get(key)?.value.holder === null) {
+    const isPending = context.store.rows.get(key)?.value.state === TaskState.Pending;
+    if (isPending && context.store.isBusy(key)) {
       const sum = reserved.get(team) ?? { tasks: 0, millicores: 0 };
       reserved.set(team, {
         tasks: sum.tasks + 1,
@@ -212,7 +213,10 @@
     kindOf.set(value.taskId, value.kind);
   }
   for (const { key, kind } of context.reservations.ofAgent(agent.agentId)) {
-    kindOf.set(key.slice(key.lastIndexOf('/') + 1), kind);
+    // Once the claim is settled, the row alone tells whether the task is on the VM.
+    if (context.store.isBusy(key)) {
+      kindOf.set(key.slice(key.lastIndexOf('/') + 1), kind);
+    }
   }
   const counts = new Map<KindName, number>();
   for (const kind of kindOf.values()) {
--- a/packages/entry/src/tasks/retention.ts
+++ b/packages/entry/src/tasks/retention.ts
@@ -6,11 +6,18 @@
 import type { Instant } from '@figjunction/time';
 import {
   CLAIM_PREFIX,
+  LeaseState,
   PROPOSAL_PREFIX,
   ProposalState,
   SCAN_ROWS_MAXIMUM,
 } from '@figjunction/types';
-import type { ClaimRow, ProposalRow, TableScanResult, VersionedRow } from '@figjunction/types';
+import type {
+  ClaimRow,
+  LeaseRow,
+  ProposalRow,
+  TableScanResult,
+  VersionedRow,
+} from '@figjunction/types';
 import { runAside } from './task-context.js';
 import type { TaskContext } from './task-context.js';
 
@@ -24,6 +31,9 @@
   /** Where the next page of each prefix starts. */
   private readonly positions = new Map<string, string>();
 
+  /** When this entry first saw each fenced lease, by key and version. */
+  private readonly fencedSince = new Map<string, Instant>();
+
   private sweeping = false;
 
   constructor(private readonly context: TaskContext) {}
@@ -37,6 +47,7 @@
     runAside(this.context, 'retention', async () => {
       try {
         await this.sweepTasks();
+        await this.sweepLeases(this.context.entry.clock.now());
         await this.sweepPrefix(CLAIM_PREFIX);
         await this.sweepPrefix(PROPOSAL_PREFIX);
       } finally {
@@ -59,6 +70,40 @@
     entry.metrics.count('tasks_swept_total', {}, expired.length);
   }
 
+  /** Deletes leases of VMs that are gone. Lease rows hold no time, so the count is by this entry's clock. */
+  private async sweepLeases(now: Instant): Promise<void> {
+    const { leases, store, entry } = this.context;
+    const fenced = leases.all().filter(({ row }) => row.value.state === LeaseState.Fenced);
+    const present = new Set(fenced.map(({ row }) => leaseVersion(row)));
+    for (const name of this.fencedSince.keys()) {
+      if (!present.has(name)) {
+        this.fencedSince.delete(name);
+      }
+    }
+    const holders = new Set(store.rows.holders());
+    for (const { row } of fenced) {
+      const since = this.fencedSince.get(leaseVersion(row)) ?? now;
+      this.fencedSince.set(leaseVersion(row), since);
+      const { agentId } = row.value;
+      if (
+        now - since >= RETENTION_MS &&
+        !holders.has(agentId) &&
+        entry.peers.owns(`agent/${agentId}`)
+      ) {
+        await this.remove(row.key, row.version);
+      }
+    }
+  }
+
+  private async remove(key: string, expectedVersion: number): Promise<void> {
+    await this.context.leaseWriter.submit({
+      key,
+      expectedVersion,
+      value: null,
+      deadline: deadlineAfter(this.context.entry.clock, DELETION_TIMEOUT_MS),
+    });
+  }
+
   private async sweepPrefix(prefix: string): Promise<void> {
     if (!this.context.entry.peers.owns(`retention/${prefix}`)) {
       return;
@@ -73,19 +118,14 @@
     if (expired.length < DELETIONS_MAXIMUM) {
       this.positions.set(prefix, page.nextAfter ?? '');
     }
-    await Promise.all(
-      expired.map(({ key, version }) =>
-        this.context.leaseWriter.submit({
-          key,
-          expectedVersion: version,
-          value: null,
-          deadline: deadlineAfter(this.context.entry.clock, DELETION_TIMEOUT_MS),
-        }),
-      ),
-    );
+    await Promise.all(expired.map(({ key, version }) => this.remove(key, version)));
   }
 }
 
+function leaseVersion({ key, version }: VersionedRow<LeaseRow>): string {
+  return `${key}@${version}`;
+}
+
 function isExpired({ value }: StoredRow, before: number): boolean {
   if ('proposalId' in value) {
     return value.state !== ProposalState.Open && value.createdAtMs < before;
--- a/packages/entry/src/tasks/task-context.ts
+++ b/packages/entry/src/tasks/task-context.ts
@@ -17,6 +17,7 @@
 } from '@figjunction/types';
 import type { EntryContext } from '../entry-context.js';
 import type { AgentOrders } from './agent-orders.js';
+import type { InstanceStarts } from './instance-starts.js';
 import type { LeaseTracker } from './lease-tracker.js';
 import type { RefusalMemory } from './refusal-memory.js';
 import type { ReservationTable } from './reservation-table.js';
@@ -33,9 +34,12 @@
   reservations: ReservationTable;
   leases: LeaseTracker;
   failures: FailureHistory;
+  instanceStarts: InstanceStarts;
   refusals: RefusalMemory;
   /** When this process began to serve; a younger one does not know the whole fleet yet. */
   startedAt: Instant;
+  /** Set at a planned stop: nothing new is placed. */
+  isStopping: boolean;
 }
 
 export interface DecisionDraft {
--- /dev/null
+++ b/packages/entry/src/tasks/task-ends.ts
@@ -0,0 +1,37 @@
+/**
+ * What the ends of tasks tell about workers and kinds.
+ */
+import { DecisionKind, TaskReportKind } from '@figjunction/types';
+import type { TaskReport, TaskRow } from '@figjunction/types';
+import { vmDecision } from './task-context.js';
+import type { TaskContext } from './task-context.js';
+
+/** Notes a settled report for quarantine. */
+export function noteEnd(context: TaskContext, row: TaskRow, report: TaskReport): void {
+  const { metrics, clock, settings } = context.entry;
+  metrics.count('task_reports_total', { kind: report.kind });
+  if (!settings.policy.quarantine) {
+    return;
+  }
+  const { agentId } = report.holder;
+  const { failures } = context;
+  if (report.kind === TaskReportKind.Completed) {
+    failures.recordSuccess(agentId, row.kind);
+  } else if (report.kind === TaskReportKind.Failed) {
+    const quarantined = failures.recordFailure(agentId, row.kind, clock.now());
+    if (quarantined) {
+      noteQuarantine(context, agentId);
+    }
+  }
+}
+
+function noteQuarantine(context: TaskContext, agentId: string): void {
+  context.entry.metrics.count('workers_quarantined_total');
+  context.entry.logger.warn({ agentId }, 'worker quarantined');
+  context.entry.decisions.add(
+    vmDecision(context.entry, agentId, {
+      kind: DecisionKind.Quarantine,
+      decision: `Quarantined ${agentId} because many kinds fail on it`,
+    }),
+  );
+}
--- a/packages/entry/src/tasks/task-module.ts
+++ b/packages/entry/src/tasks/task-module.ts
@@ -4,6 +4,7 @@
 import { FailureHistory } from '@figjunction/decisions';
 import { WriteBatcher } from '@figjunction/platform';
 import type { RpcHandlers } from '@figjunction/rpc';
+import { sleep } from '@figjunction/time';
 import type { Instant, TickSystem } from '@figjunction/time';
 import { RpcMethod } from '@figjunction/types';
 import type { EntryContext } from '../entry-context.js';
@@ -11,6 +12,7 @@
 import { AgentOrders } from './agent-orders.js';
 import { HoldSystem } from './hold-system.js';
 import { InstanceReconciler } from './instance-reconciler.js';
+import { InstanceStarts } from './instance-starts.js';
 import { createJobRoutes } from './job-routes.js';
 import { LeaseRecovery } from './lease-recovery.js';
 import { LeaseRenewal } from './lease-renewal.js';
@@ -28,6 +30,7 @@
 import { TaskStore, TaskWriteKind } from './task-store.js';
 import { TaskTable } from './task-table.js';
 
+const STOP_POLL_MS = 50;
 const PLACEMENT_INTERVAL_MS = 100;
 const LEASE_SCAN_INTERVAL_MS = 2_000;
 const REQUEUE_INTERVAL_MS = 200;
@@ -70,10 +73,13 @@
     reservations: new ReservationTable(),
     leases: new LeaseTracker(),
     failures: new FailureHistory(),
+    instanceStarts: new InstanceStarts(),
     refusals: new RefusalMemory(),
     startedAt: clock.now(),
+    isStopping: false,
   };
-  const module = {
+  const allWriters = [...Object.values(writers), leaseWriter];
+  const module: EntryModule = {
     routes: createJobRoutes(context),
     rpcHandlers: createHandlers(context),
     systems: [
@@ -84,6 +90,13 @@
       })),
       ...createSystems(context),
     ],
+    async stop(): Promise<void> {
+      context.isStopping = true;
+      // The loop still runs and flushes; the daemon bounds the wait.
+      while (allWriters.some(({ pending }) => pending > 0)) {
+        await sleep(STOP_POLL_MS);
+      }
+    },
   };
   return { context, module };
 }
--- a/packages/entry/src/tasks/task-reports.ts
+++ b/packages/entry/src/tasks/task-reports.ts
@@ -2,7 +2,6 @@
  * Reports of agents about their tasks. A report is settled when the row shows it or has moved on; a
  * report that could not be written is repeated by the agent.
  */
-import type { FailureHistory } from '@figjunction/decisions';
 import { DecisionKind, TaskReportKind, TaskState, TaskType } from '@figjunction/types';
 import type {
   TaskReport,
@@ -11,8 +10,9 @@
   TaskRow,
 } from '@figjunction/types';
 import { isSurplusInstance } from './instance-rules.js';
-import { configurationOf, taskDecision, vmDecision } from './task-context.js';
+import { configurationOf, taskDecision } from './task-context.js';
 import type { TaskContext } from './task-context.js';
+import { noteEnd } from './task-ends.js';
 import type { TaskEntry } from './task-table.js';
 import { TaskWriteKind } from './task-store.js';
 
@@ -160,7 +160,13 @@
     failedOn: [...row.failedOn, report.holder.agentId].slice(-FAILED_ON_MAXIMUM),
   };
   if (row.type === TaskType.Instance) {
-    return endedInstanceRow(context, failed, report);
+    const ranWell = context.instanceStarts.ranWell(
+      report.key,
+      row.attempt,
+      context.entry.clock.now(),
+    );
+    const failures = ranWell ? 1 : failed.failures;
+    return endedInstanceRow(context, { ...failed, failures }, report);
   }
   return requeuedRow(context, failed, report, 'it failed');
 }
@@ -218,32 +224,3 @@
     lastDecision: decision,
   };
 }
-
-function noteEnd(context: TaskContext, row: TaskRow, report: TaskReport): void {
-  const { metrics, clock, settings } = context.entry;
-  metrics.count('task_reports_total', { kind: report.kind });
-  if (!settings.policy.quarantine) {
-    return;
-  }
-  const { agentId } = report.holder;
-  const { failures }: { failures: FailureHistory } = context;
-  if (report.kind === TaskReportKind.Completed) {
-    failures.recordSuccess(agentId, row.kind);
-  } else if (report.kind === TaskReportKind.Failed) {
-    const quarantined = failures.recordFailure(agentId, row.kind, clock.now());
-    if (quarantined) {
-      noteQuarantine(context, agentId);
-    }
-  }
-}
-
-function noteQuarantine(context: TaskContext, agentId: string): void {
-  context.entry.metrics.count('workers_quarantined_total');
-  context.entry.logger.warn({ agentId }, 'worker quarantined');
-  context.entry.decisions.add(
-    vmDecision(context.entry, agentId, {
-      kind: DecisionKind.Quarantine,
-      decision: `Quarantined ${agentId} because many kinds fail on it`,
-    }),
-  );
-}
--- a/packages/entry/src/tasks/task-table.ts
+++ b/packages/entry/src/tasks/task-table.ts
@@ -66,10 +66,13 @@
     return this.usage.get(team) ?? NO_USAGE;
   }
 
-  /** Batch tasks that ended before a wall-clock time, at most `limit` of them. */
+  /** Tasks that ended before a wall-clock time, at most `limit` of them. */
   endedBefore(endedAtMs: number, limit: number): EndedTask[] {
     const found: EndedTask[] = [];
-    for (const task of this.ended.values()) {
+    const instances = [...this.inState(TaskState.Cancelled)].map((entry) =>
+      endedTask(entry, shardOfKey(entry.key) ?? 0),
+    );
+    for (const task of [...this.ended.values(), ...instances]) {
       if (found.length >= limit) {
         break;
       }
--- a/packages/entry/src/tasks/testing/agent-fake.test.ts
+++ b/packages/entry/src/tasks/testing/agent-fake.test.ts
@@ -50,6 +50,8 @@
 
   state = AgentState.Serving;
 
+  wantsWork = true;
+
   private sequence = 0;
 
   constructor(readonly options: AgentFakeOptions) {}
@@ -94,7 +96,7 @@
         .filter(({ running }) => running)
         .map(({ reservation: { taskId, attempt } }) => ({ taskId, attempt })),
       usage: [],
-      wantsWork: true,
+      wantsWork: this.wantsWork,
       revision: 1,
       confirmed: true,
     };
