Write the ends of claims in batches and remember recent claims

Each end took a transaction of its own, so that requests with an id used up the table's limit twice as fast. A repetition during a table outage was answered as not run although this entry had sent the request; it is settled from memory now. An agent answers for an earlier incarnation only if its own process held it.

--- a/packages/agent/src/attempts/attempt-service.ts
+++ b/packages/agent/src/attempts/attempt-service.ts
@@ -44,8 +44,8 @@
 
   private readonly targets = new HttpClient();
 
-  /** The first incarnation that this process took; 0 until it has one. */
-  private firstIncarnation: AgentIncarnation = 0;
+  /** Incarnations that this process held. Another process may have held one between two of them. */
+  private readonly heldIncarnations = new Set<AgentIncarnation>();
 
   constructor(private readonly context: AgentContext) {
     this.slots = new SlotTable(context.clock);
@@ -89,6 +89,13 @@
     return this.attempts.cancel(reference.attempt, CANCELLED);
   }
 
+  /** Notes which incarnation this process holds; 0 is none. */
+  noteIncarnation(): void {
+    if (this.context.incarnation !== 0) {
+      this.heldIncarnations.add(this.context.incarnation);
+    }
+  }
+
   close(): void {
     this.targets.close();
   }
@@ -198,20 +205,10 @@
     this.context.metrics.count('attempts_refused_total', { code });
   }
 
-  private noteIncarnation(): void {
-    if (this.firstIncarnation === 0) {
-      this.firstIncarnation = this.context.incarnation;
-    }
-  }
-
   /** Only the process that held the incarnation can say that an attempt never arrived. */
   private requireOwnIncarnation(incarnation: AgentIncarnation): void {
-    const held =
-      this.firstIncarnation !== 0 &&
-      incarnation >= this.firstIncarnation &&
-      incarnation <= this.context.incarnation;
-    if (!held) {
-      throw new AgentError(`incarnation ${incarnation} was held by an earlier process`, {
+    if (!this.heldIncarnations.has(incarnation)) {
+      throw new AgentError(`incarnation ${incarnation} was held by another process`, {
         code: ErrorCode.Conflict,
       });
     }
--- a/packages/agent/src/attempts/index.ts
+++ b/packages/agent/src/attempts/index.ts
@@ -44,7 +44,14 @@
       },
     },
     systems: [
-      { name: 'attempt-sweep', intervalMs: SWEEP_INTERVAL_MS, run: () => service.attempts.sweep() },
+      {
+        name: 'attempt-sweep',
+        intervalMs: SWEEP_INTERVAL_MS,
+        run(): void {
+          service.noteIncarnation();
+          service.attempts.sweep();
+        },
+      },
       { name: 'watch-drain', intervalMs: WATCH_INTERVAL_MS, run: () => watches.endDrained() },
     ],
     stop: () => drain(context, service, watches),
--- a/packages/agent/src/attempts/target-call.ts
+++ b/packages/agent/src/attempts/target-call.ts
@@ -16,6 +16,9 @@
   headers: Record<string, string>;
 }
 
+/** As base64 in JSON it still fits into what an entry accepts as one answer (8 MiB). */
+const ANSWER_BYTES_MAXIMUM = 5 * 1024 * 1024;
+
 const DEFAULT_CONTENT_TYPE = 'application/octet-stream';
 
 export async function callTarget(http: HttpClient, call: TargetCall): Promise<AttemptResult> {
@@ -25,6 +28,7 @@
       headers: { ...call.headers, 'content-type': call.contentType },
       body: call.body,
       timeoutMs: call.timeoutMs,
+      maximumBytes: ANSWER_BYTES_MAXIMUM,
       // A target may answer twice or late; on a shared connection that would become the answer of the
       // next request.
       newConnection: true,
--- a/packages/bench/src/proofs/request-outcomes.test.ts
+++ b/packages/bench/src/proofs/request-outcomes.test.ts
@@ -1,5 +1,7 @@
 import assert from 'node:assert/strict';
 import { after, before, beforeEach, test } from 'node:test';
+import { waitUntil } from '@figjunction/test-support';
+import { ClaimState } from '@figjunction/types';
 import { LinkFault } from './faulty-link.js';
 import { RequestPair, answerOk } from './request-pair.js';
 import type { PairAgent, TargetBehaviour } from './request-pair.js';
@@ -169,3 +171,32 @@
   assert.equal(pair.executions(body), 0);
   assert.equal((await pair.send({ body })).status, 200);
 });
+
+// Guards against "not run" for a request that ran, when the table cannot tell any more.
+test('a repetition during a table outage still finds what this entry sent', async () => {
+  const body = uniqueBody();
+  const requestId = `id-${count}`;
+  assert.equal((await pair.send({ body, requestId })).status, 200);
+  pair.platform.faults.outage = true;
+  const again = await pair.send({ body, requestId });
+  assert.equal(again.body.toString(), `answer to ${body}`);
+  assert.equal(pair.executions(body), 1);
+});
+
+test('an answer over 16 KB is answered whole once and then as not kept', async () => {
+  const body = uniqueBody();
+  const requestId = `id-${count}`;
+  theAgent().target.behaviour = (_request, response) => {
+    response.writeHead(200, { 'content-length': 20_000 });
+    response.end('x'.repeat(20_000));
+  };
+  assert.equal((await pair.send({ body, requestId })).body.length, 20_000);
+  await waitUntil(async () => {
+    const [row] = await pair.readClaim(requestId);
+    return row?.value.state === ClaimState.Completed;
+  });
+  const again = await pair.send({ body, requestId, entry: 1 });
+  assert.equal(again.headers['figjunction-outcome'], 'completed');
+  assert.equal(again.headers['figjunction-code'], 'answer-not-kept');
+  assert.equal(again.body.length, 0);
+});
--- a/packages/bench/src/proofs/request-pair.ts
+++ b/packages/bench/src/proofs/request-pair.ts
@@ -20,9 +20,10 @@
 import { createLogger } from '@figjunction/logger';
 import { createRpcRoute } from '@figjunction/rpc';
 import { FakePlatform, MemoryObjectStore, MemoryTableService } from '@figjunction/test-support';
+import { TickLoop } from '@figjunction/time';
 import type { TickSystem } from '@figjunction/time';
-import { AgentState } from '@figjunction/types';
-import type { HeartbeatParameters } from '@figjunction/types';
+import { AgentState, claimKey } from '@figjunction/types';
+import type { ClaimRow, HeartbeatParameters, VersionedRow } from '@figjunction/types';
 import type { Worker } from '@figjunction/worker';
 import { FaultyLink } from './faulty-link.js';
 
@@ -204,6 +205,8 @@
 
   readonly http = new HttpClient();
 
+  private readonly loops: TickLoop[] = [];
+
   private readonly servers: HttpServer[] = [];
 
   private readonly addresses: string[] = [];
@@ -252,6 +255,10 @@
     });
   }
 
+  readClaim(requestId: string): Promise<(VersionedRow<ClaimRow> | null)[]> {
+    return new MemoryTableService(this.platform).read<ClaimRow>([claimKey('kitchen', requestId)]);
+  }
+
   watchUrl(cursor: string): string {
     return `${this.addresses[0]}/v1/services/${PAIR_SERVICE}/watch?cursor=${cursor}`;
   }
@@ -259,6 +266,9 @@
   close(): void {
     this.http.close();
     this.agents.forEach((agent) => agent.close());
+    this.loops.forEach((loop) => {
+      loop.stop().catch(() => {});
+    });
     for (const server of this.servers) {
       server.closeNow();
       server.close().catch(() => {});
@@ -284,7 +294,10 @@
       body: '',
       configuration: pairConfiguration(),
     });
-    const { routes = [] } = createRequestModule(context);
+    const { routes = [], systems = [] } = createRequestModule(context);
+    const loop = new TickLoop({ clock: context.clock, systems });
+    loop.start();
+    this.loops.push(loop);
     const server = new HttpServer({ routes });
     this.entries.push(context);
     this.servers.push(server);
--- a/packages/entry/src/requests/claim-completion.ts
+++ b/packages/entry/src/requests/claim-completion.ts
@@ -1,23 +1,24 @@
 /**
- * Writes the ends of claimed requests into their rows, in the background: the caller has the answer
- * already, and until the row is written a repetition asks the agent.
+ * Writes the ends of claimed requests into their rows, in the background and many at a time: the caller
+ * has the answer already, and until the row is written a repetition asks the agent.
  */
-import { ErrorCode, errorCodeOf } from '@figjunction/errors';
-import { deadlineAfter, sleep } from '@figjunction/time';
+import { WriteBatcher } from '@figjunction/platform';
+import { deadlineAfter } from '@figjunction/time';
+import type { Instant } from '@figjunction/time';
 import { ClaimState, OutcomeCode, RequestOutcome } from '@figjunction/types';
 import type { ClaimRow } from '@figjunction/types';
 import type { EntryContext } from '../entry-context.js';
-import type { ClaimStore, ClaimVersion } from './claim-store.js';
+import type { ClaimVersion } from './claim-store.js';
 import type { RequestEnd } from './interactive-request.js';
 
 /** Larger answers are not kept in the table. */
 export const ANSWER_BYTES_MAXIMUM = 16 * 1024;
 
-const WRITE_MS = 5_000;
-const RETRY_MS = 1_000;
+/** Agents keep results for 30 s; a later write would only repeat what they forgot. */
+const WRITE_MS = 30_000;
 
-/** Agents keep results for 30 s, so that a later write would only repeat what is known. */
-const TRIES_MAXIMUM = 30;
+/** Time for the last writes at a planned stop. */
+const STOP_MS = 5_000;
 
 /** Ends waiting for the table; more are dropped, since the agents still know them. */
 const PENDING_MAXIMUM = 10_000;
@@ -29,43 +30,35 @@
 };
 
 export class ClaimCompletion {
-  private readonly pending = new Set<Promise<void>>();
+  private readonly batcher: WriteBatcher;
 
-  constructor(
-    private readonly context: EntryContext,
-    private readonly store: ClaimStore,
-  ) {}
+  constructor(private readonly context: EntryContext) {
+    const { table, clock, random } = context;
+    this.batcher = new WriteBatcher({ table, clock, random });
+  }
 
   record(claim: ClaimVersion, end: RequestEnd): void {
-    if (this.pending.size >= PENDING_MAXIMUM) {
-      this.context.metrics.count('claim_ends_dropped_total');
+    const { clock, metrics } = this.context;
+    if (this.batcher.pending >= PENDING_MAXIMUM) {
+      metrics.count('claim_ends_dropped_total');
       return;
     }
-    const work = this.write(claim, completedRow(claim.value, end)).finally(() =>
-      this.pending.delete(work),
-    );
-    this.pending.add(work);
+    const write = this.batcher.submit({
+      key: claim.key,
+      expectedVersion: claim.version,
+      value: completedRow(claim.value, end),
+      deadline: deadlineAfter(clock, WRITE_MS),
+    });
+    // A conflict means that another entry wrote the row after asking the agent.
+    write.catch(() => metrics.count('claim_end_write_failures_total'));
   }
 
-  async idle(): Promise<void> {
-    await Promise.all(this.pending);
+  flush(now: Instant): Promise<void> {
+    return this.batcher.flush(now);
   }
 
-  private async write(claim: ClaimVersion, row: ClaimRow): Promise<void> {
-    const { clock, metrics, random } = this.context;
-    for (let tries = 1; tries <= TRIES_MAXIMUM; tries += 1) {
-      try {
-        // A conflict means that another entry wrote the row after asking the agent.
-        await this.store.write(claim.key, claim.version, row, deadlineAfter(clock, WRITE_MS));
-        return;
-      } catch (error) {
-        metrics.count('claim_end_write_failures_total');
-        if (errorCodeOf(error) !== ErrorCode.Unavailable) {
-          return;
-        }
-        await sleep(random.jitter(RETRY_MS));
-      }
-    }
+  async stop(): Promise<void> {
+    await this.batcher.drain(deadlineAfter(this.context.clock, STOP_MS));
   }
 }
 
--- a/packages/entry/src/requests/claimed-requests.ts
+++ b/packages/entry/src/requests/claimed-requests.ts
@@ -5,6 +5,7 @@
  */
 import { createHash } from 'node:crypto';
 import { remainingMs, sleep } from '@figjunction/time';
+import type { Instant } from '@figjunction/time';
 import { ClaimState, OutcomeCode, RequestOutcome, claimKey } from '@figjunction/types';
 import type { ClaimRow } from '@figjunction/types';
 import type { EntryContext } from '../entry-context.js';
@@ -14,6 +15,7 @@
 import type { ClaimVersion } from './claim-store.js';
 import { notRun, unknown } from './interactive-request.js';
 import type { InteractiveRequest, RequestEnd } from './interactive-request.js';
+import { RecentClaims } from './recent-claims.js';
 import type { RequestRunner } from './request-runner.js';
 
 /** A request that this entry works on. */
@@ -31,6 +33,9 @@
 export class ClaimedRequests {
   private readonly inFlight = new Map<string, InFlight>();
 
+  /** Without the table, a repetition of a request that this entry sent is still not taken for a new one. */
+  private readonly recent = new RecentClaims();
+
   private readonly store: ClaimStore;
 
   private readonly completion: ClaimCompletion;
@@ -40,7 +45,7 @@
     private readonly runner: RequestRunner,
   ) {
     this.store = new ClaimStore(context);
-    this.completion = new ClaimCompletion(context, this.store);
+    this.completion = new ClaimCompletion(context);
   }
 
   async execute(request: InteractiveRequest): Promise<RequestEnd> {
@@ -61,9 +66,13 @@
     }
   }
 
-  /** Waits until the ends of requests are in the table, for a planned stop. */
-  idle(): Promise<void> {
-    return this.completion.idle();
+  flush(now: Instant): Promise<void> {
+    return this.completion.flush(now);
+  }
+
+  /** Writes the ends of requests into the table, for a planned stop. */
+  stop(): Promise<void> {
+    return this.completion.stop();
   }
 
   private track(key: string, contentHash: string, end: Promise<RequestEnd>): Promise<RequestEnd> {
@@ -80,7 +89,11 @@
     try {
       current = await this.store.read(key, request.deadline);
     } catch {
-      return tableUnavailable();
+      const known = this.recent.get(key);
+      if (known === null) {
+        return tableUnavailable();
+      }
+      current = known;
     }
     for (;;) {
       const settled = current === null ? null : await this.settle(current, contentHash, request);
@@ -103,6 +116,7 @@
     }
     const end = await this.runner.run(request, (attempt, agent) => claim.take(attempt, agent));
     if (!claim.isOvertaken && claim.taken !== null) {
+      this.recent.note(claim.taken);
       this.completion.record(claim.taken, end);
     }
     return end;
--- a/packages/entry/src/requests/index.ts
+++ b/packages/entry/src/requests/index.ts
@@ -8,6 +8,7 @@
 import { Watches } from './watch-route.js';
 
 const EJECTION_INTERVAL_MS = 250;
+const CLAIM_INTERVAL_MS = 100;
 
 export function createRequestModule(context: EntryContext): EntryModule {
   const service = new RequestService(context);
@@ -20,6 +21,7 @@
         intervalMs: EJECTION_INTERVAL_MS,
         run: () => service.runner.selector.ejectOutliers(),
       },
+      { name: 'claim-ends', intervalMs: CLAIM_INTERVAL_MS, run: (now) => service.flush(now) },
     ],
     async stop(): Promise<void> {
       watches.stop();
--- a/packages/entry/src/requests/request-service.ts
+++ b/packages/entry/src/requests/request-service.ts
@@ -1,6 +1,7 @@
 /**
  * Takes interactive requests to their end, with or without a claim.
  */
+import type { Instant } from '@figjunction/time';
 import type { EntryContext } from '../entry-context.js';
 import { ClaimedRequests } from './claimed-requests.js';
 import type { InteractiveRequest, RequestEnd } from './interactive-request.js';
@@ -26,8 +27,13 @@
     return this.runner.admit(request) ?? this.runner.run(request);
   }
 
+  /** Writes what is due to the table. */
+  flush(now: Instant): Promise<void> {
+    return this.claimed.flush(now);
+  }
+
   async stop(): Promise<void> {
     this.isStopping = true;
-    await this.claimed.idle();
+    await this.claimed.stop();
   }
 }
