--- a/packages/entry/src/requests/team-demand.test.ts
+++ b/packages/entry/src/requests/team-demand.test.ts
@@ -37,3 +37,13 @@
   clock.advance(60_000);
   assert.equal(table.share('kitchen'), share);
 });
+
+// Guards against a burst of nearly twice the quota when demand begins at two entries at once.
+test('demand that begins does not raise the share before the next digest', () => {
+  const table = new TeamDemandTable(new ManualClock(), () => 2);
+  table.setPeerDemand('entry-2', []);
+  record(table, 'kitchen', 100);
+  assert.equal(table.share('kitchen'), 0.5);
+  table.setPeerDemand('entry-2', [{ team: 'kitchen', requestsPerSecond: 100 }]);
+  assert.equal(table.share('kitchen'), 0.5);
+});
--- a/packages/entry/src/requests/team-demand.ts
+++ b/packages/entry/src/requests/team-demand.ts
@@ -28,7 +28,7 @@
 
   private readonly peers = new Map<EntryId, PeerDemand>();
 
-  private readonly lastShares = new Map<TeamName, number>();
+  private readonly shares = new Map<TeamName, number>();
 
   constructor(
     private readonly clock: Clock,
@@ -47,24 +47,33 @@
       .filter(({ requestsPerSecond }) => requestsPerSecond > 0);
   }
 
+  /**
+   * Takes the digest of a peer and divides the quotas again. Between digests the shares stay: this entry's
+   * demand of now against a peer's of a second ago would give both the whole quota when demand begins.
+   */
   setPeerDemand(entryId: EntryId, demand: TeamDemand[]): void {
     const perSecond = new Map(demand.map((one) => [one.team, one.requestsPerSecond]));
     this.peers.set(entryId, { heardAt: this.clock.now(), perSecond });
+    const heard = this.heardPeers();
+    const teams = new Set([
+      ...this.windows.keys(),
+      ...heard.flatMap((peer) => [...peer.perSecond.keys()]),
+    ]);
+    for (const team of teams) {
+      const peersPerSecond = heard.map((peer) => peer.perSecond.get(team) ?? 0);
+      const share = quotaShare({ ownPerSecond: this.ownDemand(team), peersPerSecond });
+      this.shares.set(team, share);
+    }
   }
 
   /** The fraction of the team's quota that this entry may use; the last one while no peer is heard. */
   share(team: TeamName): number {
+    return this.shares.get(team) ?? 1 / Math.max(this.peers.size + 1, this.liveEntries());
+  }
+
+  private heardPeers(): PeerDemand[] {
     const now = this.clock.now();
-    const heard = [...this.peers.values()].filter((peer) => now - peer.heardAt < PEER_FRESH_MS);
-    if (heard.length === 0) {
-      return this.lastShares.get(team) ?? 1 / Math.max(1, this.peers.size + 1, this.liveEntries());
-    }
-    const share = quotaShare({
-      ownPerSecond: this.ownDemand(team),
-      peersPerSecond: heard.map(({ perSecond }) => perSecond.get(team) ?? 0),
-    });
-    this.lastShares.set(team, share);
-    return share;
+    return [...this.peers.values()].filter(({ heardAt }) => now - heardAt < PEER_FRESH_MS);
   }
 
   private ownDemand(team: TeamName): number {
