Bound confirmations end to end and keep connections usable after 413

Cause: an agent counted 6 s from a heartbeat answer whose entry could have read the table up to 6 s before, so placements could go on for 12 s after the last read. Separately, a body over the limit stayed unread, and the next request on that pooled connection got no answer. Ruled out: a shorter bound on agents, which would only halve the error; closing the connection after 413, which can lose the answer itself. Change: heartbeat answers carry the milliseconds for which the entry may still act, and the agent never counts more; the rest of a body that is too large is read and dropped, and the special case in the operators' paths goes. Conclusion: both faults fixed where the shared mechanism is.

--- a/packages/agent/src/heartbeat/slice-fetcher.ts
+++ b/packages/agent/src/heartbeat/slice-fetcher.ts
@@ -30,8 +30,8 @@
     // An entry with an older revision may still count as confirmed for a few seconds, but an agent
     // that knows of a newer one must not start work under the older.
     const isNewest = configuration.revision() === this.highestSeen;
-    if (result.confirmed && isNewest && result.revision === this.highestSeen) {
-      configuration.confirm(sentAt);
+    if (result.confirmedForMs > 0 && isNewest && result.revision === this.highestSeen) {
+      configuration.confirm(sentAt, result.confirmedForMs);
     }
   }
 
--- a/packages/agent/src/slice-holder.ts
+++ b/packages/agent/src/slice-holder.ts
@@ -28,9 +28,13 @@
     return true;
   }
 
-  /** Notes that an entry with a confirmed revision, equal to this one, answered a call sent then. */
-  confirm(sentAt: Instant): void {
-    this.confirmedUntil = sentAt + CONFIRMATION_BOUND_MS;
+  /**
+   * Notes that an entry with the same revision answered a call sent at `sentAt`, and for how long the entry
+   * itself may still act under it. Counting from the sending never exceeds the bound of the entry.
+   */
+  confirm(sentAt: Instant, confirmedForMs: number): void {
+    const confirmedUntil = sentAt + Math.min(confirmedForMs, CONFIRMATION_BOUND_MS);
+    this.confirmedUntil = Math.max(this.confirmedUntil, confirmedUntil);
   }
 
   isConfirmed(now: Instant): boolean {
--- a/packages/agent/src/tasks/entry-stand-in.test.ts
+++ b/packages/agent/src/tasks/entry-stand-in.test.ts
@@ -110,7 +110,7 @@
               this.heartbeats.push(heartbeat);
               const self = { entryId: 'entry-1', address: this.address, location: LOCATION };
               const { revision } = this.slice;
-              return { entryId: 'entry-1', revision, confirmed: true, entries: [self] };
+              return { entryId: 'entry-1', revision, confirmedForMs: 6_000, entries: [self] };
             }),
             [RpcMethod.ConfigurationGet]: whenUp(() => ({
               revision: this.slice.revision,
--- a/packages/bench/src/proofs/configuration/late-peer.ts
+++ b/packages/bench/src/proofs/configuration/late-peer.ts
@@ -8,6 +8,9 @@
 import { RpcMethod } from '@figjunction/types';
 import type { ConfigurationGetResult, EntryDigestParameters } from '@figjunction/types';
 
+/** The most that an entry may claim, so that only the revision can make the agent refuse. */
+const CONFIRMED_FOR_MS = 6_000;
+
 const ANNOUNCE_INTERVAL_MS = 200;
 const ENTRY_ID = 'late-peer';
 
@@ -41,7 +44,7 @@
             [RpcMethod.AgentHeartbeat]: () => ({
               entryId: ENTRY_ID,
               revision: claimedRevision,
-              confirmed: true,
+              confirmedForMs: CONFIRMED_FOR_MS,
               entries: [],
             }),
             [RpcMethod.ConfigurationGet]: ({ slice }) => this.answer(slice),
--- a/packages/entry/src/configuration-holder.ts
+++ b/packages/entry/src/configuration-holder.ts
@@ -54,6 +54,11 @@
 
   /** Whether new placements may be made under the revision in force. */
   isConfirmed(now: Instant): boolean {
-    return this.inForce !== null && now < this.confirmedUntil;
+    return this.confirmedForMs(now) > 0;
+  }
+
+  /** For how long new placements may still be made without another confirmation. */
+  confirmedForMs(now: Instant): number {
+    return this.inForce === null ? 0 : Math.max(0, this.confirmedUntil - now);
   }
 }
--- a/packages/entry/src/membership/index.ts
+++ b/packages/entry/src/membership/index.ts
@@ -87,7 +87,7 @@
   return {
     entryId: settings.entryId,
     revision: configuration.revision(),
-    confirmed: configuration.isConfirmed(now),
+    confirmedForMs: configuration.confirmedForMs(now),
     entries: peers.live(),
   };
 }
--- a/packages/entry/src/operators/configuration-routes.ts
+++ b/packages/entry/src/operators/configuration-routes.ts
@@ -179,10 +179,10 @@
 }
 
 async function readParameters<Schema extends z.ZodType>(
-  match: RouteMatch,
+  { request }: RouteMatch,
   schema: Schema,
 ): Promise<z.infer<Schema>> {
-  const body = await readWithinLimit(match);
+  const body = await readJson(request, REQUEST_BYTES_MAXIMUM);
   const result = schema.safeParse(body);
   if (result.success) {
     return result.data;
@@ -192,13 +192,3 @@
     code: ErrorCode.InvalidInput,
   });
 }
-
-async function readWithinLimit({ request, response }: RouteMatch): Promise<unknown> {
-  try {
-    return await readJson(request, REQUEST_BYTES_MAXIMUM);
-  } catch (error) {
-    // The rest of a body that is too large stays unread, so the connection cannot carry another request.
-    response.setHeader('connection', 'close');
-    throw error;
-  }
-}
--- a/packages/http/src/http-server.ts
+++ b/packages/http/src/http-server.ts
@@ -156,7 +156,8 @@
     request.on('data', (chunk: Buffer) => {
       length += chunk.length;
       if (length > maximumBytes) {
-        request.pause();
+        // The rest is read and dropped, so that the answer arrives and the connection stays usable.
+        chunks.length = 0;
         reject(
           new HttpServerError(413, `the body is over ${maximumBytes} bytes`, {
             code: ErrorCode.TooLarge,
--- a/packages/http/src/http.test.ts
+++ b/packages/http/src/http.test.ts
@@ -96,6 +96,8 @@
     const address = await server.listen();
     const cases = [
       { path: '/echo', body: '{', status: 400 },
+      // Over the receive buffer: unread bytes must not block the next request on the connection.
+      { path: '/echo', body: 'x'.repeat(3_000_000), status: 413 },
       { path: '/echo', body: JSON.stringify('x'.repeat(MAXIMUM_BYTES)), status: 413 },
       { path: '/other', body: '{}', status: 404 },
       { path: '/echo', body: '{"a":1}', status: 200 },
--- a/packages/types/src/messages.ts
+++ b/packages/types/src/messages.ts
@@ -92,8 +92,8 @@
 export interface HeartbeatResult {
   entryId: EntryId;
   revision: ConfigurationRevision;
-  /** True when this entry read the revision from the table within the bound. */
-  confirmed: boolean;
+  /** For how long the entry may still act under the revision since it read it from the table; 0 when not. */
+  confirmedForMs: number;
   entries: KnownEntry[];
 }
 
