--- a/packages/agent/src/tasks/task-table.ts
+++ b/packages/agent/src/tasks/task-table.ts
@@ -103,22 +103,25 @@
   evictions: 0,
 };
 
-/** More than the tasks that end on a VM within the lag of its measurements. */
-const DEPARTED_MAXIMUM = 1_000;
+/** Measurements lag, so those of a short task arrive after its end. */
+const ENDED_ROWS_KEPT = 256;
 
 export class TaskTable {
   private readonly rows = new Map<TaskId, TaskEntry>();
 
-  /** Rows removed lately, oldest first: measurements of them arrive after their end. */
-  private readonly departed = new Map<TaskId, TaskEntry>();
+  /** The newest rows that were removed after they had run, oldest first. */
+  private readonly endedRows = new Map<TaskId, TaskEntry>();
 
   get(taskId: TaskId): TaskEntry | undefined {
     return this.rows.get(taskId);
   }
 
-  /** The row, or the one that was removed last. */
-  getPresentOrDeparted(taskId: TaskId): TaskEntry | undefined {
-    return this.rows.get(taskId) ?? this.departed.get(taskId);
+  /** The row that ran at a time in the past, also when it has been removed since. */
+  findRunningAt(taskId: TaskId, at: Instant): TaskEntry | undefined {
+    const candidates = [this.rows.get(taskId), this.endedRows.get(taskId)];
+    return candidates.find(
+      (entry) => entry !== undefined && hasRun(entry) && entry.measurableFrom <= at,
+    );
   }
 
   /** The row of exactly this attempt. */
@@ -145,18 +148,23 @@
   remove(entry: TaskEntry): void {
     if (this.rows.get(entry.taskId) === entry) {
       this.rows.delete(entry.taskId);
-      this.departed.delete(entry.taskId);
-      this.departed.set(entry.taskId, entry);
-      dropOldest(this.departed, DEPARTED_MAXIMUM);
+      this.keepEnded(entry);
     }
   }
-}
 
-function dropOldest(rows: Map<TaskId, TaskEntry>, maximum: number): void {
-  for (const taskId of rows.keys()) {
-    if (rows.size <= maximum) {
+  private keepEnded(entry: TaskEntry): void {
+    if (!hasRun(entry)) {
       return;
     }
-    rows.delete(taskId);
+    this.endedRows.delete(entry.taskId);
+    this.endedRows.set(entry.taskId, entry);
+    if (this.endedRows.size > ENDED_ROWS_KEPT) {
+      const [oldest] = this.endedRows.keys();
+      this.endedRows.delete(oldest ?? '');
+    }
   }
 }
+
+function hasRun(entry: TaskEntry): boolean {
+  return entry.phase === TaskPhase.Running || entry.phase === TaskPhase.Ended;
+}
--- a/packages/agent/src/tasks/usage-poller.ts
+++ b/packages/agent/src/tasks/usage-poller.ts
@@ -6,7 +6,6 @@
 import type { Instant } from '@figjunction/time';
 import { TaskType } from '@figjunction/types';
 import type { TaskUsage } from '@figjunction/types';
-import { TaskPhase } from './task-table.js';
 import type { TaskEntry } from './task-table.js';
 import type { TaskRuntime } from './task-runtime.js';
 import { throttleAt } from './throttle-control.js';
@@ -30,17 +29,13 @@
     }
   }
 
-  /** Short tasks have ended before their measurement is visible; it still tells about their kind. */
   private note(one: TaskUsage, measuredAt: Instant): TaskUsage {
-    const { tasks } = this.runtime;
-    const entry = tasks.getPresentOrDeparted(one.taskId);
-    if (entry === undefined || measuredAt < entry.measurableFrom) {
+    const entry = this.runtime.tasks.findRunningAt(one.taskId, measuredAt);
+    if (entry === undefined) {
       return one;
     }
     const used = withoutThrottle(entry, one, measuredAt);
-    if (entry.phase === TaskPhase.Running) {
-      entry.measured = used;
-    }
+    entry.measured = used;
     if (entry.type === TaskType.Batch && this.runtime.context.settings.policy.learning) {
       const { taskId, kind } = entry;
       recordUsage(this.runtime.estimates, { taskId, kind, used, measuredAt });
