--- a/packages/agent/src/agent-context.ts
+++ b/packages/agent/src/agent-context.ts
@@ -13,6 +13,7 @@
 import type { Worker } from '@figjunction/worker';
 import { EntryDirectory } from './entry-directory.js';
 import { InstanceTable } from './instance-table.js';
+import { PauseDetector } from './pause-detector.js';
 import { SliceHolder } from './slice-holder.js';
 
 /** What the heartbeat tells of tasks and room; kept up to date by the task part. */
@@ -37,6 +38,7 @@
   configuration: SliceHolder;
   decisions: DecisionLog;
   instances: InstanceTable;
+  pauses: PauseDetector;
   room: RoomReport;
   state: AgentState;
   /** 0 until the lease is acquired. */
@@ -75,6 +77,7 @@
     configuration: new SliceHolder(),
     decisions: new DecisionLog(),
     instances: new InstanceTable(),
+    pauses: new PauseDetector(),
     room: {
       capacity: NO_RESOURCES,
       free: NO_RESOURCES,
--- a/packages/agent/src/agent-daemon.ts
+++ b/packages/agent/src/agent-daemon.ts
@@ -40,6 +40,7 @@
       context.logger.debug({ system, error: error.message }, 'system failed');
     },
   });
+  context.pauses.start();
   loop.start();
   let stopping: Promise<void> | null = null;
   return {
--- a/packages/agent/src/attempts/index.ts
+++ b/packages/agent/src/attempts/index.ts
@@ -4,6 +4,7 @@
 import { ErrorCode } from '@figjunction/errors';
 import { sleep } from '@figjunction/time';
 import { AGENT_ID_HEADER, AgentState, OutcomeCode, RpcMethod } from '@figjunction/types';
+import type { AttemptResult } from '@figjunction/types';
 import type { AgentContext } from '../agent-context.js';
 import { AgentError } from '../agent-error.js';
 import type { AgentModule } from '../agent-module.js';
@@ -29,9 +30,8 @@
     routes: [watches.route()],
     rpcHandlers: {
       [RpcMethod.AttemptRun]: async (parameters, { headers }) => {
-        const result = isMeant(context, headers)
-          ? await service.run(parameters, headers)
-          : notRun(OutcomeCode.WrongIncarnation, 'the address belongs to another agent');
+        const refusal = refusalOf(context, headers);
+        const result = refusal ?? (await service.run(parameters, headers));
         return { ...result, attempt: parameters.attempt };
       },
       [RpcMethod.AttemptInquire]: (parameters, { headers }) => {
@@ -51,6 +51,16 @@
   };
 }
 
+/** Why the call is not looked at: it was meant for another agent, or its sender gave up long ago. */
+function refusalOf(context: AgentContext, headers: CallHeaders): AttemptResult | null {
+  if (!isMeant(context, headers)) {
+    return notRun(OutcomeCode.WrongIncarnation, 'the address belongs to another agent');
+  }
+  return context.pauses.isResuming()
+    ? notRun(OutcomeCode.AttemptExpired, 'the agent has just resumed from a pause')
+    : null;
+}
+
 async function drain(
   context: AgentContext,
   service: AttemptService,
