--- a/packages/bench/src/proofs/index.ts
+++ b/packages/bench/src/proofs/index.ts
@@ -1,9 +1,25 @@
 /**
  * All proofs, in the order of the invariants.
  */
+import { atMostOnceProof } from './at-most-once.js';
 import { capacityProof } from './capacity.js';
+import { completeAnswersProof } from './complete-answers.js';
 import { configurationProof } from './configuration.js';
+import { EVICTED_RESUMES_ONCE } from './evicted-resumes-once.js';
+import { gracefulStopProof } from './graceful-stop.js';
 import { leavingTargetsProof } from './leaving-targets.js';
+import { notRunIsTrueProof } from './not-run-is-true.js';
 import type { Proof } from './proof.js';
+import { RUN_IN_ONE_PLACE } from './run-in-one-place.js';
 
-export const PROOFS: Proof[] = [capacityProof, leavingTargetsProof, configurationProof];
+export const PROOFS: Proof[] = [
+  capacityProof,
+  RUN_IN_ONE_PLACE,
+  EVICTED_RESUMES_ONCE,
+  completeAnswersProof,
+  notRunIsTrueProof,
+  atMostOnceProof,
+  leavingTargetsProof,
+  gracefulStopProof,
+  configurationProof,
+];
