Trust a size that the entry learnt only when the entry says so

Cause: the agent took every reserved size that differed from its own estimate for a learnt one. With one to four samples of its own that was every size, so tasks of unknown kinds lost the room for their worst case. Ruled out: throttles that come too late; the VM that went over capacity had no throttle in force.

--- a/packages/agent/src/tasks/admission.ts
+++ b/packages/agent/src/tasks/admission.ts
@@ -72,7 +72,11 @@
     return `attempt ${present.attempt} of the task is ${present.phase} here`;
   }
   const candidate = describeReservation(runtime, reservation, remainingMs);
-  const refusal = refusalFor(runtime, { ...candidate, measured: null }, present);
+  const refusal = refusalFor(
+    runtime,
+    { ...candidate, isSizeKnown: candidate.isSizeKnown ?? false, measured: null },
+    present,
+  );
   if (refusal === null) {
     runtime.tasks.add(candidate);
   }
@@ -89,7 +93,7 @@
   reservation: TaskReservation,
   remainingMs: number,
 ): NewTaskEntry {
-  const { taskId, attempt, type, kind, size } = reservation;
+  const { taskId, attempt, type, kind, size, isSizeKnown = false } = reservation;
   const durationMs = Math.min(remainingMs, RESERVATION_MS_MAXIMUM);
   return {
     taskId,
@@ -97,6 +101,7 @@
     type,
     kind,
     declared: size,
+    isSizeKnown,
     phase: TaskPhase.Reserved,
     reservedUntil: runtime.context.clock.now() + durationMs,
   };
--- a/packages/agent/src/tasks/room-loads.ts
+++ b/packages/agent/src/tasks/room-loads.ts
@@ -23,7 +23,7 @@
 const MILLISECONDS_PER_SECOND = 1_000;
 
 /** The parts of a task entry that its size depends on. */
-export type SizedTask = Pick<TaskEntry, 'type' | 'kind' | 'declared' | 'measured'>;
+export type SizedTask = Pick<TaskEntry, 'type' | 'kind' | 'declared' | 'isSizeKnown' | 'measured'>;
 
 export function loadOf(runtime: TaskRuntime, task: SizedTask): RoomLoad {
   const { declared, measured, kind } = task;
@@ -35,14 +35,13 @@
     return { declared, estimated: declared, measured, isUnsure: false, isBatch };
   }
   const configured = kindOf(runtime, kind)?.declaredSize ?? declared;
-  const own = estimateSize(runtime.estimates, kind, configured);
   const isKnownHere = isKindKnown(runtime.estimates, kind);
-  const isKnownToEntry = !isKnownHere && !isUnlearnt(declared, configured, own);
+  const isKnownToEntryOnly = !isKnownHere && task.isSizeKnown;
   return {
     declared: configured,
-    estimated: isKnownToEntry ? declared : own,
+    estimated: isKnownToEntryOnly ? declared : estimateSize(runtime.estimates, kind, configured),
     measured,
-    isUnsure: !isKnownHere && !isKnownToEntry && measured === null,
+    isUnsure: !isKnownHere && !isKnownToEntryOnly && measured === null,
     isBatch,
   };
 }
@@ -109,12 +108,3 @@
 function kindOf({ context }: TaskRuntime, kind: KindName): AgentKindSlice | undefined {
   return context.configuration.current()?.kinds.find((candidate) => candidate.kind === kind);
 }
-
-/** An entry that has learnt nothing sends the declared size, as it is or widened like the own estimate. */
-function isUnlearnt(reserved: Resources, configured: Resources, widened: Resources): boolean {
-  return isSame(reserved, configured) || isSame(reserved, widened);
-}
-
-function isSame(left: Resources, right: Resources): boolean {
-  return (Object.keys(left) as (keyof Resources)[]).every((name) => left[name] === right[name]);
-}
--- a/packages/decisions/src/placement/placement-types.ts
+++ b/packages/decisions/src/placement/placement-types.ts
@@ -30,6 +30,8 @@
   urgencyRank: number;
   /** Larger of declared, learnt and measured size. */
   size: Resources;
+  /** Whether enough tasks of the kind were measured to trust the size. */
+  isSizeKnown?: boolean;
   allowed: AllowedVmNames;
   /** Agents on which the task failed before. */
   failedOn: readonly AgentId[];
--- a/packages/entry/src/tasks/placement-view.ts
+++ b/packages/entry/src/tasks/placement-view.ts
@@ -10,7 +10,7 @@
   PlacementVm,
 } from '@figjunction/decisions';
 import type { Instant } from '@figjunction/time';
-import { PlacementMode, TaskType } from '@figjunction/types';
+import { AgentState, PlacementMode, TaskType } from '@figjunction/types';
 import type { KindName, Resources, TaskRow } from '@figjunction/types';
 import type { KnownAgent } from '../agent-directory.js';
 import { scopeOf } from './task-context.js';
@@ -87,6 +87,7 @@
     kind: value.kind,
     urgencyRank: urgencyClass?.rank ?? Number.MAX_SAFE_INTEGER,
     size: sizeFor(value, declared, estimates, scope.allowed, vms),
+    isSizeKnown: estimates.isKnown(value.kind),
     allowed: scope.allowed,
     failedOn: value.failedOn,
     order: value.submittedAtMs,
@@ -158,7 +159,7 @@
   now: Instant,
 ): { starts: number; reason: string | null } {
   const { policy } = context.entry.settings;
-  if (!context.entry.agents.serving().includes(agent)) {
+  if (agent.state !== AgentState.Serving) {
     return { starts: 0, reason: `it is ${agent.state}` };
   }
   if (!agent.confirmed) {
--- a/packages/types/src/messages.ts
+++ b/packages/types/src/messages.ts
@@ -176,6 +176,8 @@
   type: TaskType;
   kind: KindName;
   size: Resources;
+  /** True when the entry has measured enough tasks of the kind to trust the size. */
+  isSizeKnown?: boolean;
 }
 
 export interface TaskReserveParameters {
