--- a/packages/agent/src/tasks/usage-poller.ts
+++ b/packages/agent/src/tasks/usage-poller.ts
@@ -4,7 +4,6 @@
  */
 import { recordUsage } from '@figjunction/decisions';
 import type { Instant } from '@figjunction/time';
-import { TaskType } from '@figjunction/types';
 import type { TaskUsage } from '@figjunction/types';
 import type { TaskEntry } from './task-table.js';
 import type { TaskRuntime } from './task-runtime.js';
@@ -23,22 +22,30 @@
       return;
     }
     this.lastMeasuredAt = measuredAt;
-    context.room.usage = usage.tasks.map((one) => this.note(one, measuredAt));
+    context.room.usage = usage.tasks
+      .map((one) => this.note(one, measuredAt))
+      .filter((one) => one !== null);
     for (const listener of usageListeners) {
       listener({ ...usage, tasks: context.room.usage });
     }
   }
 
-  private note(one: TaskUsage, measuredAt: Instant): TaskUsage {
-    const entry = this.runtime.tasks.findRunningAt(one.taskId, measuredAt);
+  /** Null for a measurement that tells nothing of the size of a batch task. */
+  private note(one: TaskUsage, measuredAt: Instant): TaskUsage | null {
+    const { tasks, estimates, context } = this.runtime;
+    const entry = tasks.findRunningAt(one.taskId, measuredAt);
+    const isBatch = one.slowdown === null;
+    // The throttle of an unknown task is not known either, and a suspended task uses no processors.
+    if (isBatch && (entry === undefined || one.used.processorMillicores === 0)) {
+      return null;
+    }
     if (entry === undefined) {
       return one;
     }
     const used = withoutThrottle(entry, one, measuredAt);
     entry.measured = used;
-    if (entry.type === TaskType.Batch && this.runtime.context.settings.policy.learning) {
-      const { taskId, kind } = entry;
-      recordUsage(this.runtime.estimates, { taskId, kind, used, measuredAt });
+    if (isBatch && context.settings.policy.learning) {
+      recordUsage(estimates, { taskId: one.taskId, kind: entry.kind, used, measuredAt });
     }
     return { ...one, used };
   }
--- a/packages/decisions/src/placement/placement-types.ts
+++ b/packages/decisions/src/placement/placement-types.ts
@@ -32,6 +32,8 @@
   size: Resources;
   /** What the task may turn out to use; larger than the size while its kind is not known. */
   worstCaseSize: Resources;
+  /** Whether enough tasks of the kind were measured to trust the size. */
+  isSizeKnown?: boolean;
   allowed: AllowedVmNames;
   /** Agents on which the task failed before. */
   failedOn: readonly AgentId[];
--- a/packages/entry/src/tasks/claim-procedure.ts
+++ b/packages/entry/src/tasks/claim-procedure.ts
@@ -89,6 +89,7 @@
             type: value.type,
             kind: value.kind,
             size: placement.task.size,
+            isSizeKnown: placement.task.isSizeKnown,
           })),
           remainingMs: RESERVATION_MS,
           revision: entry.configuration.revision(),
