--- a/packages/entry/src/tasks/cancellation.ts
+++ b/packages/entry/src/tasks/cancellation.ts
@@ -26,8 +26,12 @@
   reason: string,
 ): Promise<number> {
   const timeoutMs = CANCEL_TIMEOUT_MS + rows.length * CANCEL_MS_PER_ROW;
+  // Waiting rows first: the room of cancelled running ones would else go to others of the same wave.
+  const ordered = [...rows].sort(
+    (left, right) => Number(isRunning(left)) - Number(isRunning(right)),
+  );
   const results = await Promise.allSettled(
-    rows.map((row) => cancelRow(context, row, reason, timeoutMs)),
+    ordered.map((row) => cancelRow(context, row, reason, timeoutMs)),
   );
   notifyOwners(context, [...new Set(rows.map(({ value }) => shardOfRow(value)))]);
   const failures = results.filter(({ status }) => status === 'rejected').length;
@@ -39,6 +43,10 @@
   return results.filter((result) => result.status === 'fulfilled' && result.value).length;
 }
 
+function isRunning({ value }: TaskEntry): boolean {
+  return value.state === TaskState.Running;
+}
+
 export async function cancelRow(
   context: TaskContext,
   entry: TaskEntry,
