--- a/packages/entry/src/tasks/hold-system.ts
+++ b/packages/entry/src/tasks/hold-system.ts
@@ -2,16 +2,16 @@
  * Holds pending tasks that can never fit or never succeed, and releases held ones when the configuration
  * of their kind changes or the fleet gains a VM on which they fit. A held task costs nothing but its row.
  */
-import { createHash } from 'node:crypto';
-import type { BatchKindConfiguration, OperatorConfiguration } from '@figjunction/config';
-import { PossibleFit, possibleFit } from '@figjunction/decisions';
+import type { BatchKindConfiguration } from '@figjunction/config';
+import { PossibleFit } from '@figjunction/decisions';
 import type { PlacementVm } from '@figjunction/decisions';
 import type { Instant } from '@figjunction/time';
 import { DecisionKind, TaskState, TaskType } from '@figjunction/types';
-import type { AgentId, Resources, TaskRow } from '@figjunction/types';
-import { declaredSizeOf, placementVms } from './placement-view.js';
-import type { SizeEstimates } from './placement-view.js';
-import { configurationOf, runAside, scopeOf, taskDecision } from './task-context.js';
+import type { AgentId, TaskRow } from '@figjunction/types';
+import { placementVms } from './placement-view.js';
+import { ScopeSizes } from './scope-sizes.js';
+import type { SizeEstimates } from './scope-sizes.js';
+import { configurationOf, runAside, taskDecision } from './task-context.js';
 import type { TaskContext } from './task-context.js';
 import { shardOfRow } from './task-identifiers.js';
 import type { TaskEntry } from './task-table.js';
@@ -24,7 +24,8 @@
 const CHANGES_MAXIMUM = 256;
 const SCOPE_INPUT = 'scopeHash';
 const CAUSE_INPUT = 'cause';
-const SCOPE_HASH_LENGTH = 16;
+/** Stands for the hash of a kind that is not in the configuration. */
+const NO_SCOPE = 'none';
 
 export enum HoldCause {
   NeverFits = 'never-fits',
@@ -52,16 +53,17 @@
       return;
     }
     const vms = this.knownVms(now);
+    const sizes = new ScopeSizes({ configuration, estimates: this.estimates, vms });
     let changes = 0;
     for (const entry of this.candidates(TaskState.Pending)) {
-      const hold = this.holdFor(configuration, entry.value, vms, now);
+      const hold = this.holdFor(entry.value, sizes, now);
       if (hold !== null && changes < CHANGES_MAXIMUM) {
         changes += 1;
-        this.write(entry, this.heldRow(configuration, entry.value, hold));
+        this.write(entry, this.heldRow(entry.value, hold, sizes));
       }
     }
     for (const entry of this.candidates(TaskState.Held)) {
-      const reason = this.releaseReason(configuration, entry.value, vms);
+      const reason = this.releaseReason(entry.value, sizes);
       if (reason !== null && changes < CHANGES_MAXIMUM) {
         changes += 1;
         this.write(entry, this.releasedRow(entry.value, reason));
@@ -89,28 +91,22 @@
     );
   }
 
-  private holdFor(
-    configuration: OperatorConfiguration,
-    row: TaskRow,
-    vms: PlacementVm[],
-    now: Instant,
-  ): Hold | null {
-    const scope = scopeOf(configuration, row);
-    if (scope === undefined) {
+  private holdFor(row: TaskRow, sizes: ScopeSizes, now: Instant): Hold | null {
+    const scopeSize = sizes.get(row);
+    if (scopeSize === null) {
       return row.type === TaskType.Instance
         ? null
         : { cause: HoldCause.KindRemoved, reason: `kind ${row.kind} is not in the configuration` };
     }
     if (row.type === TaskType.Batch) {
-      const failing = this.failureHold(scope as BatchKindConfiguration, row);
+      const failing = this.failureHold(scopeSize.scope as BatchKindConfiguration, row);
       if (failing !== null) {
         return failing;
       }
     }
-    const size = this.sizeFor(configuration, row);
     const isFleetKnown = now - this.context.startedAt >= FLEET_KNOWN_MS;
-    if (isFleetKnown && possibleFit(size, scope.allowed, vms) === PossibleFit.TooLarge) {
-      const { processorMillicores, memoryMegabytes, accelerators } = size;
+    if (isFleetKnown && scopeSize.fit === PossibleFit.TooLarge) {
+      const { processorMillicores, memoryMegabytes, accelerators } = scopeSize.certainSize;
       return {
         cause: HoldCause.NeverFits,
         reason: `no allowed VM is large enough for ${processorMillicores} millicores, ${memoryMegabytes} MB and ${accelerators} accelerators`,
@@ -139,13 +135,13 @@
     return null;
   }
 
-  private heldRow(configuration: OperatorConfiguration, row: TaskRow, hold: Hold): TaskRow {
+  private heldRow(row: TaskRow, hold: Hold, sizes: ScopeSizes): TaskRow {
     const decision = taskDecision(this.context.entry, row, {
       kind: DecisionKind.Hold,
       decision: `Held: ${hold.reason}`,
       inputs: [
         { name: CAUSE_INPUT, value: hold.cause },
-        { name: SCOPE_INPUT, value: hashOfScope(configuration, row) },
+        { name: SCOPE_INPUT, value: sizes.get(row)?.hash ?? NO_SCOPE },
         { name: 'failures', value: row.failures },
       ],
     });
@@ -153,23 +149,16 @@
   }
 
   /** Why a held task may be tried again; null while it stays held. */
-  private releaseReason(
-    configuration: OperatorConfiguration,
-    row: TaskRow,
-    vms: PlacementVm[],
-  ): string | null {
-    const scope = scopeOf(configuration, row);
-    if (scope === undefined) {
+  private releaseReason(row: TaskRow, sizes: ScopeSizes): string | null {
+    const scopeSize = sizes.get(row);
+    if (scopeSize === null) {
       return null;
     }
-    if (inputOf(row, SCOPE_INPUT) !== hashOfScope(configuration, row)) {
+    if (inputOf(row, SCOPE_INPUT) !== scopeSize.hash) {
       return 'the configuration of its kind changed';
     }
-    if (inputOf(row, CAUSE_INPUT) !== HoldCause.NeverFits) {
-      return null;
-    }
-    const size = this.sizeFor(configuration, row);
-    return possibleFit(size, scope.allowed, vms) === PossibleFit.Possible
+    return inputOf(row, CAUSE_INPUT) === HoldCause.NeverFits &&
+      scopeSize.fit === PossibleFit.Possible
       ? 'the fleet has a VM that is large enough'
       : null;
   }
@@ -191,12 +180,6 @@
     };
   }
 
-  /** Only a size that is declared or well known makes a task impossible. */
-  private sizeFor(configuration: OperatorConfiguration, row: TaskRow): Resources {
-    const declared = declaredSizeOf(configuration, row);
-    return this.estimates.isKnown(row.kind) ? this.estimates.sizeOf(row.kind, declared) : declared;
-  }
-
   private write(entry: TaskEntry, value: TaskRow): void {
     runAside(this.context, 'hold', async () => {
       const { applied } = await this.context.store.write(entry.key, entry, value);
@@ -211,9 +194,3 @@
 function inputOf(row: TaskRow, name: string): string | number | boolean | null {
   return row.lastDecision?.inputs.find((input) => input.name === name)?.value ?? null;
 }
-
-/** Tells revisions that change the kind from those that do not. */
-function hashOfScope(configuration: OperatorConfiguration, row: TaskRow): string {
-  const content = JSON.stringify(scopeOf(configuration, row) ?? null);
-  return createHash('sha256').update(content).digest('hex').slice(0, SCOPE_HASH_LENGTH);
-}
--- a/packages/entry/src/tasks/placement-system.ts
+++ b/packages/entry/src/tasks/placement-system.ts
@@ -12,7 +12,8 @@
 import { LeaseReader } from './lease-reader.js';
 import { PendingDelays } from './pending-delays.js';
 import { placementTask, placementTeams, placementVms } from './placement-view.js';
-import type { SizeEstimates } from './placement-view.js';
+import { ScopeSizes } from './scope-sizes.js';
+import type { SizeEstimates } from './scope-sizes.js';
 import type { ProposalBook } from './proposal-book.js';
 import { configurationOf, runAside, scopeOf } from './task-context.js';
 import type { TaskContext } from './task-context.js';
@@ -73,10 +74,9 @@
       return;
     }
     const vms = this.usableVms(now);
+    const sizes = new ScopeSizes({ configuration, estimates: this.options.estimates, vms });
     const tasks = ready
-      .map(({ entry, onlyVm }) =>
-        placementTask(configuration, entry, this.options.estimates, vms, onlyVm),
-      )
+      .map(({ entry, onlyVm }) => placementTask(configuration, entry, sizes, onlyVm))
       .filter((task) => task !== null);
     const plan = planPlacements({
       tasks,
--- a/packages/entry/src/tasks/placement-view.ts
+++ b/packages/entry/src/tasks/placement-view.ts
@@ -2,106 +2,26 @@
  * Builds the tables over which placement runs, from rows, heartbeats and reservations in progress.
  */
 import type { OperatorConfiguration } from '@figjunction/config';
-import {
-  DECLARED_SIZE_ERROR_MAXIMUM,
-  PossibleFit,
-  maximumOfResources,
-  minimumOfResources,
-  possibleFit,
-  scaleResources,
-} from '@figjunction/decisions';
-import type {
-  AllowedVmNames,
-  PlacementTask,
-  PlacementTeam,
-  PlacementVm,
-} from '@figjunction/decisions';
+import type { PlacementTask, PlacementTeam, PlacementVm } from '@figjunction/decisions';
 import type { Instant } from '@figjunction/time';
-import { AgentState, PlacementMode, TaskState, TaskType } from '@figjunction/types';
-import type { KindName, Resources, TaskRow } from '@figjunction/types';
+import { AgentState, PlacementMode, TaskState } from '@figjunction/types';
+import type { KindName } from '@figjunction/types';
 import type { KnownAgent } from '../agent-directory.js';
-import { scopeOf } from './task-context.js';
+import type { ScopeSizes } from './scope-sizes.js';
 import type { TaskContext } from './task-context.js';
 import type { TaskEntry } from './task-table.js';
 
-/** What is learnt about the sizes of kinds. */
-export interface SizeEstimates {
-  /** The size to count for a task of the kind; wider than declared while little is known. */
-  sizeOf(kind: KindName, declared: Resources): Resources;
-  /** Whether enough was measured to trust the size. */
-  isKnown(kind: KindName): boolean;
-  /** False when declared sizes are taken as they are. */
-  isLearning(): boolean;
-}
-
-/** The declared size; the configuration in force overrides the row's. */
-export function declaredSizeOf(
-  configuration: OperatorConfiguration,
-  row: Pick<TaskRow, 'type' | 'kind' | 'declaredSize'>,
-): Resources {
-  return scopeOf(configuration, row)?.size ?? row.declaredSize;
-}
-
-/**
- * The size to reserve. While a kind is not known its estimate is only a caution, which must not make a task
- * impossible that fits as declared: it is cut to the largest VM on which the declared size fits.
- */
-export function sizeToReserve(
-  declared: Resources,
-  estimate: Resources,
-  allowed: AllowedVmNames,
-  vms: PlacementVm[],
-): Resources {
-  if (possibleFit(estimate, allowed, vms) !== PossibleFit.TooLarge) {
-    return estimate;
-  }
-  const largest = vms
-    .filter((vm) => possibleFit(declared, allowed, [vm]) === PossibleFit.Possible)
-    .sort((left, right) => right.capacity.processorMillicores - left.capacity.processorMillicores);
-  return largest[0] === undefined ? estimate : minimumOfResources(estimate, largest[0].capacity);
-}
-
-function sizeFor(
-  { type, kind }: TaskRow,
-  declared: Resources,
-  estimates: SizeEstimates,
-  allowed: AllowedVmNames,
-  vms: PlacementVm[],
-): Resources {
-  if (type === TaskType.Instance) {
-    // The agent counts an instance as declared or measured; its room is reserved for load to come.
-    return declared;
-  }
-  const estimate = estimates.sizeOf(kind, declared);
-  return estimates.isKnown(kind) ? estimate : sizeToReserve(declared, estimate, allowed, vms);
-}
-
-function worstCaseFor(
-  { type, kind }: TaskRow,
-  declared: Resources,
-  size: Resources,
-  estimates: SizeEstimates,
-): Resources {
-  if (type === TaskType.Instance || estimates.isKnown(kind) || !estimates.isLearning()) {
-    return size;
-  }
-  const worst = scaleResources(declared, DECLARED_SIZE_ERROR_MAXIMUM);
-  return maximumOfResources(size, { ...worst, accelerators: declared.accelerators });
-}
-
 export function placementTask(
   configuration: OperatorConfiguration,
   { key, value }: TaskEntry,
-  estimates: SizeEstimates,
-  vms: PlacementVm[],
+  sizes: ScopeSizes,
   onlyVm: string | null,
 ): PlacementTask | null {
-  const scope = scopeOf(configuration, value);
-  if (scope === undefined) {
+  const scopeSize = sizes.get(value);
+  if (scopeSize === null) {
     return null;
   }
-  const declared = declaredSizeOf(configuration, value);
-  const size = sizeFor(value, declared, estimates, scope.allowed, vms);
+  const { scope, size, worstCaseSize } = scopeSize;
   const urgencyClass = configuration.urgencyClasses.find(({ name }) => name === value.urgency);
   return {
     key,
@@ -110,7 +30,7 @@
     kind: value.kind,
     urgencyRank: urgencyClass?.rank ?? Number.MAX_SAFE_INTEGER,
     size,
-    worstCaseSize: worstCaseFor(value, declared, size, estimates),
+    worstCaseSize,
     allowed: scope.allowed,
     failedOn: value.failedOn,
     order: value.submittedAtMs,
--- a/packages/entry/src/tasks/task-learning.ts
+++ b/packages/entry/src/tasks/task-learning.ts
@@ -16,7 +16,7 @@
 import type { AgentId, KindName, Resources, TaskUsage } from '@figjunction/types';
 import type { KnownAgent } from '../agent-directory.js';
 import type { EntryContext } from '../entry-context.js';
-import type { SizeEstimates } from './placement-view.js';
+import type { SizeEstimates } from './scope-sizes.js';
 
 export class TaskLearning implements SizeEstimates {
   private readonly estimates = createEstimateTable();
