Keep queues short in an overload

In a flood every admitted request of the class waited as long as the queue was, up to its deadline. Ruled out: a lower length of the queue, since it refuses bursts as well.

--- a/packages/decisions/src/admission/fair-queue.ts
+++ b/packages/decisions/src/admission/fair-queue.ts
@@ -99,6 +99,10 @@
     return Math.min(ahead / share, ahead + othersWaiting);
   }
 
+  override lengthOf(urgency: UrgencyClassName): number {
+    return this.rows.get(urgency)?.teams.size ?? 0;
+  }
+
   override aheadInClass(entry: QueueKey): number {
     return this.rowOf(entry.urgency).teams.ahead(entry.team, entry.weight);
   }
@@ -111,16 +115,15 @@
   /** Whether one more entry of the class leaves the places that the other classes are guaranteed. */
   private hasPlace(urgency: UrgencyClassName): boolean {
     const maximum = this.options.maximum();
-    const lengthOf = (name: UrgencyClassName): number => this.rows.get(name)?.teams.size ?? 0;
     const { size } = this;
     let kept = 0;
     for (const one of this.shares().values()) {
       const reserved = Math.floor(one.guaranteedShare * maximum);
-      if (one.urgency === urgency && lengthOf(urgency) < reserved) {
+      if (one.urgency === urgency && this.lengthOf(urgency) < reserved) {
         return size < maximum;
       }
       if (one.urgency !== urgency) {
-        kept += Math.max(0, reserved - lengthOf(one.urgency));
+        kept += Math.max(0, reserved - this.lengthOf(one.urgency));
       }
     }
     return size + kept < maximum;
--- a/packages/decisions/src/admission/fifo-queue.ts
+++ b/packages/decisions/src/admission/fifo-queue.ts
@@ -54,6 +54,10 @@
     return this.entries.length;
   }
 
+  override lengthOf(): number {
+    return this.entries.length;
+  }
+
   override aheadInClass(): number {
     return this.entries.length;
   }
--- a/packages/decisions/src/admission/queue-entry.ts
+++ b/packages/decisions/src/admission/queue-entry.ts
@@ -49,6 +49,9 @@
   /** How many dequeues it takes until a new request of the team comes up. */
   abstract turnsBefore(key: QueueKey): number;
 
+  /** How many requests of the class wait. */
+  abstract lengthOf(urgency: UrgencyClassName): number;
+
   /** How many requests of the same class go before it. */
   abstract aheadInClass(key: QueueKey): number;
 }
--- a/packages/entry/src/requests/request-runner.ts
+++ b/packages/entry/src/requests/request-runner.ts
@@ -145,7 +145,8 @@
   }
 
   private backoffMs(end: RequestEnd, repeats: number): number {
-    if (end.code !== OutcomeCode.NoSlot && repeats < IMMEDIATE_REPEATS) {
+    // The queue has already waited after a refusal for want of a slot.
+    if (end.code === OutcomeCode.NoSlot || repeats < IMMEDIATE_REPEATS) {
       return 0;
     }
     const doubled = BACKOFF_MS * 2 ** Math.min(repeats, 10);
--- a/packages/entry/src/requests/service-queue.test.ts
+++ b/packages/entry/src/requests/service-queue.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { ManualClock } from '@figjunction/time';
+import { OVERLOAD_MS } from '@figjunction/decisions';
+import { ManualClock, sleep } from '@figjunction/time';
 import { OutcomeCode, RequestOutcome } from '@figjunction/types';
 import type { TurnEnd } from './attempt-runner.js';
 import { notRun } from './interactive-request.js';
@@ -26,6 +27,7 @@
     maximum: () => 16,
     classes: () => CLASSES,
     usualMs: () => USUAL_MS,
+    backoffMs: () => 0,
     entries: () => 1,
   });
   const started: { urgency: string; end: (value: TurnEnd) => void }[] = [];
@@ -33,6 +35,7 @@
     const request = {
       urgency,
       team: { name: 'kitchen', weight: 1 },
+      arrivedAt: clock.now(),
       deadline: 60_000,
       callerGone: new AbortController().signal,
       ...changes,
@@ -58,9 +61,7 @@
 
 async function endNext(rig: Rig, value: TurnEnd = DONE): Promise<void> {
   rig.started.shift()?.end(value);
-  await new Promise((resolve) => {
-    setImmediate(resolve);
-  });
+  await sleep(2);
 }
 
 test('no more requests run than there are slots', async () => {
@@ -124,3 +125,16 @@
   await endNext(rig);
   assert.ok(rig.started.some(({ urgency }) => urgency === 'urgent'));
 });
+
+// Guards against a standing queue, which once made a flood wait 1.5 s for a service of 40 ms.
+test('a burst is queued, but a queue that stays is kept short', async () => {
+  const rig = createRig();
+  addMany(rig, 'urgent', SLOTS + 6);
+  assert.equal(rig.queue.length, 6);
+  rig.clock.advance(OVERLOAD_MS + 1);
+  assert.equal((await rig.add('urgent')).code, OutcomeCode.QueueFull);
+  await endNext(rig);
+  await endNext(rig);
+  assert.equal(rig.queue.running, SLOTS - 2);
+  assert.equal(rig.queue.length, 0);
+});
--- a/packages/entry/src/requests/service-queue.ts
+++ b/packages/entry/src/requests/service-queue.ts
@@ -4,9 +4,16 @@
  * entries use the same slots.
  */
 import PQueue from 'p-queue';
-import { ClassLimits, FairQueue, FifoQueue } from '@figjunction/decisions';
+import {
+  ClassLimits,
+  FairQueue,
+  FifoQueue,
+  OVERLOAD_AGE_FACTOR,
+  OVERLOAD_WAIT_FACTOR,
+  WaitControl,
+} from '@figjunction/decisions';
 import type { ClassShare, RequestQueue } from '@figjunction/decisions';
-import { remainingMs } from '@figjunction/time';
+import { remainingMs, sleep } from '@figjunction/time';
 import type { Clock } from '@figjunction/time';
 import { OutcomeCode, RequestOutcome } from '@figjunction/types';
 import type { UrgencyClassName } from '@figjunction/types';
@@ -24,10 +31,18 @@
   classes: () => ClassShare[];
   /** Usual time of one attempt; null before the first. */
   usualMs: () => number | null;
+  /** How long a request that found no slot waits before it is queued again. */
+  backoffMs: () => number;
   /** Entries that share the slots, this one included. */
   entries: () => number;
 }
 
+/**
+ * A class may fill all slots until its limit falls. The requests of another class start beside it, so that
+ * the agents see their demand and keep their guaranteed slots free.
+ */
+const CLASSES_AT_ONCE = 2;
+
 /** Without fairness all classes share one limit. */
 const ONE_CLASS = 'all';
 
@@ -38,6 +53,8 @@
 
   private readonly limits = new ClassLimits();
 
+  private readonly waits = new WaitControl();
+
   private ceiling = 1;
 
   constructor(private readonly options: ServiceQueueOptions) {
@@ -48,7 +65,7 @@
       : new FifoQueue<Ticket>({ maximum, mayRun });
     this.waiting = waiting;
     this.queue = new PQueue<WaitingRequests, TicketOptions>({
-      concurrency: this.ceiling,
+      concurrency: this.ceiling * CLASSES_AT_ONCE,
       queueClass: class extends WaitingRequests {
         constructor() {
           super(waiting);
@@ -73,9 +90,9 @@
     job: () => Promise<TurnEnd>,
   ): Promise<TurnEnd> {
     this.setCeiling(slots);
-    if (!returned && !this.canMeetDeadline(request)) {
-      const message = 'the queue is too long for the deadline';
-      return Promise.resolve(notRun(OutcomeCode.DeadlineTooShort, message));
+    const refusal = returned ? null : this.refusalOf(request);
+    if (refusal !== null) {
+      return Promise.resolve(refusal);
     }
     return new Promise((resolve) => {
       const stopWaiting = new AbortController();
@@ -86,25 +103,58 @@
       const ticket: Ticket = { request, returned, run: null, refuse: end };
       const start = async (): Promise<void> => {
         stopWaiting.abort(ENDED);
-        resolve(await this.execute(request, job));
+        resolve(this.refusalAtStart(request) ?? (await this.execute(request, job)));
       };
       this.queue.add(start, { ticket }).catch(() => {});
       this.limitWait(ticket, stopWaiting.signal);
     });
   }
 
+  /** Why a request that arrives is not queued. */
+  private refusalOf(request: InteractiveRequest): TurnEnd | null {
+    if (!this.canMeetDeadline(request)) {
+      return notRun(OutcomeCode.DeadlineTooShort, 'the queue is too long for the deadline');
+    }
+    const { urgency } = request;
+    const { clock, fair } = this.options;
+    this.waits.note(urgency, this.waiting.lengthOf(urgency), clock.now());
+    const rounds = this.waiting.aheadInClass(fairKey(request)) / this.limits.of(urgency);
+    if (fair && rounds > OVERLOAD_WAIT_FACTOR && this.waits.isOverloaded(urgency, clock.now())) {
+      return notRun(OutcomeCode.QueueFull, 'more requests of the class arrive than can run');
+    }
+    return null;
+  }
+
+  /** Why a request whose turn has come is not run any more. */
+  private refusalAtStart(request: InteractiveRequest): TurnEnd | null {
+    const { clock, fair } = this.options;
+    const { urgency } = request;
+    const usualMs = this.options.usualMs() ?? 0;
+    const now = clock.now();
+    this.waits.note(urgency, this.waiting.lengthOf(urgency), now);
+    if (this.waiting.size > 0 && this.leftMs(request) < usualMs) {
+      return notRun(OutcomeCode.DeadlineTooShort, 'the wait left too little time to run');
+    }
+    const isOld = now - request.arrivedAt > OVERLOAD_AGE_FACTOR * usualMs;
+    if (fair && isOld && this.waits.isOverloaded(urgency, now)) {
+      return notRun(OutcomeCode.QueueFull, 'waited too long in an overload of the class');
+    }
+    return null;
+  }
+
   private async execute(
     request: InteractiveRequest,
     job: () => Promise<TurnEnd>,
   ): Promise<TurnEnd> {
     const key = this.keyOf(request.urgency);
-    if (this.waiting.size > 0 && this.leftMs(request) < (this.options.usualMs() ?? 0)) {
-      return notRun(OutcomeCode.DeadlineTooShort, 'the wait left too little time to run');
-    }
     this.limits.begin(key);
     try {
       const end = await job();
       this.learn(request.urgency, end);
+      if (end.code === OutcomeCode.NoSlot) {
+        // Keeps its place in the limit, so that no other request takes its turn to be refused.
+        await sleep(this.options.backoffMs(), request.callerGone);
+      }
       return end;
     } finally {
       this.limits.end(key);
@@ -135,13 +185,15 @@
 
   /** Setting the concurrency lets p-queue look again for requests that may start. */
   private startWaiting(): void {
-    this.queue.concurrency = this.ceiling;
+    this.queue.concurrency = this.ceiling * CLASSES_AT_ONCE;
   }
 
   private canMeetDeadline(request: InteractiveRequest): boolean {
     const limit = this.limits.of(this.keyOf(request.urgency));
     const key = fairKey(request);
-    const isBusy = this.running >= this.ceiling || !this.limits.allows(this.keyOf(key.urgency));
+    const isBusy =
+      this.running >= this.ceiling * CLASSES_AT_ONCE ||
+      !this.limits.allows(this.keyOf(key.urgency));
     if (!isBusy) {
       // Never refused without trying, else one slow spell would keep its latency as the estimate.
       return true;
--- a/packages/entry/src/requests/service-queues.ts
+++ b/packages/entry/src/requests/service-queues.ts
@@ -7,6 +7,12 @@
 import type { InstanceStatsTable } from './instance-stats.js';
 import { ServiceQueue } from './service-queue.js';
 
+/** Of a usual service time: a slot becomes free several times in one service time. */
+const BACKOFF_FRACTION = 0.25;
+
+const BACKOFF_MS_MINIMUM = 5;
+const BACKOFF_MS_MAXIMUM = 100;
+
 export class ServiceQueues {
   private readonly queues = new Map<ServiceName, ServiceQueue>();
 
@@ -38,6 +44,13 @@
           guaranteedShare: one.guaranteedShare,
         })),
       usualMs: () => latencies.percentile(50),
+      backoffMs: () => {
+        const usualMs = latencies.percentile(50) ?? 0;
+        const fraction = usualMs * BACKOFF_FRACTION;
+        return context.random.jitter(
+          Math.min(BACKOFF_MS_MAXIMUM, Math.max(BACKOFF_MS_MINIMUM, fraction)),
+        );
+      },
       entries: () => context.peers.live().length,
     });
   }
