--- a/packages/entry/src/requests/attempt-client.ts
+++ b/packages/entry/src/requests/attempt-client.ts
@@ -5,7 +5,6 @@
 import { ErrorCode, errorCodeOf } from '@figjunction/errors';
 import { RpcError } from '@figjunction/rpc';
 import { remainingMs, sleep } from '@figjunction/time';
-import type { Instant } from '@figjunction/time';
 import { traceHeaders } from '@figjunction/telemetry';
 import {
   AGENT_ID_HEADER,
@@ -14,52 +13,25 @@
   REQUEST_ID_HEADER,
   RpcMethod,
 } from '@figjunction/types';
-import type {
-  AgentId,
-  AgentIncarnation,
-  AttemptId,
-  AttemptReference,
-  AttemptResult,
-  AttemptRunParameters,
-  RequestId,
-} from '@figjunction/types';
+import type { AttemptId, AttemptReference } from '@figjunction/types';
 import type { EntryContext } from '../entry-context.js';
-import { ENDED, notRun, unknown } from './interactive-request.js';
-import type { RequestEnd } from './interactive-request.js';
-
-/** The one agent process an attempt is addressed to. */
-export interface AgentAddress {
-  agentId: AgentId;
-  incarnation: AgentIncarnation;
-  address: string;
-}
-
-export interface AttemptOrder {
-  agent: AgentAddress;
-  attempt: AttemptId;
-  requestId: RequestId;
-  parameters: Omit<AttemptRunParameters, 'attempt' | 'incarnation' | 'remainingMs'>;
-  deadline: Instant;
-  /** Without an answer for this long, the agent is asked on a new connection. */
-  silenceBoundMs: number;
-  /** Gives the attempt up, for example because another one answered. */
-  signal?: AbortSignal;
-}
-
-/** How the call of `attempt.run` itself ended. */
-type CallEnd = { result: AttemptResult } | { result: null; requestSent: boolean };
-
-type AttemptEnd = RequestEnd & { slotsUsed?: number };
-
-/** What an agent said of an attempt. */
-interface Settlement {
-  /** Null while it is not known. */
-  end: AttemptEnd | null;
-  /** Whether the agent answered at all. */
-  reached: boolean;
-}
-
-const NOT_REACHED: Settlement = { end: null, reached: false };
+import {
+  NOT_REACHED,
+  cancelled,
+  endOfCall,
+  firstOf,
+  forgotten,
+  isAnswerTo,
+  restarted,
+} from './attempt-order.js';
+import type {
+  AgentAddress,
+  AttemptEnd,
+  AttemptOrder,
+  CallEnd,
+  Settlement,
+} from './attempt-order.js';
+import { ENDED, unknown } from './interactive-request.js';
 
 /** Timers fire a little early; a deadline this close has passed. */
 const DEADLINE_SLACK_MS = 2;
@@ -235,51 +207,3 @@
     return { ...traceHeaders(), [AGENT_ID_HEADER]: agent.agentId };
   }
 }
-
-/** An answer that belongs to another call proves nothing about this attempt. */
-function isAnswerTo(attempt: AttemptId, answer: { attempt: AttemptId }): boolean {
-  return (
-    answer.attempt.entryIncarnation === attempt.entryIncarnation &&
-    answer.attempt.sequence === attempt.sequence
-  );
-}
-
-function endOfCall(end: CallEnd | null): AttemptEnd | null {
-  if (end === null || end.result !== null) {
-    return end?.result ?? null;
-  }
-  return end.requestSent
-    ? null
-    : notRun(OutcomeCode.ConnectionLost, 'the agent refused the connection');
-}
-
-/** Waits for the call, but not longer than the time given or until the attempt is given up. */
-async function firstOf(
-  open: Promise<CallEnd> | null,
-  waitMs: number,
-  order: AttemptOrder,
-): Promise<CallEnd | null> {
-  const wait = new AbortController();
-  const stop = (): void => wait.abort(ENDED);
-  order.signal?.addEventListener('abort', stop);
-  if (order.signal?.aborted) {
-    stop();
-  }
-  const timer = sleep(waitMs, wait.signal).then(() => null);
-  const end = await (open === null ? timer : Promise.race([open, timer]));
-  order.signal?.removeEventListener('abort', stop);
-  stop();
-  return end;
-}
-
-function forgotten(): RequestEnd {
-  return unknown(OutcomeCode.AnswerNotKept, 'the attempt ended and its answer is no longer kept');
-}
-
-function cancelled(): RequestEnd {
-  return notRun(OutcomeCode.AttemptCancelled, 'the attempt was cancelled before it started');
-}
-
-function restarted(): RequestEnd {
-  return unknown(OutcomeCode.ConnectionLost, 'the agent restarted during the attempt');
-}
