--- a/packages/entry/src/requests/service-queue.ts
+++ b/packages/entry/src/requests/service-queue.ts
@@ -136,7 +136,9 @@
       return notRun(OutcomeCode.DeadlineTooShort, 'the wait left too little time to run');
     }
     const isOld = now - request.arrivedAt > OVERLOAD_AGE_FACTOR * usualMs;
-    if (fair && isOld && this.waits.isOverloaded(urgency, now)) {
+    // Enough always stay to keep the slots busy, also when a busy processor makes every request old.
+    const isLong = this.waiting.lengthOf(urgency) > OVERLOAD_WAIT_FACTOR * this.limits.of(urgency);
+    if (fair && isOld && isLong && this.waits.isOverloaded(urgency, now)) {
       return notRun(OutcomeCode.QueueFull, 'waited too long in an overload of the class');
     }
     return null;
