--- a/packages/bench/src/measure/scenarios/urgent-flood.ts
+++ b/packages/bench/src/measure/scenarios/urgent-flood.ts
@@ -3,11 +3,14 @@
  * capacity of the service. Shows what the other teams and the other urgency class keep, and how long the
  * admitted requests take.
  */
+import { DEFAULT_LOCATIONS } from '@figjunction/test-support';
 import { withMeasuredCluster } from '../measured-cluster.js';
 import type { Scenario } from '../scenario.js';
 import { loadFigures, loadService } from '../service-load.js';
 import { INTERACTIVE_CLASS, URGENT_CLASS } from '../workload.js';
 
+/** One data centre, so that locality does not set instances apart and the capacity is well defined. */
+const ONE_DATA_CENTRE = DEFAULT_LOCATIONS.slice(0, 1);
 const AGENTS = 4;
 const INSTANCES = 4;
 const SLOTS = 4;
@@ -29,6 +32,8 @@
         run,
         cluster: {
           agents: AGENTS,
+          entryLocations: ONE_DATA_CENTRE,
+          agentLocations: ONE_DATA_CENTRE,
           workerArguments: [`--service-median-ms=${SERVICE_MEDIAN_MS}`],
         },
         workload: {
--- a/packages/bench/src/measure/scenarios/wrong-sizes.ts
+++ b/packages/bench/src/measure/scenarios/wrong-sizes.ts
@@ -76,14 +76,14 @@
     ),
 };
 
-/** True processor time that a task completed in the window. */
+/** True work of a completed task that falls into the window, whatever slowed the task down. */
 function trueMillicoreMs(history: TaskHistory, fromMs: number, toMs: number): number {
-  const { completedAtMs, kind } = history;
+  const { completedAtMs, firstStartAtMs, kind } = history;
   if (completedAtMs === null) {
     return 0;
   }
-  const startAtMs = Math.max(history.firstStartAtMs, fromMs);
-  const endAtMs = Math.min(completedAtMs, toMs);
+  const overlapMs = Math.min(completedAtMs, toMs) - Math.max(firstStartAtMs, fromMs);
+  const fraction = Math.max(0, overlapMs) / (completedAtMs - firstStartAtMs);
   const factor = kind === NOISY_KIND ? LARGE_FACTOR : SMALL_FACTOR;
-  return Math.max(0, endAtMs - startAtMs) * DECLARED.processorMillicores * factor;
+  return fraction * TASK_DURATION_MS * DECLARED.processorMillicores * factor;
 }
