--- a/packages/agent/src/attempts/attempt-service.ts
+++ b/packages/agent/src/attempts/attempt-service.ts
@@ -8,6 +8,8 @@
   AgentState,
   AttemptState,
   OutcomeCode,
+  DecisionKind,
+  ExplainSubject,
   REQUEST_ID_HEADER,
   RequestOutcome,
 } from '@figjunction/types';
@@ -42,8 +44,8 @@
 
   private readonly targets = new HttpClient();
 
-  /** The first incarnation that this process took; 0 until it has one. */
-  private firstIncarnation: AgentIncarnation = 0;
+  /** Incarnations that this process held. Another process may have held one between two of them. */
+  private readonly heldIncarnations = new Set<AgentIncarnation>();
 
   constructor(private readonly context: AgentContext) {
     this.slots = new SlotTable(context.clock);
@@ -87,6 +89,13 @@
     return this.attempts.cancel(reference.attempt, CANCELLED);
   }
 
+  /** Notes which incarnation this process holds; 0 is none. */
+  noteIncarnation(): void {
+    if (this.context.incarnation !== 0) {
+      this.heldIncarnations.add(this.context.incarnation);
+    }
+  }
+
   close(): void {
     this.targets.close();
   }
@@ -95,21 +104,26 @@
     const { context } = this;
     const { attempt, service, taskId, urgency, remainingMs } = parameters;
     if (context.state !== AgentState.Serving) {
-      return this.refuse(parameters, OutcomeCode.Draining, `the agent is ${context.state}`);
+      return this.refuse(
+        parameters,
+        headers,
+        OutcomeCode.Draining,
+        `the agent is ${context.state}`,
+      );
     }
     const instance = context.instances.get(taskId);
     if (instance === undefined || instance.service !== service || instance.targetAddress === null) {
-      return this.refuse(parameters, OutcomeCode.NoTarget, 'the instance is not here');
+      return this.refuse(parameters, headers, OutcomeCode.NoTarget, 'the instance is not here');
     }
     if (instance.draining) {
-      return this.refuse(parameters, OutcomeCode.Draining, 'the instance is draining');
+      return this.refuse(parameters, headers, OutcomeCode.Draining, 'the instance is draining');
     }
     if (!(remainingMs > 0)) {
-      return this.refuse(parameters, OutcomeCode.DeadlineTooShort, 'no time is left');
+      return this.refuse(parameters, headers, OutcomeCode.DeadlineTooShort, 'no time is left');
     }
     const classes = context.configuration.current()?.classes ?? [];
     if (!this.slots.take(instance, urgency, classes)) {
-      return this.refuse(parameters, OutcomeCode.NoSlot, 'no slot is free for the class');
+      return this.refuse(parameters, headers, OutcomeCode.NoSlot, 'no slot is free for the class');
     }
     return this.attempts.start(attempt, () => this.execute(instance, parameters, headers));
   }
@@ -146,34 +160,55 @@
 
   private refuse(
     parameters: AttemptRunParameters,
+    headers: CallHeaders,
     code: OutcomeCode,
     message: string,
   ): Promise<AttemptResult> {
-    const slotsUsed = this.context.instances.get(parameters.taskId)?.slotsUsed ?? 0;
-    const result = notRun(code, message, slotsUsed);
+    const instance = this.context.instances.get(parameters.taskId);
+    const result = notRun(code, message, instance?.slotsUsed ?? 0);
     this.countRefusal(code);
     this.attempts.refuse(parameters.attempt, result);
+    this.explainRefusal(parameters, headers, result);
     return Promise.resolve(result);
   }
 
-  private countRefusal(code: OutcomeCode): void {
-    this.context.metrics.count('attempts_refused_total', { code });
+  private explainRefusal(
+    parameters: AttemptRunParameters,
+    headers: CallHeaders,
+    result: AttemptResult,
+  ): void {
+    const requestId = headers[REQUEST_ID_HEADER];
+    if (typeof requestId !== 'string') {
+      return;
+    }
+    const { context } = this;
+    context.decisions.add({
+      subject: ExplainSubject.Request,
+      subjectId: requestId,
+      kind: DecisionKind.Admit,
+      decidedAt: new Date(context.clock.wallTimeMs()).toISOString(),
+      decidedBy: context.settings.agentId,
+      configurationRevision: context.configuration.revision(),
+      decision: `refused as ${result.code}: ${result.message}`,
+      inputs: [
+        { name: 'instance', value: parameters.taskId },
+        { name: 'urgency', value: parameters.urgency },
+        { name: 'slotsUsed', value: result.slotsUsed },
+        { name: 'remainingMs', value: Math.round(parameters.remainingMs) },
+      ],
+      rejected: [],
+      team: parameters.team,
+    });
   }
 
-  private noteIncarnation(): void {
-    if (this.firstIncarnation === 0) {
-      this.firstIncarnation = this.context.incarnation;
-    }
+  private countRefusal(code: OutcomeCode): void {
+    this.context.metrics.count('attempts_refused_total', { code });
   }
 
   /** Only the process that held the incarnation can say that an attempt never arrived. */
   private requireOwnIncarnation(incarnation: AgentIncarnation): void {
-    const held =
-      this.firstIncarnation !== 0 &&
-      incarnation >= this.firstIncarnation &&
-      incarnation <= this.context.incarnation;
-    if (!held) {
-      throw new AgentError(`incarnation ${incarnation} was held by an earlier process`, {
+    if (!this.heldIncarnations.has(incarnation)) {
+      throw new AgentError(`incarnation ${incarnation} was held by another process`, {
         code: ErrorCode.Conflict,
       });
     }
--- a/packages/bench/src/proofs/evicted-resumes-once.ts
+++ b/packages/bench/src/proofs/evicted-resumes-once.ts
@@ -10,12 +10,15 @@
   ProofError,
   checkCheckpointsUsedOnce,
   checkEachOnce,
+  checkNothingLost,
   checkOnePlace,
 } from './execution-intervals.js';
 import type { Proof } from './proof.js';
 
 const RUNS = 16;
 const RUN_MS = 8_000;
+/** The filler ends only by its cancellation. */
+const FILLER_MS = 120_000;
 const LOST_ANSWERS = 6;
 const OUTAGE_MS = 4_000;
 
@@ -23,6 +26,7 @@
   const records = await cluster.readLog();
   checkOnePlace(records);
   checkEachOnce(records, taskIds);
+  checkNothingLost(records);
   if (checkCheckpointsUsedOnce(records) === 0) {
     throw new ProofError('no run was evicted, so the proof shows nothing');
   }
@@ -39,18 +43,28 @@
   await checkLog(cluster, taskIds);
 }
 
-/** An entry is paused over the eviction and goes on with its old view beside its successor. */
+/**
+ * Evicted runs wait for room when their entry is paused. Its successor resumes them in the room of a
+ * cancelled job; then the paused entry goes on and still takes them for waiting.
+ */
 async function twoResumers(cluster: BatchCluster): Promise<void> {
-  const taskIds = await cluster.submit('two-resumers', RUNS, RUN_MS);
-  await cluster.waitForStarts(RUNS);
+  const taskIds = await cluster.submit('two-resumers', RUNS, RUN_MS * 2);
+  await cluster.submit('filler', RUNS, FILLER_MS);
+  await cluster.waitForStarts(RUNS * 2);
   const placing = await cluster.placingEntry();
   const other = placing === 0 ? 1 : 0;
-  const [first = 0, second = 1] = await cluster.holdersOf('two-resumers');
-  await cluster.drain(first, true, other);
+  const [drained = 0] = await cluster.holdersOf('two-resumers');
+  await cluster.drain(drained, true, other);
+  await cluster.waitForState('two-resumers', TaskState.Pending, 2, other);
   cluster.processes.entries[placing]?.pause();
-  await sleep(OUTAGE_MS * 2);
+  await cluster.cancel('filler', other);
+  await cluster.waitForJob(
+    'two-resumers',
+    ({ tasks }) => tasks.some(({ attempt }) => attempt > 1),
+    'the other entry resumes the evicted runs',
+    other,
+  );
   cluster.processes.entries[placing]?.continue();
-  await cluster.drain(second, true, other);
   await cluster.waitForState('two-resumers', TaskState.Completed, RUNS, other);
   await checkLog(cluster, taskIds);
 }
@@ -68,7 +82,7 @@
   await checkLog(cluster, taskIds);
 }
 
-export const EVICTED_RESUMES_ONCE: Proof = {
+export const evictedResumesOnceProof: Proof = {
   number: 3,
   property: 'evicted work resumes exactly once',
   async run(): Promise<void> {
