--- /dev/null
+++ b/packages/agent/src/tasks/room-loads.test.ts
@@ -0,0 +1,90 @@
+/**
+ * Guards against trusting a size that nobody has measured: an entry's estimate from one or two tasks looks
+ * like a learnt one, but may be five times too small.
+ */
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { agentSettingsSchema } from '@figjunction/config';
+import { recordUsage } from '@figjunction/decisions';
+import { createLogger } from '@figjunction/logger';
+import { FakeWorker, MemoryTableService } from '@figjunction/test-support';
+import { TaskType } from '@figjunction/types';
+import type { Resources } from '@figjunction/types';
+import { createAgentContext } from '../agent-context.js';
+import { EntryStandIn, LOCATION, ONE_CORE } from './entry-stand-in.test.js';
+import { LocalWorker } from './local-worker.test.js';
+import { loadOf, refusalFor } from './room-loads.js';
+import { taskRuntimeOf } from './task-runtime.js';
+import { TaskPhase } from './task-table.js';
+
+const PLATFORM = 'http://127.0.0.1:1';
+const TOKEN = 'shared-token-of-the-test';
+const SIXTEEN_CORES: Resources = {
+  processorMillicores: 16_000,
+  memoryMegabytes: 16_000,
+  accelerators: 0,
+};
+
+async function createRuntime() {
+  const settings = agentSettingsSchema.parse({
+    agentId: 'vm-1',
+    location: LOCATION,
+    platformAddress: PLATFORM,
+    workerAddress: PLATFORM,
+    sharedToken: TOKEN,
+  });
+  const worker = new FakeWorker({
+    workerId: 'vm-1',
+    capacity: SIXTEEN_CORES,
+    platformAddress: PLATFORM,
+  });
+  await worker.close();
+  const table = new MemoryTableService();
+  const context = createAgentContext({
+    settings,
+    logger: createLogger({ name: 'vm-1', level: 'silent' }),
+    table,
+    worker: new LocalWorker(worker, SIXTEEN_CORES),
+  });
+  context.configuration.accept(new EntryStandIn(table, TOKEN).slice);
+  context.room.capacity = SIXTEEN_CORES;
+  return taskRuntimeOf(context);
+}
+
+function reserved(processorMillicores: number, isSizeKnown: boolean) {
+  const declared = { ...ONE_CORE, processorMillicores };
+  return { type: TaskType.Batch, kind: 'reprint', declared, isSizeKnown, measured: null };
+}
+
+describe('what a task counts for', () => {
+  it('is unsure of a size that the entry has not measured, whatever the size is', async () => {
+    const runtime = await createRuntime();
+    const used = { ...ONE_CORE, processorMillicores: 5_000 };
+    recordUsage(runtime.estimates, { taskId: 'a', kind: 'reprint', used, measuredAt: 1 });
+    for (const processors of [1_000, 1_500, 2_222]) {
+      const load = loadOf(runtime, reserved(processors, false));
+      assert.equal(load.isUnsure, true);
+      assert.equal(load.estimated.processorMillicores, 5_000);
+    }
+  });
+
+  it('takes a size that the entry has measured', async () => {
+    const runtime = await createRuntime();
+    const load = loadOf(runtime, reserved(1_000, true));
+    assert.equal(load.isUnsure, false);
+    assert.equal(load.estimated.processorMillicores, 1_000);
+  });
+
+  it('admits tasks of unknown size only as far as all may be five times larger', async () => {
+    const runtime = await createRuntime();
+    const admitted = ['a', 'b', 'c', 'd', 'e'].filter((taskId) => {
+      const task = reserved(1_000, false);
+      const isAdmitted = refusalFor(runtime, task) === null;
+      if (isAdmitted) {
+        runtime.tasks.add({ taskId, attempt: 1, phase: TaskPhase.Reserved, ...task });
+      }
+      return isAdmitted;
+    });
+    assert.deepEqual(admitted, ['a', 'b', 'c']);
+  });
+});
--- a/packages/agent/src/tasks/task-table.ts
+++ b/packages/agent/src/tasks/task-table.ts
@@ -49,6 +49,8 @@
   team: TeamName;
   /** Size that the entry reserved; before that, the one in the row. */
   declared: Resources;
+  /** The entry has measured enough tasks of the kind to trust that size. */
+  isSizeKnown: boolean;
   /** Key of the table row; null until it is known. */
   key: string | null;
   phase: TaskPhase;
@@ -86,6 +88,7 @@
 
 const BLANK = {
   team: '',
+  isSizeKnown: false,
   key: null,
   incarnation: 0,
   reservedUntil: Number.POSITIVE_INFINITY,
--- a/packages/entry/src/tasks/placement-view.ts
+++ b/packages/entry/src/tasks/placement-view.ts
@@ -111,6 +111,7 @@
     urgencyRank: urgencyClass?.rank ?? Number.MAX_SAFE_INTEGER,
     size,
     worstCaseSize: worstCaseFor(value, declared, size, estimates),
+    isSizeKnown: estimates.isKnown(value.kind),
     allowed: scope.allowed,
     failedOn: value.failedOn,
     order: value.submittedAtMs,
