--- a/packages/entry/src/tasks/placement-view.ts
+++ b/packages/entry/src/tasks/placement-view.ts
@@ -21,7 +21,7 @@
   if (scopeSize === null) {
     return null;
   }
-  const { scope, size, worstCaseSize } = scopeSize;
+  const { scope, size, worstCaseSize, isSizeKnown } = scopeSize;
   const urgencyClass = configuration.urgencyClasses.find(({ name }) => name === value.urgency);
   return {
     key,
@@ -31,7 +31,7 @@
     urgencyRank: urgencyClass?.rank ?? Number.MAX_SAFE_INTEGER,
     size,
     worstCaseSize,
-    isSizeKnown: estimates.isKnown(value.kind),
+    isSizeKnown,
     allowed: scope.allowed,
     failedOn: value.failedOn,
     order: value.submittedAtMs,
--- a/packages/entry/src/tasks/scope-sizes.ts
+++ b/packages/entry/src/tasks/scope-sizes.ts
@@ -39,6 +39,8 @@
   size: Resources;
   /** What a task may turn out to use. */
   worstCaseSize: Resources;
+  /** Whether enough tasks of the kind were measured to trust the size. */
+  isSizeKnown: boolean;
   /** The size that decides whether a task can ever fit: declared or well known. */
   certainSize: Resources;
   /** Whether the certain size fits on any allowed VM that is known. */
@@ -86,6 +88,7 @@
       scope,
       size,
       worstCaseSize: isKnown ? size : worstCase(scope.size, size),
+      isSizeKnown: estimates.isKnown(row.kind),
       certainSize,
       fit: possibleFit(certainSize, scope.allowed, vms),
       hash: hashOf(scope),
