Restrain noisy kinds first and from their start

Cause: in waves of noisy tasks the guards acted after lag and two measurements, cut calm work as readily as noisy work, and each wave started unthrottled. Ruled out: acting on one measurement; it acts on noise of the measurements. Change: the ladder orders tasks by loss per effect, learnt from the VM's own measurements (policy.interference); new tasks of a restrained kind start with its throttle until a calm time; the lowest throttle is 5 %.

--- a/packages/agent/src/guards/guard-shell.ts
+++ b/packages/agent/src/guards/guard-shell.ts
@@ -4,8 +4,11 @@
 import {
   GuardActionKind,
   createGuardState,
+  createInterferenceTable,
   decideGuards,
   noteGuardEffect,
+  predictSlowdown,
+  recordVmUsage,
 } from '@figjunction/decisions';
 import type {
   GuardAction,
@@ -15,7 +18,7 @@
 } from '@figjunction/decisions';
 import type { Instant } from '@figjunction/time';
 import { DecisionKind, TaskType } from '@figjunction/types';
-import type { DecisionInput, GuardSettings, WorkerUsage } from '@figjunction/types';
+import type { DecisionInput, GuardSettings, KindName, WorkerUsage } from '@figjunction/types';
 import { decisionAboutRun } from '../tasks/decision-about-run.js';
 import { isCheckpointable, lossCostOf } from '../tasks/room-loads.js';
 import { orderStop } from '../tasks/stop-orders.js';
@@ -33,6 +36,8 @@
 export class GuardShell {
   private readonly state = createGuardState();
 
+  private readonly interference = createInterferenceTable();
+
   /** The eviction under way and when it was ordered; no decision is made beside it. */
   private evicting: { entry: TaskEntry; action: GuardAction } | null = null;
 
@@ -44,6 +49,7 @@
     if (!context.settings.policy.guards || settings === undefined || !holdsLease(context)) {
       return;
     }
+    this.learnInterference(usage);
     if (this.isEvicting()) {
       return;
     }
@@ -64,6 +70,7 @@
     const guards = context.configuration.current()?.guards;
     const isEnabled = context.settings.policy.guards && (guards?.enabled ?? true);
     if (!isEnabled) {
+      this.state.kindThrottles.clear();
       for (const entry of tasks.all()) {
         entry.guardThrottle = 1;
       }
@@ -94,7 +101,7 @@
       .map((entry) => ({
         taskId: entry.taskId,
         kind: entry.kind,
-        processorMillicores: (entry.measured ?? entry.declared).processorMillicores,
+        effect: this.effectOf(entry),
         throttle: entry.guardThrottle,
         lossCost: lossCostOf(this.runtime, entry),
         checkpointable: isCheckpointable(this.runtime, entry),
@@ -102,6 +109,36 @@
       }));
   }
 
+  /** A restrained kind starts restrained; called for every task before it starts. */
+  firstThrottleOf(kind: KindName): number {
+    return this.state.kindThrottles.get(kind) ?? 1;
+  }
+
+  /** The measured use is without throttles, while the slowdown was caused with them. */
+  private learnInterference({ tasks }: WorkerUsage): void {
+    const throttled = tasks.map((one) => {
+      const throttle = this.runtime.tasks.get(one.taskId)?.throttle ?? 1;
+      const processorMillicores = one.used.processorMillicores * throttle;
+      return { ...one, used: { ...one.used, processorMillicores } };
+    });
+    recordVmUsage(this.interference, this.runtime.context.room.capacity, throttled);
+  }
+
+  /** The slowdown that the task adds to the services on this VM, by what was learnt of its kind. */
+  private effectOf(entry: TaskEntry): number {
+    const { context } = this.runtime;
+    const { processorMillicores } = entry.measured ?? entry.declared;
+    const share = processorMillicores / Math.max(1, context.room.capacity.processorMillicores);
+    if (!context.settings.policy.interference) {
+      return share;
+    }
+    const batch = [{ kind: entry.kind, share }];
+    const effects = context.instances
+      .all()
+      .map(({ service }) => predictSlowdown(this.interference, service, batch, 1) - 1);
+    return Math.max(0, ...effects);
+  }
+
   private isStoreAvailable(): boolean {
     const { context, checkpointFailedAt } = this.runtime;
     return context.clock.now() - checkpointFailedAt >= STORE_DOWN_MS;
--- a/packages/agent/src/guards/index.ts
+++ b/packages/agent/src/guards/index.ts
@@ -16,6 +16,7 @@
   const shell = new GuardShell(runtime);
   const drain = new VmDrain(runtime);
   runtime.usageListeners.push((usage) => shell.onUsage(usage));
+  runtime.firstThrottleOf = (kind) => shell.firstThrottleOf(kind);
   return {
     rpcHandlers: {
       [RpcMethod.AgentDrain]: (parameters) => {
--- a/packages/agent/src/tasks/task-runtime.ts
+++ b/packages/agent/src/tasks/task-runtime.ts
@@ -5,7 +5,7 @@
 import type { EstimateTable } from '@figjunction/decisions';
 import type { Instant } from '@figjunction/time';
 import { TaskType } from '@figjunction/types';
-import type { WorkerUsage } from '@figjunction/types';
+import type { KindName, WorkerUsage } from '@figjunction/types';
 import type { AgentContext } from '../agent-context.js';
 import { ReportQueue } from './report-queue.js';
 import { TaskTable } from './task-table.js';
@@ -20,6 +20,8 @@
   /** When the worker last failed to save a checkpoint. */
   checkpointFailedAt: Instant;
   usageListeners: ((usage: WorkerUsage) => void)[];
+  /** The throttle that the guards want for a new task of a kind. */
+  firstThrottleOf: (kind: KindName) => number;
 }
 
 /**
@@ -44,6 +46,7 @@
     draining: false,
     checkpointFailedAt: Number.NEGATIVE_INFINITY,
     usageListeners: [],
+    firstThrottleOf: () => 1,
   };
   runtimes.set(context, runtime);
   return runtime;
--- a/packages/decisions/src/guards/guard-evictions.ts
+++ b/packages/decisions/src/guards/guard-evictions.ts
@@ -2,6 +2,7 @@
  * The upper rungs of the guard ladder: which task leaves the VM, within the ration of the VM and the run.
  */
 import type { RejectedAlternative } from '@figjunction/types';
+import { costOfRelief } from './guard-cost.js';
 import { GuardActionKind } from './guard-types.js';
 import type { GuardAction, GuardCandidate, GuardInput, GuardState } from './guard-types.js';
 
@@ -18,7 +19,8 @@
   }
   const ordered = [...input.candidates].sort(
     (left, right) =>
-      Number(right.checkpointable) - Number(left.checkpointable) || left.lossCost - right.lossCost,
+      Number(right.checkpointable) - Number(left.checkpointable) ||
+      costOfRelief(left) - costOfRelief(right),
   );
   const rejected: RejectedAlternative[] = [];
   for (const task of ordered) {
--- a/packages/decisions/src/guards/guard-ladder.test.ts
+++ b/packages/decisions/src/guards/guard-ladder.test.ts
@@ -6,7 +6,7 @@
 import { beforeEach, describe, it } from 'node:test';
 import fc from 'fast-check';
 import type { GuardSettings } from '@figjunction/types';
-import { decideGuards, noteGuardEffect } from './guard-ladder.js';
+import { GUARD_THROTTLE_FLOOR, decideGuards, noteGuardEffect } from './guard-ladder.js';
 import { GuardActionKind, createGuardState } from './guard-types.js';
 import type { GuardCandidate, GuardInput, GuardState } from './guard-types.js';
 
@@ -25,7 +25,7 @@
   return {
     taskId,
     kind: 'reprint',
-    processorMillicores: 4_000,
+    effect: 4_000,
     throttle: 1,
     lossCost: 1,
     checkpointable: true,
@@ -45,7 +45,7 @@
   };
 }
 
-const AT_FLOOR = { throttle: 0.2 };
+const AT_FLOOR = { throttle: GUARD_THROTTLE_FLOOR };
 
 describe('guard ladder', () => {
   let state: GuardState;
@@ -93,6 +93,30 @@
     );
   });
 
+  it('restrains the task that slows services most before one that merely costs less', () => {
+    const quiet = candidate('quiet', { kind: 'calm', effect: 100, lossCost: 1 });
+    const noisy = candidate('noisy', { kind: 'render', effect: 4_000, lossCost: 2 });
+    const { actions } = decideGuards(createGuardState(), {
+      ...measured(1, 1.35),
+      settings: { ...SETTINGS, measurementsToAct: 1 },
+      candidates: [quiet, noisy],
+    });
+    assert.deepEqual(
+      actions.map(({ taskId }) => taskId),
+      ['noisy'],
+    );
+  });
+
+  it('lets new tasks of a restrained kind start throttled until it was calm', () => {
+    const { actions } = actOn({ candidates: [candidate('a', { kind: 'render' })] });
+    assert.equal(state.kindThrottles.get('render'), actions[0]?.throttle);
+    decideGuards(state, measured(2_000, 1, { candidates: [] }));
+    for (const at of [32_001, 62_002, 92_003]) {
+      decideGuards(state, measured(at, 1, { candidates: [] }));
+    }
+    assert.equal(state.kindThrottles.size, 0);
+  });
+
   it('ignores measurements from before its last action took effect', () => {
     const { actions } = actOn({});
     noteGuardEffect(state, actions, 5_000);
--- a/packages/decisions/src/guards/guard-ladder.ts
+++ b/packages/decisions/src/guards/guard-ladder.ts
@@ -12,10 +12,11 @@
   GuardMeasurement,
   GuardState,
 } from './guard-types.js';
+import { costOfRelief } from './guard-cost.js';
 import { chooseEviction } from './guard-evictions.js';
 
-/** A task that is throttled this far gains the services nothing more. */
-export const GUARD_THROTTLE_FLOOR = 0.2;
+/** A task that is throttled this far gains the services nothing more. Moving noisy work costs evictions. */
+export const GUARD_THROTTLE_FLOOR = 0.05;
 
 /** A throttle is never set for a smaller cut than this fraction. */
 const SMALLEST_CUT = 0.05;
@@ -34,7 +35,9 @@
   noteSlowdown(state, input, worst.slowdown);
   if (state.slowMeasurements >= settings.measurementsToAct) {
     state.slowMeasurements = 0;
-    return { ...restrain(state, input, worst.slowdown), worst };
+    const restrained = restrain(state, input, worst.slowdown);
+    noteKindThrottles(state, input, restrained.actions);
+    return { ...restrained, worst };
   }
   return { actions: relaxWhenCalm(state, input), worst, rejected: [] };
 }
@@ -93,38 +96,65 @@
 }
 
 /**
- * The excess slowdown is taken as proportional to the processors that batch work uses; cheapest tasks are
- * cut first until the expected slowdown is below the bound.
+ * The excess slowdown is shared out among the tasks in proportion to their effects; those that cost least
+ * for their effect are cut first until the expected slowdown is below the bound.
  */
 function planThrottleCut(input: GuardInput, slowdown: number): GuardAction[] {
   const { candidates, settings } = input;
   const target = (settings.actAboveSlowdown + settings.relaxBelowSlowdown) / 2;
   const fraction = Math.min(1, Math.max(0, (slowdown - target) / (slowdown - 1)));
-  const used = candidates.reduce((sum, task) => sum + processorsOf(task), 0);
-  let toCut = used * fraction;
+  const effect = candidates.reduce((sum, task) => sum + task.effect * task.throttle, 0);
+  let toCut = effect * fraction;
   const actions: GuardAction[] = [];
   for (const task of cheapestFirst(candidates)) {
-    const possible = Math.max(0, task.throttle - GUARD_THROTTLE_FLOOR) * task.processorMillicores;
+    const possible = Math.max(0, task.throttle - GUARD_THROTTLE_FLOOR) * task.effect;
     const cut = Math.min(possible, toCut);
-    if (cut > 0 && cut >= SMALLEST_CUT * task.processorMillicores) {
+    if (cut > 0 && cut >= SMALLEST_CUT * task.effect) {
       toCut -= cut;
-      const throttle = task.throttle - cut / task.processorMillicores;
+      const throttle = task.throttle - cut / task.effect;
       actions.push({ kind: GuardActionKind.Throttle, taskId: task.taskId, throttle });
     }
   }
   return actions;
 }
 
+/** New tasks of a kind start as its most restrained task goes on. */
+function noteKindThrottles(
+  state: GuardState,
+  { candidates }: GuardInput,
+  actions: readonly GuardAction[],
+): void {
+  const throttles = actions.filter(({ kind }) => kind === GuardActionKind.Throttle);
+  for (const { taskId, throttle } of throttles) {
+    const task = candidates.find((candidate) => candidate.taskId === taskId);
+    if (task !== undefined) {
+      const known = state.kindThrottles.get(task.kind) ?? 1;
+      state.kindThrottles.set(task.kind, Math.min(known, throttle));
+    }
+  }
+}
+
+function relaxKinds(state: GuardState): void {
+  for (const [kind, throttle] of state.kindThrottles) {
+    if (throttle * RELAX_FACTOR >= 1) {
+      state.kindThrottles.delete(kind);
+    } else {
+      state.kindThrottles.set(kind, throttle * RELAX_FACTOR);
+    }
+  }
+}
+
 function relaxWhenCalm(state: GuardState, input: GuardInput): GuardAction[] {
   const { settings, measurement, candidates } = input;
   const throttled = candidates.filter(({ throttle }) => throttle < 1);
   const isCalm =
     state.calmSince !== null && measurement.measuredAt - state.calmSince >= settings.relaxAfterMs;
-  if (!isCalm || throttled.length === 0) {
+  if (!isCalm || throttled.length + state.kindThrottles.size === 0) {
     return [];
   }
   // Each step back needs a calm time of its own.
   state.calmSince = measurement.measuredAt;
+  relaxKinds(state);
   return throttled.map(({ taskId, throttle }) => ({
     kind: GuardActionKind.Relax,
     taskId,
@@ -132,10 +162,6 @@
   }));
 }
 
-export function cheapestFirst(candidates: readonly GuardCandidate[]): GuardCandidate[] {
-  return [...candidates].sort((left, right) => left.lossCost - right.lossCost);
-}
-
-function processorsOf({ processorMillicores, throttle }: GuardCandidate): number {
-  return processorMillicores * throttle;
+function cheapestFirst(candidates: readonly GuardCandidate[]): GuardCandidate[] {
+  return [...candidates].sort((left, right) => costOfRelief(left) - costOfRelief(right));
 }
--- a/packages/decisions/src/guards/guard-types.ts
+++ b/packages/decisions/src/guards/guard-types.ts
@@ -14,8 +14,8 @@
 export interface GuardCandidate {
   taskId: TaskId;
   kind: KindName;
-  /** Use of processors without a throttle. */
-  processorMillicores: number;
+  /** How much it slows services down without a throttle, in any unit; only the proportions count. */
+  effect: number;
   /** The throttle that the guards set, 0 to 1. */
   throttle: number;
   /** Work that is lost when the task leaves now, weighted by its kind. */
@@ -47,6 +47,11 @@
   /** Since when every service is below the bound for relaxing; null when one is not. */
   calmSince: Instant | null;
   evictionTimes: Instant[];
+  /**
+   * The throttle that new tasks of a kind start with, so that each wave of a restrained kind need not be
+   * restrained anew after the lag of the measurements.
+   */
+  kindThrottles: Map<KindName, number>;
 }
 
 export enum GuardActionKind {
@@ -78,5 +83,6 @@
     slowMeasurements: 0,
     calmSince: null,
     evictionTimes: [],
+    kindThrottles: new Map(),
   };
 }
