--- a/packages/entry/src/tasks/order-repair.ts
+++ b/packages/entry/src/tasks/order-repair.ts
@@ -98,7 +98,9 @@
   }
 
   private stop(agent: KnownAgent, { taskId, attempt }: HeldTask, row: TaskRow | undefined): void {
-    this.context.entry.metrics.count('stop_orders_repaired_total');
+    this.context.entry.metrics.count('stop_orders_repaired_total', {
+      row: row?.state ?? 'absent',
+    });
     this.context.orders.stop({
       holder: { agentId: agent.agentId, incarnation: agent.incarnation },
       taskId,
@@ -137,6 +139,10 @@
     // A reservation, or a claim newer than this copy.
     return false;
   }
+  if (row.state === TaskState.Completed && row.attempt === task.attempt) {
+    // The agent keeps a completed task listed until its last measurement has arrived.
+    return false;
+  }
   return (
     task.attempt < row.attempt ||
     row.state !== TaskState.Running ||
--- a/packages/entry/src/tasks/placement-view.ts
+++ b/packages/entry/src/tasks/placement-view.ts
@@ -2,7 +2,14 @@
  * Builds the tables over which placement runs, from rows, heartbeats and reservations in progress.
  */
 import type { OperatorConfiguration } from '@figjunction/config';
-import { PossibleFit, minimumOfResources, possibleFit } from '@figjunction/decisions';
+import {
+  DECLARED_SIZE_ERROR_MAXIMUM,
+  PossibleFit,
+  maximumOfResources,
+  minimumOfResources,
+  possibleFit,
+  scaleResources,
+} from '@figjunction/decisions';
 import type {
   AllowedVmNames,
   PlacementTask,
@@ -10,7 +17,7 @@
   PlacementVm,
 } from '@figjunction/decisions';
 import type { Instant } from '@figjunction/time';
-import { AgentState, PlacementMode, TaskType } from '@figjunction/types';
+import { AgentState, PlacementMode, TaskState, TaskType } from '@figjunction/types';
 import type { KindName, Resources, TaskRow } from '@figjunction/types';
 import type { KnownAgent } from '../agent-directory.js';
 import { scopeOf } from './task-context.js';
@@ -23,6 +30,8 @@
   sizeOf(kind: KindName, declared: Resources): Resources;
   /** Whether enough was measured to trust the size. */
   isKnown(kind: KindName): boolean;
+  /** False when declared sizes are taken as they are. */
+  isLearning(): boolean;
 }
 
 /** The declared size; the configuration in force overrides the row's. */
@@ -67,6 +76,19 @@
   return estimates.isKnown(kind) ? estimate : sizeToReserve(declared, estimate, allowed, vms);
 }
 
+function worstCaseFor(
+  { type, kind }: TaskRow,
+  declared: Resources,
+  size: Resources,
+  estimates: SizeEstimates,
+): Resources {
+  if (type === TaskType.Instance || estimates.isKnown(kind) || !estimates.isLearning()) {
+    return size;
+  }
+  const worst = scaleResources(declared, DECLARED_SIZE_ERROR_MAXIMUM);
+  return maximumOfResources(size, { ...worst, accelerators: declared.accelerators });
+}
+
 export function placementTask(
   configuration: OperatorConfiguration,
   { key, value }: TaskEntry,
@@ -79,6 +101,7 @@
     return null;
   }
   const declared = declaredSizeOf(configuration, value);
+  const size = sizeFor(value, declared, estimates, scope.allowed, vms);
   const urgencyClass = configuration.urgencyClasses.find(({ name }) => name === value.urgency);
   return {
     key,
@@ -86,7 +109,8 @@
     team: value.team,
     kind: value.kind,
     urgencyRank: urgencyClass?.rank ?? Number.MAX_SAFE_INTEGER,
-    size: sizeFor(value, declared, estimates, scope.allowed, vms),
+    size,
+    worstCaseSize: worstCaseFor(value, declared, size, estimates),
     isSizeKnown: estimates.isKnown(value.kind),
     allowed: scope.allowed,
     failedOn: value.failedOn,
@@ -102,7 +126,8 @@
 ): PlacementTeam[] {
   const reserved = new Map<string, { tasks: number; millicores: number }>();
   for (const { key, team, size } of context.reservations.all()) {
-    if (context.store.rows.get(key)?.value.holder === null) {
+    const isPending = context.store.rows.get(key)?.value.state === TaskState.Pending;
+    if (isPending && context.store.isBusy(key)) {
       const sum = reserved.get(team) ?? { tasks: 0, millicores: 0 };
       reserved.set(team, {
         tasks: sum.tasks + 1,
@@ -189,7 +214,10 @@
     kindOf.set(value.taskId, value.kind);
   }
   for (const { key, kind } of context.reservations.ofAgent(agent.agentId)) {
-    kindOf.set(key.slice(key.lastIndexOf('/') + 1), kind);
+    // Once the claim is settled, the row alone tells whether the task is on the VM.
+    if (context.store.isBusy(key)) {
+      kindOf.set(key.slice(key.lastIndexOf('/') + 1), kind);
+    }
   }
   const counts = new Map<KindName, number>();
   for (const kind of kindOf.values()) {
