Throttle the tasks of a kind alike

Cause: the guard gave the whole cut to single tasks, which then stood at 5 % for as long as others filled the VM: the slowdown stayed between the two bounds, so nothing relaxed. Explanations of vm-3 in a trial show runs of the calm kind at 5 % beside new ones at 100 %. Ruled out: the overload control (sizes were known), quarantine and quotas. Change: kinds are cut from the cheapest on, all tasks of a kind by the same fraction.

--- a/packages/decisions/src/guards/guard-ladder.ts
+++ b/packages/decisions/src/guards/guard-ladder.ts
@@ -96,8 +96,9 @@
 }
 
 /**
- * The excess slowdown is shared out among the tasks in proportion to their effects; those that cost least
- * for their effect are cut first until the expected slowdown is below the bound.
+ * The excess slowdown is shared out among the tasks in proportion to their effects. Kinds that cost least
+ * for their effect are cut first until the expected slowdown is below the bound. All tasks of a kind are
+ * cut alike: when single tasks bear the whole cut, they stand still for as long as others fill the VM.
  */
 function planThrottleCut(input: GuardInput, slowdown: number): GuardAction[] {
   const { candidates, settings } = input;
@@ -106,18 +107,32 @@
   const effect = candidates.reduce((sum, task) => sum + task.effect * task.throttle, 0);
   let toCut = effect * fraction;
   const actions: GuardAction[] = [];
-  for (const task of cheapestFirst(candidates)) {
-    const possible = Math.max(0, task.throttle - GUARD_THROTTLE_FLOOR) * task.effect;
+  for (const tasks of kindsCheapestFirst(candidates)) {
+    const possible = tasks.reduce((sum, task) => sum + possibleCut(task), 0);
+    const total = tasks.reduce((sum, task) => sum + task.effect, 0);
     const cut = Math.min(possible, toCut);
-    if (cut > 0 && cut >= SMALLEST_CUT * task.effect) {
+    if (cut > 0 && cut >= SMALLEST_CUT * total) {
       toCut -= cut;
-      const throttle = task.throttle - cut / task.effect;
-      actions.push({ kind: GuardActionKind.Throttle, taskId: task.taskId, throttle });
+      actions.push(...cutAlike(tasks, cut / possible));
     }
   }
   return actions;
 }
 
+function possibleCut({ throttle, effect }: GuardCandidate): number {
+  return Math.max(0, throttle - GUARD_THROTTLE_FLOOR) * effect;
+}
+
+function cutAlike(tasks: readonly GuardCandidate[], fraction: number): GuardAction[] {
+  return tasks
+    .filter((task) => possibleCut(task) > 0)
+    .map(({ taskId, throttle }) => ({
+      kind: GuardActionKind.Throttle,
+      taskId,
+      throttle: throttle - fraction * (throttle - GUARD_THROTTLE_FLOOR),
+    }));
+}
+
 /** New tasks of a kind start as its most restrained task goes on. */
 function noteKindThrottles(
   state: GuardState,
@@ -162,6 +177,12 @@
   }));
 }
 
-function cheapestFirst(candidates: readonly GuardCandidate[]): GuardCandidate[] {
-  return [...candidates].sort((left, right) => costOfRelief(left) - costOfRelief(right));
+/** Tasks by kind; the kind whose cheapest task costs least comes first. */
+function kindsCheapestFirst(candidates: readonly GuardCandidate[]): GuardCandidate[][] {
+  const sorted = [...candidates].sort((left, right) => costOfRelief(left) - costOfRelief(right));
+  const kinds = new Map<string, GuardCandidate[]>();
+  for (const task of sorted) {
+    kinds.set(task.kind, [...(kinds.get(task.kind) ?? []), task]);
+  }
+  return [...kinds.values()];
 }
