Measure what an entry pays for each agent it hears

Cause: the fleets of the slopes scenario are too small to show the cost of heartbeats at an entry. Ruled out: more real agents, of which the machine holds too few. Change: the scenario heartbeat-slopes sends heartbeats of the target's size to one real entry.

--- a/packages/bench/src/measure/scenarios/index.ts
+++ b/packages/bench/src/measure/scenarios/index.ts
@@ -5,6 +5,7 @@
 import { batchFlood } from './batch-flood.js';
 import { cancelWave } from './cancel-wave.js';
 import { failingWorker } from './failing-worker.js';
+import { heartbeatSlopes } from './heartbeat-slopes.js';
 import { impossibleJobs } from './impossible-jobs.js';
 import { noisyWaves } from './noisy-waves.js';
 import { regionCut } from './region-cut.js';
@@ -30,4 +31,5 @@
   tableOutage,
   startRate,
   slopes,
+  heartbeatSlopes,
 ];
