Share one frame between the entry and the agent daemon

Cause: both daemons joined modules into a server and a loop and stopped them with their own copy of the same code, and had two module types of one shape. Ruled out: one stop order for both; an agent has to answer questions about attempts until its modules have stopped, an entry must turn callers away. Change: package runtime with DaemonModule and startDaemon; the agent's status paths become a module of their own.

--- a/packages/agent/src/attempts/index.ts
+++ b/packages/agent/src/attempts/index.ts
@@ -5,9 +5,9 @@
 import { sleep } from '@figjunction/time';
 import { AGENT_ID_HEADER, AgentState, OutcomeCode, RpcMethod } from '@figjunction/types';
 import type { AttemptResult } from '@figjunction/types';
+import type { DaemonModule } from '@figjunction/runtime';
 import type { AgentContext } from '../agent-context.js';
 import { AgentError } from '../agent-error.js';
-import type { AgentModule } from '../agent-module.js';
 import { AttemptService } from './attempt-service.js';
 import type { CallHeaders } from './attempt-service.js';
 import { notRun } from './target-call.js';
@@ -23,7 +23,7 @@
  */
 const LEAVING_LINGER_MS = 1_500;
 
-export function createAttemptModule(context: AgentContext): AgentModule {
+export function createAttemptModule(context: AgentContext): DaemonModule {
   const service = new AttemptService(context);
   const watches = new WatchService(context, service.slots);
   return {
--- a/packages/agent/src/guards/index.ts
+++ b/packages/agent/src/guards/index.ts
@@ -2,8 +2,8 @@
  * Protects the services of this VM from batch work that slows them, and drains the VM.
  */
 import { RpcMethod } from '@figjunction/types';
+import type { DaemonModule } from '@figjunction/runtime';
 import type { AgentContext } from '../agent-context.js';
-import type { AgentModule } from '../agent-module.js';
 import { taskRuntimeOf } from '../tasks/task-runtime.js';
 import { GuardShell } from './guard-shell.js';
 import { VmDrain } from './vm-drain.js';
@@ -11,7 +11,7 @@
 const DRAIN_INTERVAL_MS = 100;
 const RELEASE_INTERVAL_MS = 1_000;
 
-export function createGuardModule(context: AgentContext): AgentModule {
+export function createGuardModule(context: AgentContext): DaemonModule {
   const runtime = taskRuntimeOf(context);
   const shell = new GuardShell(runtime);
   const drain = new VmDrain(runtime);
--- a/packages/agent/src/heartbeat/index.ts
+++ b/packages/agent/src/heartbeat/index.ts
@@ -5,8 +5,8 @@
 import { sleep } from '@figjunction/time';
 import type { Instant } from '@figjunction/time';
 import { AgentState } from '@figjunction/types';
+import type { DaemonModule } from '@figjunction/runtime';
 import type { AgentContext } from '../agent-context.js';
-import type { AgentModule } from '../agent-module.js';
 import { Announcer } from './announcer.js';
 import { EntryFinder } from './entry-finder.js';
 import { SliceFetcher } from './slice-fetcher.js';
@@ -24,7 +24,7 @@
 
 const WAITING_FOR_ENTRY = 'entry';
 
-export function createHeartbeatModule(context: AgentContext): AgentModule {
+export function createHeartbeatModule(context: AgentContext): DaemonModule {
   const finder = new EntryFinder(context);
   const announcer = new Announcer(context, finder, new SliceFetcher(context));
   let nextHeartbeat: Instant = Number.NEGATIVE_INFINITY;
--- /dev/null
+++ b/packages/agent/src/status-module.ts
@@ -0,0 +1,34 @@
+/**
+ * What an agent tells of itself: metrics, health and its latest decisions.
+ */
+import { sendJson } from '@figjunction/http';
+import type { DaemonModule } from '@figjunction/runtime';
+import { RpcMethod } from '@figjunction/types';
+import type { AgentContext } from './agent-context.js';
+
+export function createStatusModule(context: AgentContext): DaemonModule {
+  return {
+    rpcHandlers: {
+      [RpcMethod.ExplainGet]: ({ subject, subjectId }) => ({
+        records: context.decisions.find(subject, subjectId),
+      }),
+    },
+    routes: [
+      {
+        method: 'GET',
+        pattern: /^\/metrics$/u,
+        async handle({ response }): Promise<void> {
+          response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' });
+          response.end(await context.metrics.render());
+        },
+      },
+      {
+        method: 'GET',
+        pattern: /^\/healthz$/u,
+        async handle({ response }): Promise<void> {
+          sendJson(response, 200, { state: context.state, waitingFor: [...context.waitingFor] });
+        },
+      },
+    ],
+  };
+}
--- a/packages/agent/src/tasks/agent-rig.test.ts
+++ b/packages/agent/src/tasks/agent-rig.test.ts
@@ -18,10 +18,10 @@
 import type { ExecutionRecord, WorkerFaults } from '@figjunction/test-support';
 import { LeaseState, RpcMethod, TaskState, TaskType, leaseKey } from '@figjunction/types';
 import type { LeaseRow, Resources, RpcMethods, TaskRow } from '@figjunction/types';
+import type { RunningDaemon } from '@figjunction/runtime';
 import { createAgentContext } from '../agent-context.js';
 import type { AgentContext } from '../agent-context.js';
 import { startAgent } from '../agent-daemon.js';
-import type { RunningAgent } from '../agent-daemon.js';
 import { EntryStandIn, LOCATION, ONE_CORE, keyOf } from './entry-stand-in.test.js';
 import { LocalWorker } from './local-worker.test.js';
 
@@ -65,7 +65,7 @@
 
   context!: AgentContext;
 
-  private agent!: RunningAgent;
+  private agent!: RunningDaemon;
 
   static async create(options: RigOptions = {}): Promise<AgentRig> {
     const platform = new FakePlatform();
--- a/packages/agent/src/tasks/index.ts
+++ b/packages/agent/src/tasks/index.ts
@@ -4,8 +4,8 @@
 import { toError } from '@figjunction/errors';
 import { sleep } from '@figjunction/time';
 import { AgentState, RpcMethod, TaskType } from '@figjunction/types';
+import type { DaemonModule } from '@figjunction/runtime';
 import type { AgentContext } from '../agent-context.js';
-import type { AgentModule } from '../agent-module.js';
 import { dropExpiredReservations, reserveTasks } from './admission.js';
 import { LeaseKeeper } from './lease-keeper.js';
 import { OverloadControl } from './overload-control.js';
@@ -35,7 +35,7 @@
 
 const WAITING_FOR_WORKER = 'worker';
 
-export function createTaskModule(context: AgentContext): AgentModule {
+export function createTaskModule(context: AgentContext): DaemonModule {
   const runtime = taskRuntimeOf(context);
   const usage = new UsagePoller(runtime);
   const overload = new OverloadControl(runtime);
--- a/packages/entry/src/membership/index.ts
+++ b/packages/entry/src/membership/index.ts
@@ -11,9 +11,9 @@
 } from '@figjunction/types';
 import { SingleFlight } from '@figjunction/time';
 import type { TickSystem } from '@figjunction/time';
+import type { DaemonModule } from '@figjunction/runtime';
 import { AGENT_SILENT_MS } from '../agent-directory.js';
 import type { EntryContext } from '../entry-context.js';
-import type { EntryModule } from '../entry-module.js';
 import { ConfigurationFollower } from './configuration-follower.js';
 import { EntryList } from './entry-list.js';
 
@@ -24,7 +24,7 @@
 const DIGEST_TIMEOUT_MS = 800;
 const WITHDRAW_TIMEOUT_MS = 1_000;
 
-export function createMembershipModule(context: EntryContext): EntryModule {
+export function createMembershipModule(context: EntryContext): DaemonModule {
   const follower = new ConfigurationFollower(context);
   const entryList = new EntryList(context);
   return {
--- a/packages/entry/src/operators/index.ts
+++ b/packages/entry/src/operators/index.ts
@@ -3,8 +3,8 @@
  */
 import { HttpClient } from '@figjunction/http';
 import { RpcMethod } from '@figjunction/types';
+import type { DaemonModule } from '@figjunction/runtime';
 import type { EntryContext } from '../entry-context.js';
-import type { EntryModule } from '../entry-module.js';
 import { AbsenceLog } from './absence-log.js';
 import { createConfigurationRoutes } from './configuration-routes.js';
 import { createDrainRoutes } from './drain.js';
@@ -15,7 +15,7 @@
 
 const ABSENCE_INTERVAL_MS = 1_000;
 
-export function createOperatorModule(context: EntryContext): EntryModule {
+export function createOperatorModule(context: EntryContext): DaemonModule {
   const http = new HttpClient();
   const absences = new AbsenceLog(context);
   let stopping = false;
--- a/packages/entry/src/requests/index.ts
+++ b/packages/entry/src/requests/index.ts
@@ -1,8 +1,8 @@
 /**
  * Interactive requests and standing watches: routing, admission and attempts.
  */
+import type { DaemonModule } from '@figjunction/runtime';
 import type { EntryContext } from '../entry-context.js';
-import type { EntryModule } from '../entry-module.js';
 import { createRequestRoute } from './request-route.js';
 import { RequestService } from './request-service.js';
 import { Watches } from './watch-route.js';
@@ -10,7 +10,7 @@
 const EJECTION_INTERVAL_MS = 250;
 const CLAIM_INTERVAL_MS = 100;
 
-export function createRequestModule(context: EntryContext): EntryModule {
+export function createRequestModule(context: EntryContext): DaemonModule {
   const service = new RequestService(context);
   const watches = new Watches(context, service.runner);
   return {
--- a/packages/entry/src/tasks/task-module.ts
+++ b/packages/entry/src/tasks/task-module.ts
@@ -7,8 +7,8 @@
 import { sleep } from '@figjunction/time';
 import type { Instant, TickSystem } from '@figjunction/time';
 import { RpcMethod } from '@figjunction/types';
+import type { DaemonModule } from '@figjunction/runtime';
 import type { EntryContext } from '../entry-context.js';
-import type { EntryModule } from '../entry-module.js';
 import { AgentOrders } from './agent-orders.js';
 import { HoldSystem } from './hold-system.js';
 import { InstanceReconciler } from './instance-reconciler.js';
@@ -43,7 +43,7 @@
 /** The module and the tables behind it. */
 export interface TaskParts {
   context: TaskContext;
-  module: EntryModule;
+  module: DaemonModule;
 }
 
 export function createTaskParts(entry: EntryContext): TaskParts {
@@ -79,7 +79,7 @@
     isStopping: false,
   };
   const allWriters = [...Object.values(writers), leaseWriter];
-  const module: EntryModule = {
+  const module: DaemonModule = {
     routes: createJobRoutes(context),
     rpcHandlers: createHandlers(context),
     systems: [
