--- a/packages/runtime/src/start-daemon.ts
+++ b/packages/runtime/src/start-daemon.ts
@@ -96,7 +96,9 @@
   const { logger, rpc, settings } = context;
   logger.info('stopping');
   const stopped = parts.answersWhileStopping ? stopThenClose(parts) : closeAndStop(parts);
-  await Promise.race([stopped, sleep(settings.stopTimeoutMs)]);
+  const wait = new AbortController();
+  await Promise.race([stopped, sleep(settings.stopTimeoutMs, wait.signal)]);
+  wait.abort();
   await loop.stop();
   server.closeNow();
   rpc.close();
