--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -1,6 +1,7 @@
 /**
  * Enums, identifiers, table rows and message shapes shared by all packages.
  */
+export * from './agent-slice.js';
 export * from './decision-record.js';
 export * from './enums.js';
 export * from './headers.js';
--- a/packages/types/src/messages.ts
+++ b/packages/types/src/messages.ts
@@ -10,6 +10,7 @@
   TaskReportKind,
   TaskType,
 } from './enums.js';
+import type { AgentSlice } from './agent-slice.js';
 import type { DecisionRecord } from './decision-record.js';
 import type {
   AgentId,
@@ -117,50 +118,6 @@
   slice: boolean;
 }
 
-/** The part of the configuration that an agent needs. */
-export interface AgentSlice {
-  revision: ConfigurationRevision;
-  services: AgentServiceSlice[];
-  kinds: AgentKindSlice[];
-  classes: AgentClassSlice[];
-  guards: GuardSettings;
-}
-
-export interface AgentServiceSlice {
-  service: ServiceName;
-  slotsPerInstance: number;
-  connectionsPerInstance: number;
-  timeoutMs: number;
-}
-
-export interface AgentKindSlice {
-  kind: KindName;
-  urgency: UrgencyClassName;
-  declaredSize: Resources;
-  /** Cost of losing one second of this kind's work, relative to other kinds. */
-  lossWeight: number;
-  checkpointable: boolean;
-}
-
-export interface AgentClassSlice {
-  urgency: UrgencyClassName;
-  /** 0 is the most urgent. */
-  rank: number;
-  /** Guaranteed fraction of slots, 0 to 1. */
-  guaranteedShare: number;
-}
-
-export interface GuardSettings {
-  enabled: boolean;
-  actAboveSlowdown: number;
-  relaxBelowSlowdown: number;
-  measurementsToAct: number;
-  relaxAfterMs: number;
-  evictionsPerVmInterval: number;
-  evictionIntervalMs: number;
-  evictionsPerRun: number;
-}
-
 export interface ConfigurationGetResult {
   revision: ConfigurationRevision;
   bodyHash: string;
