Remember refusals that follow a pause of the agent

Cause: after a pause an agent refused every attempt as "not run" without recording it. A second copy of the message that arrived when the window of 300 ms was over started the request, which the entry had meanwhile run elsewhere. Ruled out by reading: tombstones, refusals for slots and drains, and stored results; all of these were recorded. Change: the check moved into AttemptService.run, behind the look-up of known attempts, and its refusal is recorded.

--- a/packages/agent/src/attempts/attempt-service.ts
+++ b/packages/agent/src/attempts/attempt-service.ts
@@ -54,6 +54,7 @@
 
   async run(parameters: AttemptRunParameters, headers: CallHeaders): Promise<AttemptResult> {
     this.noteIncarnation();
+    const isResuming = this.context.pauses.isResuming();
     const { attempt, incarnation } = parameters;
     const known = this.attempts.answerOf(attempt);
     if (known !== null) {
@@ -69,6 +70,12 @@
       this.countRefusal(OutcomeCode.AttemptExpired);
       return EXPIRED;
     }
+    if (isResuming) {
+      // Recorded like every refusal that its sender takes for a proof: a second copy of the message may
+      // arrive when the pause is over.
+      const message = 'the agent has just resumed from a pause';
+      return this.refuse(parameters, headers, OutcomeCode.AttemptExpired, message);
+    }
     return this.admit(parameters, headers);
   }
 
--- a/packages/agent/src/attempts/index.ts
+++ b/packages/agent/src/attempts/index.ts
@@ -58,14 +58,11 @@
   };
 }
 
-/** Why the call is not looked at: it was meant for another agent, or its sender gave up long ago. */
+/** Why the call is not looked at: it was meant for another agent. */
 function refusalOf(context: AgentContext, headers: CallHeaders): AttemptResult | null {
-  if (!isMeant(context, headers)) {
-    return notRun(OutcomeCode.WrongIncarnation, 'the address belongs to another agent');
-  }
-  return context.pauses.isResuming()
-    ? notRun(OutcomeCode.AttemptExpired, 'the agent has just resumed from a pause')
-    : null;
+  return isMeant(context, headers)
+    ? null
+    : notRun(OutcomeCode.WrongIncarnation, 'the address belongs to another agent');
 }
 
 async function drain(
