Keep every instance in reach of proof 7 and age latencies

A trace of a failing run showed the cut-off VM serving and ready at both other entries, while an instance in each of their own data centres took all their requests: nearest first, as designed. Ruled out: that the VM was dropped by the other entries (their status listed it), ejected, or fenced (no lease was lost in the record). Change: entries and agents of the proof stand in one data centre, so all three entries choose among all instances, and the check that another entry goes on sending waits for the first such request. The check on the cut-off entry now covers that whole time. While reading: the latency remembered for an instance never aged, so an instance that was slow once lost every choice between two idle ones and was never measured again. It now halves every 2 s without an answer. The effect of the ageing on latency was not measured.

--- a/packages/bench/src/proofs/leaving-targets.ts
+++ b/packages/bench/src/proofs/leaving-targets.ts
@@ -5,7 +5,7 @@
 import assert from 'node:assert/strict';
 import { writeFileSync } from 'node:fs';
 import path from 'node:path';
-import { ExecutionEvent, agentIdOf, waitUntil } from '@figjunction/test-support';
+import { DEFAULT_LOCATIONS, ExecutionEvent, agentIdOf, waitUntil } from '@figjunction/test-support';
 import type { Cluster, ExecutionRecord } from '@figjunction/test-support';
 import { SystemClock, sleep } from '@figjunction/time';
 import type { Instant } from '@figjunction/time';
@@ -34,13 +34,25 @@
 
 const CUT_ENTRY = 0;
 
+/**
+ * All in one data centre: entries prefer the nearest instances, so with several data centres the place of
+ * the instances would decide whether an entry sends anything to the VM that is cut off.
+ */
+const ONE_DATA_CENTRE = DEFAULT_LOCATIONS.slice(0, 1);
+const SENT_TIMEOUT_MS = 20_000;
+
 export const leavingTargetsProof: Proof = {
   number: 7,
   property: 'a target that leaves receives no new work after a few seconds',
   run: () =>
     withProofCluster(
       {
-        cluster: { entries: ENTRIES, agents: AGENTS },
+        cluster: {
+          entries: ENTRIES,
+          agents: AGENTS,
+          entryLocations: ONE_DATA_CENTRE,
+          agentLocations: ONE_DATA_CENTRE,
+        },
         workload: { instances: AGENTS, teams: [TEAM] },
       },
       proveLeaving,
@@ -106,13 +118,27 @@
   cut();
   await sleep(BOUND_MS);
   await assertDropped(cluster, CUT_ENTRY, agentId);
-  await sleep(OBSERVED_MS);
+  const observeUntil = clock.now() + OBSERVED_MS;
+  await waitUntil(async () => (await entriesThatSent(cluster, feed, agentId, cutAt)).size > 0, {
+    timeoutMs: SENT_TIMEOUT_MS,
+    what: 'an entry that reaches the agent sends it a request',
+  });
+  await sleep(Math.max(0, observeUntil - clock.now()));
+  const senders = await entriesThatSent(cluster, feed, agentId, cutAt);
+  assert.ok(!senders.has(CUT_ENTRY), 'the entry that is cut off sent a request');
+}
+
+/** Entries whose requests began on the VM after the bound that follows the cut. */
+async function entriesThatSent(
+  cluster: Cluster,
+  feed: RequestFeed,
+  agentId: string,
+  cutAt: Instant,
+): Promise<Set<number | undefined>> {
   const begun = (await startsOn(cluster, agentId, cutAt + BOUND_MS)).filter(
     ({ event }) => event === ExecutionEvent.RequestBegin,
   );
-  const entriesOf = begun.map(({ requestKey = '' }) => feed.sent.get(requestKey)?.entryIndex);
-  assert.ok(!entriesOf.includes(CUT_ENTRY), 'the entry that is cut off sent a request');
-  assert.ok(entriesOf.length > 0, 'the entries that reach the agent sent nothing either');
+  return new Set(begun.map(({ requestKey = '' }) => feed.sent.get(requestKey)?.entryIndex));
 }
 
 /** From the bound on, nothing begins on the VM, and callers do not notice that it is gone. */
--- a/packages/entry/src/requests/instance-stats.ts
+++ b/packages/entry/src/requests/instance-stats.ts
@@ -17,6 +17,12 @@
 /** Weight of the newest latency in the moving average of an instance. */
 const LATENCY_GAIN = 0.2;
 
+/**
+ * A remembered latency halves in this time without an answer. Without it, an instance that was slow once
+ * is never the better of two choices while others are idle, so it is never measured again.
+ */
+const LATENCY_HALF_LIFE_MS = 2_000;
+
 /** An agent's word on its slots is old after this long: requests are shorter than a heartbeat interval. */
 const REPORT_FRESH_MS = 100;
 
@@ -35,6 +41,7 @@
   service: ServiceName;
   outstanding: number;
   latencyMs: number | null;
+  answeredAt: Instant;
   reportedSlotsUsed: number;
   reportedAt: Instant;
 }
@@ -78,6 +85,7 @@
         service,
         outstanding: 0,
         latencyMs: null,
+        answeredAt: Number.NEGATIVE_INFINITY,
         reportedSlotsUsed: 0,
         reportedAt: Number.NEGATIVE_INFINITY,
       };
@@ -101,6 +109,14 @@
     return isFresh ? Math.max(row.outstanding, row.reportedSlotsUsed) : row.outstanding;
   }
 
+  /** Recent latency, which counts for less the older it is; null before the first answer. */
+  recentLatencyMs({ latencyMs, answeredAt }: InstanceStats): number | null {
+    if (latencyMs === null) {
+      return null;
+    }
+    return latencyMs * 0.5 ** ((this.clock.now() - answeredAt) / LATENCY_HALF_LIFE_MS);
+  }
+
   recordEnd(row: InstanceStats, end: RequestEnd & { slotsUsed?: number }, latencyMs: number): void {
     const now = this.clock.now();
     if (end.slotsUsed !== undefined) {
@@ -110,6 +126,7 @@
     if (end.outcome === RequestOutcome.Completed) {
       const average = row.latencyMs ?? latencyMs;
       row.latencyMs = average + LATENCY_GAIN * (latencyMs - average);
+      row.answeredAt = now;
       this.service(row.service).record(latencyMs);
     }
     if (saysSomethingOfTheInstance(end)) {
--- a/packages/entry/src/requests/target-selector.ts
+++ b/packages/entry/src/requests/target-selector.ts
@@ -116,7 +116,7 @@
       location: agent.location,
       slots: instance.slots,
       outstanding: this.stats.load(row),
-      latencyMs: row.latencyMs,
+      latencyMs: this.stats.recentLatencyMs(row),
       weight: weightOf(row.health, this.context.clock.now()),
     };
   }
