Bound restrained kinds on a VM and relax guards by prediction

Tasks throttled to 5 % stay twenty times longer, each wave admitted as many again beside them, and the VM was slow although every task was at the floor, so the guard evicted. Throttles came back only after 30 s below 1.1, which never happened between waves, so kinds that were harmless stayed throttled with the noisy one. Ruled out: evictions by the overload control (none in the record). Change: a restrained kind is bounded to the tasks that ran when it was throttled. Guards relax after 10 s below 1.25, the kind that costs services least first, at most doubling a throttle and only as far as the expected slowdown stays at 1.2; a full step doubles the bound. Tail and throughput are to be measured on an idle machine.

--- a/packages/agent/src/guards/guard-shell.ts
+++ b/packages/agent/src/guards/guard-shell.ts
@@ -15,6 +15,7 @@
   GuardCandidate,
   GuardDecision,
   GuardMeasurement,
+  KindRestraint,
 } from '@figjunction/decisions';
 import type { Instant } from '@figjunction/time';
 import { DecisionKind, TaskType } from '@figjunction/types';
@@ -70,7 +71,7 @@
     const guards = context.configuration.current()?.guards;
     const isEnabled = context.settings.policy.guards && (guards?.enabled ?? true);
     if (!isEnabled) {
-      this.state.kindThrottles.clear();
+      this.state.kindRestraints.clear();
       for (const entry of tasks.all()) {
         entry.guardThrottle = 1;
       }
@@ -109,9 +110,9 @@
       }));
   }
 
-  /** A restrained kind starts restrained; called for every task before it starts. */
-  firstThrottleOf(kind: KindName): number {
-    return this.state.kindThrottles.get(kind) ?? 1;
+  /** What holds for further tasks of a kind; null when it is not restrained. */
+  restraintOf(kind: KindName): KindRestraint | null {
+    return this.state.kindRestraints.get(kind) ?? null;
   }
 
   /** The measured use is without throttles, while the slowdown was caused with them. */
--- a/packages/agent/src/guards/index.ts
+++ b/packages/agent/src/guards/index.ts
@@ -16,7 +16,7 @@
   const shell = new GuardShell(runtime);
   const drain = new VmDrain(runtime);
   runtime.usageListeners.push((usage) => shell.onUsage(usage));
-  runtime.firstThrottleOf = (kind) => shell.firstThrottleOf(kind);
+  runtime.restraintOf = (kind) => shell.restraintOf(kind);
   return {
     rpcHandlers: {
       [RpcMethod.AgentDrain]: (parameters) => {
--- a/packages/agent/src/tasks/admission.ts
+++ b/packages/agent/src/tasks/admission.ts
@@ -2,7 +2,7 @@
  * Admits or refuses reservations. This runs to the end without waiting for anything, so that entries
  * with stale views that place at once are answered one after the other.
  */
-import { AgentState } from '@figjunction/types';
+import { AgentState, TaskType } from '@figjunction/types';
 import type { TaskReservation, TaskReserveParameters, TaskReserveResult } from '@figjunction/types';
 import { TaskPhase } from './task-table.js';
 import type { NewTaskEntry, TaskEntry } from './task-table.js';
@@ -71,6 +71,10 @@
   if (present !== undefined && !mayReplace(present, reservation)) {
     return `attempt ${present.attempt} of the task is ${present.phase} here`;
   }
+  const restrained = restraintRefusal(runtime, reservation);
+  if (restrained !== null) {
+    return restrained;
+  }
   const candidate = describeReservation(runtime, reservation, remainingMs);
   const refusal = refusalFor(
     runtime,
@@ -83,6 +87,23 @@
   return refusal;
 }
 
+/** The guards bound how many tasks of a restrained kind run here; later ones wait or go elsewhere. */
+function restraintRefusal(
+  runtime: TaskRuntime,
+  { taskId, kind, type }: TaskReservation,
+): string | null {
+  const restraint = type === TaskType.Batch ? runtime.restraintOf(kind) : null;
+  if (restraint === null) {
+    return null;
+  }
+  const present = runtime.tasks
+    .inPhase(TaskPhase.Reserved, TaskPhase.Starting, TaskPhase.Running)
+    .filter((entry) => entry.kind === kind && entry.taskId !== taskId).length;
+  return present < restraint.tasksMaximum
+    ? null
+    : `no more than ${restraint.tasksMaximum} tasks of kind ${kind} while the guards throttle it here`;
+}
+
 /** A repeated reservation, or one for a later attempt, replaces one that was never started. */
 function mayReplace(present: TaskEntry, reservation: TaskReservation): boolean {
   return present.phase === TaskPhase.Reserved && present.attempt <= reservation.attempt;
--- a/packages/agent/src/tasks/task-lifecycle.test.ts
+++ b/packages/agent/src/tasks/task-lifecycle.test.ts
@@ -10,6 +10,7 @@
 import type { TaskRow } from '@figjunction/types';
 import { AGENT_ID, AgentRig, CAPACITY } from './agent-rig.test.js';
 import { ONE_CORE } from './entry-stand-in.test.js';
+import { taskRuntimeOf } from './task-runtime.js';
 
 /** Long enough for several runs of every system of the loop. */
 const SETTLE_MS = 700;
@@ -45,6 +46,21 @@
     assert.match(report.reason ?? '', /error/u);
   });
 
+  it('refuses more tasks of a kind than the guards allow', async () => {
+    const runtime = taskRuntimeOf(rig.context);
+    const free = runtime.restraintOf;
+    runtime.restraintOf = (kind) =>
+      kind === 'render' ? { throttle: 0.05, tasksMaximum: 1 } : null;
+    const plans = ['hotels.g.1', 'hotels.g.2'].map((taskId) => ({ taskId, kind: 'render' }));
+    const [first, second] = await rig.reserve(plans, 500);
+    const [other] = await rig.reserve([{ taskId: 'hotels.g.3', kind: 'reprint' }], 500);
+    runtime.restraintOf = free;
+    assert.equal(first, null);
+    assert.match(second ?? '', /no more than 1 tasks of kind render/u);
+    assert.equal(other, null);
+    await waitUntil(() => runtime.tasks.get('hotels.g.1') === undefined);
+  });
+
   const wrongRows: { name: string; overrides: Partial<TaskRow> }[] = [
     { name: 'another agent', overrides: { holder: { agentId: 'vm-2', incarnation: 1 } } },
     { name: 'another incarnation', overrides: { holder: { agentId: AGENT_ID, incarnation: 9 } } },
--- a/packages/agent/src/tasks/task-runtime.ts
+++ b/packages/agent/src/tasks/task-runtime.ts
@@ -2,7 +2,7 @@
  * The state that the parts of the task module share, and the checks that guard its effects.
  */
 import { createEstimateTable } from '@figjunction/decisions';
-import type { EstimateTable } from '@figjunction/decisions';
+import type { EstimateTable, KindRestraint } from '@figjunction/decisions';
 import type { Instant } from '@figjunction/time';
 import { TaskType } from '@figjunction/types';
 import type { KindName, WorkerUsage } from '@figjunction/types';
@@ -20,8 +20,8 @@
   /** When the worker last failed to save a checkpoint. */
   checkpointFailedAt: Instant;
   usageListeners: ((usage: WorkerUsage) => void)[];
-  /** The throttle that the guards want for a new task of a kind. */
-  firstThrottleOf: (kind: KindName) => number;
+  /** What the guards allow further tasks of a kind; null when they do not restrain it. */
+  restraintOf: (kind: KindName) => KindRestraint | null;
 }
 
 /**
@@ -46,7 +46,7 @@
     draining: false,
     checkpointFailedAt: Number.NEGATIVE_INFINITY,
     usageListeners: [],
-    firstThrottleOf: () => 1,
+    restraintOf: () => null,
   };
   runtimes.set(context, runtime);
   return runtime;
--- a/packages/agent/src/tasks/task-starter.ts
+++ b/packages/agent/src/tasks/task-starter.ts
@@ -171,7 +171,8 @@
       parameters: row.parameters,
     });
     entry.phase = TaskPhase.Running;
-    entry.guardThrottle = entry.type === TaskType.Batch ? runtime.firstThrottleOf(entry.kind) : 1;
+    entry.guardThrottle =
+      entry.type === TaskType.Batch ? (runtime.restraintOf(entry.kind)?.throttle ?? 1) : 1;
     entry.startedAt = context.clock.now();
     entry.measurableFrom = entry.startedAt;
     context.heartbeatDue = true;
--- a/packages/config/src/operator-configuration.ts
+++ b/packages/config/src/operator-configuration.ts
@@ -98,9 +98,9 @@
 export const guardsSchema = z.strictObject({
   enabled: z.boolean().default(true),
   actAboveSlowdown: z.number().min(1).max(100).default(1.3),
-  relaxBelowSlowdown: z.number().min(1).max(100).default(1.1),
+  relaxBelowSlowdown: z.number().min(1).max(100).default(1.25),
   measurementsToAct: z.int().min(1).max(100).default(2),
-  relaxAfterMs: z.int().min(0).default(30_000),
+  relaxAfterMs: z.int().min(0).default(10_000),
   evictionsPerVmInterval: z.int().min(0).default(1),
   evictionIntervalMs: z.int().min(1).default(30_000),
   evictionsPerRun: z.int().min(0).default(3),
--- a/packages/decisions/src/guards/guard-ladder.ts
+++ b/packages/decisions/src/guards/guard-ladder.ts
@@ -12,8 +12,9 @@
   GuardMeasurement,
   GuardState,
 } from './guard-types.js';
-import { costOfRelief } from './guard-cost.js';
+import { kindsCheapestFirst } from './guard-cost.js';
 import { chooseEviction } from './guard-evictions.js';
+import { relaxWhenCalm, targetSlowdown } from './guard-relax.js';
 
 /** A task that is throttled this far gains the services nothing more. Moving noisy work costs evictions. */
 export const GUARD_THROTTLE_FLOOR = 0.05;
@@ -21,8 +22,6 @@
 /** A throttle is never set for a smaller cut than this fraction. */
 const SMALLEST_CUT = 0.05;
 
-const RELAX_FACTOR = 2;
-
 /** Decides on a new measurement and notes it in the state. */
 export function decideGuards(state: GuardState, input: GuardInput): GuardDecision {
   const { settings, measurement } = input;
@@ -36,10 +35,10 @@
   if (state.slowMeasurements >= settings.measurementsToAct) {
     state.slowMeasurements = 0;
     const restrained = restrain(state, input, worst.slowdown);
-    noteKindThrottles(state, input, restrained.actions);
+    noteKindRestraints(state, input, restrained.actions);
     return { ...restrained, worst };
   }
-  return { actions: relaxWhenCalm(state, input), worst, rejected: [] };
+  return { actions: relaxWhenCalm(state, input, worst.slowdown), worst, rejected: [] };
 }
 
 /** Notes when the actions of a decision were carried out. */
@@ -102,8 +101,8 @@
  */
 function planThrottleCut(input: GuardInput, slowdown: number): GuardAction[] {
   const { candidates, settings } = input;
-  const target = (settings.actAboveSlowdown + settings.relaxBelowSlowdown) / 2;
-  const fraction = Math.min(1, Math.max(0, (slowdown - target) / (slowdown - 1)));
+  const excess = (slowdown - targetSlowdown(settings)) / (slowdown - 1);
+  const fraction = Math.min(1, Math.max(0, excess));
   const effect = candidates.reduce((sum, task) => sum + task.effect * task.throttle, 0);
   let toCut = effect * fraction;
   const actions: GuardAction[] = [];
@@ -134,55 +133,22 @@
 }
 
 /** New tasks of a kind start as its most restrained task goes on. */
-function noteKindThrottles(
+function noteKindRestraints(
   state: GuardState,
   { candidates }: GuardInput,
   actions: readonly GuardAction[],
 ): void {
-  const throttles = actions.filter(({ kind }) => kind === GuardActionKind.Throttle);
-  for (const { taskId, throttle } of throttles) {
-    const task = candidates.find((candidate) => candidate.taskId === taskId);
-    if (task !== undefined) {
-      const known = state.kindThrottles.get(task.kind) ?? 1;
-      state.kindThrottles.set(task.kind, Math.min(known, throttle));
-    }
-  }
-}
-
-function relaxKinds(state: GuardState): void {
-  for (const [kind, throttle] of state.kindThrottles) {
-    if (throttle * RELAX_FACTOR >= 1) {
-      state.kindThrottles.delete(kind);
-    } else {
-      state.kindThrottles.set(kind, throttle * RELAX_FACTOR);
+  const throttles = new Map(
+    actions
+      .filter(({ kind }) => kind === GuardActionKind.Throttle)
+      .map(({ taskId, throttle }) => [taskId, throttle]),
+  );
+  for (const tasks of kindsCheapestFirst(candidates)) {
+    const set = tasks.flatMap(({ taskId }) => throttles.get(taskId) ?? []);
+    const kind = tasks[0]?.kind;
+    if (kind !== undefined && set.length > 0) {
+      const throttle = Math.min(...set, state.kindRestraints.get(kind)?.throttle ?? 1);
+      state.kindRestraints.set(kind, { throttle, tasksMaximum: tasks.length });
     }
   }
 }
-
-function relaxWhenCalm(state: GuardState, input: GuardInput): GuardAction[] {
-  const { settings, measurement, candidates } = input;
-  const throttled = candidates.filter(({ throttle }) => throttle < 1);
-  const isCalm =
-    state.calmSince !== null && measurement.measuredAt - state.calmSince >= settings.relaxAfterMs;
-  if (!isCalm || throttled.length + state.kindThrottles.size === 0) {
-    return [];
-  }
-  // Each step back needs a calm time of its own.
-  state.calmSince = measurement.measuredAt;
-  relaxKinds(state);
-  return throttled.map(({ taskId, throttle }) => ({
-    kind: GuardActionKind.Relax,
-    taskId,
-    throttle: Math.min(1, throttle * RELAX_FACTOR),
-  }));
-}
-
-/** Tasks by kind; the kind whose cheapest task costs least comes first. */
-function kindsCheapestFirst(candidates: readonly GuardCandidate[]): GuardCandidate[][] {
-  const sorted = [...candidates].sort((left, right) => costOfRelief(left) - costOfRelief(right));
-  const kinds = new Map<string, GuardCandidate[]>();
-  for (const task of sorted) {
-    kinds.set(task.kind, [...(kinds.get(task.kind) ?? []), task]);
-  }
-  return [...kinds.values()];
-}
--- a/packages/decisions/src/guards/guard-types.ts
+++ b/packages/decisions/src/guards/guard-types.ts
@@ -48,10 +48,20 @@
   calmSince: Instant | null;
   evictionTimes: Instant[];
   /**
-   * The throttle that new tasks of a kind start with, so that each wave of a restrained kind need not be
-   * restrained anew after the lag of the measurements.
+   * What holds for further tasks of a kind, so that each wave of a restrained kind need not be restrained
+   * anew after the lag of the measurements.
    */
-  kindThrottles: Map<KindName, number>;
+  kindRestraints: Map<KindName, KindRestraint>;
+}
+
+export interface KindRestraint {
+  /** New tasks of the kind start with this throttle. */
+  throttle: number;
+  /**
+   * No more tasks of the kind than ran when it was throttled: throttled tasks stay for long, and the
+   * services would be slow again although every task is at the lowest throttle.
+   */
+  tasksMaximum: number;
 }
 
 export enum GuardActionKind {
@@ -83,6 +93,6 @@
     slowMeasurements: 0,
     calmSince: null,
     evictionTimes: [],
-    kindThrottles: new Map(),
+    kindRestraints: new Map(),
   };
 }
