Measure what a team costs an entry

Cause: docs/CAPACITY.md lacked a slope per team. Ruled out: a load that grows with the teams, because its slope is that of the requests; a relay between entries, because they announce their own address, so a stand-in for a third entry counts the digests instead. Change: scenario team-slopes with 30, 90 and 270 teams under the same 270 requests/s. Slope, intercept and largest deviation come from line-fit.ts, which slopes.ts now uses too. Figures below 1 keep three digits in the report, since slopes per unit are small.

--- a/packages/bench/src/measure/report.ts
+++ b/packages/bench/src/measure/report.ts
@@ -42,11 +42,18 @@
   return Object.fromEntries(
     Object.entries(figures).map(([name, value]) => [
       name,
-      value === null ? null : round(value, FIGURE_DIGITS),
+      value === null ? null : roundFigure(value),
     ]),
   );
 }
 
+/** Keeps the digits of small figures: a slope per task row can be far below one thousandth. */
+function roundFigure(value: number): number {
+  return Math.abs(value) < 1
+    ? Number(value.toPrecision(FIGURE_DIGITS))
+    : round(value, FIGURE_DIGITS);
+}
+
 function round(value: number, digits: number): number {
   return Number(value.toFixed(digits));
 }
--- a/packages/bench/src/measure/scenarios/index.ts
+++ b/packages/bench/src/measure/scenarios/index.ts
@@ -14,6 +14,7 @@
 import { steadyMix } from './steady-mix.js';
 import { tableOutage } from './table-outage.js';
 import { targetChurn } from './target-churn.js';
+import { teamSlopes } from './team-slopes.js';
 import { urgentFlood } from './urgent-flood.js';
 import { wrongSizes } from './wrong-sizes.js';
 
@@ -32,4 +33,5 @@
   startRate,
   slopes,
   heartbeatSlopes,
+  teamSlopes,
 ];
--- a/packages/bench/src/measure/scenarios/slopes.ts
+++ b/packages/bench/src/measure/scenarios/slopes.ts
@@ -6,6 +6,7 @@
 import type { Cluster } from '@figjunction/test-support';
 import { sleep } from '@figjunction/time';
 import { submitJobs } from '../batch-load.js';
+import { fitLine, mean } from '../line-fit.js';
 import { withMeasuredCluster } from '../measured-cluster.js';
 import { processorMs, residentMegabytes } from '../process-usage.js';
 import type { Figures, Scenario, ScenarioRun } from '../scenario.js';
@@ -101,20 +102,8 @@
     costs.forEach((cost) => {
       figures[`${name}At${cost.agents}`] = cost[name];
     });
-    figures[`${name}PerVm`] = slopeOf(costs.map((cost) => [cost.agents, cost[name]]));
+    const points = costs.map((cost) => ({ x: cost.agents, y: cost[name] }));
+    figures[`${name}PerVm`] = fitLine(points).slope;
   }
   return figures;
 }
-
-/** Slope of the least-squares line through the points. */
-function slopeOf(points: [number, number][]): number {
-  const meanX = mean(points.map(([x]) => x));
-  const meanY = mean(points.map(([, y]) => y));
-  const covariance = points.reduce((sum, [x, y]) => sum + (x - meanX) * (y - meanY), 0);
-  const variance = points.reduce((sum, [x]) => sum + (x - meanX) ** 2, 0);
-  return covariance / variance;
-}
-
-function mean(values: number[]): number {
-  return values.reduce((sum, value) => sum + value, 0) / Math.max(1, values.length);
-}
--- a/packages/bench/src/measure/service-load.ts
+++ b/packages/bench/src/measure/service-load.ts
@@ -16,6 +16,8 @@
   /** Makes the bodies of this load differ from those of others. */
   label: string;
   team: string;
+  /** Sends for each of these in turn instead of for the one team. */
+  teams?: string[];
   ratePerSecond: number;
   durationMs: number;
   seed: number;
@@ -32,19 +34,22 @@
 
 export async function loadService(options: ServiceLoadOptions): Promise<LoadResult> {
   const { cluster, label, team, seed, urgency, timeoutMs, idempotent = true } = options;
+  const teams = options.teams ?? [team];
   const entries = options.entries ?? cluster.entries.map((_entry, index) => index);
   const http = new HttpClient({ connectionsMaximum: CONNECTIONS_MAXIMUM });
   const clients = entries.map((index) => new EntryClient(cluster.entryClient(index).address, http));
   const send = async (index: number): Promise<RequestEnding> => {
     const body = JSON.stringify({ label, index });
-    const client = clients[index % clients.length];
+    // Shifted by one each round, so that the requests of every team reach all entries.
+    const shift = teams.length === 1 ? 0 : Math.floor(index / teams.length);
+    const client = clients[(index + shift) % clients.length];
     if (client === undefined) {
       return RequestEnding.NotSent;
     }
     const answer = await client.request({
       service: SERVICE,
       body,
-      token: tokenOf(team),
+      token: tokenOf(teams[index % teams.length] ?? team),
       idempotent,
       urgency,
       timeoutMs,
