Measure what a configuration change costs

Change: scenario change-slopes with 10, 40 and 160 services. The fake platform counts the bytes of rows and objects that were read, with a test.

--- a/packages/bench/src/measure/scenarios/index.ts
+++ b/packages/bench/src/measure/scenarios/index.ts
@@ -4,6 +4,7 @@
 import type { Scenario } from '../scenario.js';
 import { batchFlood } from './batch-flood.js';
 import { cancelWave } from './cancel-wave.js';
+import { changeSlopes } from './change-slopes.js';
 import { failingWorker } from './failing-worker.js';
 import { heartbeatSlopes } from './heartbeat-slopes.js';
 import { impossibleJobs } from './impossible-jobs.js';
@@ -34,4 +35,5 @@
   slopes,
   heartbeatSlopes,
   teamSlopes,
+  changeSlopes,
 ];
--- a/packages/test-support/src/platform/fake-platform.ts
+++ b/packages/test-support/src/platform/fake-platform.ts
@@ -88,8 +88,10 @@
 
   getObject(key: string): Promise<FakeCall<Buffer | null>> {
     return this.call(null, () => {
+      const body = this.objects.get(key) ?? null;
       this.stats.objectsRead += 1;
-      return this.objects.get(key) ?? null;
+      this.stats.objectBytesRead += body?.length ?? 0;
+      return body;
     });
   }
 
@@ -98,6 +100,11 @@
     return this.loseAnswer(call);
   }
 
+  /** Counts the bytes of an answer; only the transport knows them. */
+  countTableBytes(bytes: number): void {
+    this.stats.tableBytesRead += bytes;
+  }
+
   private async call<Result>(
     limit: RateLimit | null,
     run: () => Result,
--- a/packages/test-support/src/platform/platform-faults.ts
+++ b/packages/test-support/src/platform/platform-faults.ts
@@ -27,6 +27,9 @@
   lostAnswers: number;
   objectsWritten: number;
   objectsRead: number;
+  /** Bytes of the bodies that answer reads and scans; counted by the HTTP server only. */
+  tableBytesRead: number;
+  objectBytesRead: number;
   /** Rows written, by the part of the key before the first slash. */
   rowsWrittenByPrefix: Record<string, number>;
 }
@@ -61,6 +64,8 @@
     lostAnswers: 0,
     objectsWritten: 0,
     objectsRead: 0,
+    tableBytesRead: 0,
+    objectBytesRead: 0,
     rowsWrittenByPrefix: {},
   };
 }
--- a/packages/test-support/src/platform/platform-server.test.ts
+++ b/packages/test-support/src/platform/platform-server.test.ts
@@ -56,6 +56,17 @@
   assert.notEqual(rows[0], null);
 });
 
+test('the bytes of rows and objects that were read are counted as sent', async () => {
+  await write('bytes/1', 0, { text: 'é' });
+  await client.request(`${address}/objects/bytes`, { method: 'PUT', body: 'four' });
+  platform.resetStats();
+  const body = JSON.stringify({ keys: ['bytes/1'] });
+  const answer = await client.request(`${address}/table/read`, { method: 'POST', body });
+  await client.request(`${address}/objects/bytes`);
+  assert.equal(platform.stats.tableBytesRead, answer.body.length);
+  assert.equal(platform.stats.objectBytesRead, 4);
+});
+
 test('an outage refuses every call without effect', async () => {
   platform.faults.outage = true;
   assert.equal(await statusOf('/table/read', { keys: ['c/1'] }), 503);
--- a/packages/test-support/src/platform/platform-server.ts
+++ b/packages/test-support/src/platform/platform-server.ts
@@ -31,11 +31,11 @@
   return [
     jsonRoute('/table/read', async (body, match) => {
       const call = await platform.read((body as { keys: string[] }).keys);
-      answer(match, call, (rows) => sendJson(match.response, 200, { rows }));
+      answer(match, call, (rows) => sendRows(platform, match, { rows }));
     }),
     jsonRoute('/table/scan', async (body, match) => {
       const call = await platform.scan(body as TableScanParameters);
-      answer(match, call, (page) => sendJson(match.response, 200, page));
+      answer(match, call, (page) => sendRows(platform, match, page));
     }),
     jsonRoute('/table/transact', async (body, match) => {
       const call = await platform.transact(body as TableTransaction);
@@ -122,6 +122,14 @@
   return match.parameters.key ?? '';
 }
 
+/** Sends an answer of a read and counts its bytes. */
+function sendRows(platform: FakePlatform, { response }: RouteMatch, body: unknown): void {
+  const text = Buffer.from(JSON.stringify(body));
+  platform.countTableBytes(text.length);
+  response.writeHead(200, { 'content-type': 'application/json', 'content-length': text.length });
+  response.end(text);
+}
+
 function sendObject(match: RouteMatch, body: Buffer | null): void {
   if (body === null) {
     sendJson(match.response, 404, { code: ErrorCode.NotFound, message: 'no such object' });
