Measure what a task row costs an entry

Cause: docs/CAPACITY.md lacked a slope per task in the table, and nothing showed when a restarted entry serves its shards. Ruled out: submitting all rows, because 64 rows in 100 ms per entry would let 16,000 take 25 s by calculation; the scenario copies submitted rows straight into the table. Change: scenario task-slopes with 1,000, 4,000 and 16,000 pending rows that find no room. Gauges shards_owned, shards_served and task_rows on the metrics page of an entry, with a test.

--- a/packages/bench/src/measure/scenarios/index.ts
+++ b/packages/bench/src/measure/scenarios/index.ts
@@ -15,6 +15,7 @@
 import { steadyMix } from './steady-mix.js';
 import { tableOutage } from './table-outage.js';
 import { targetChurn } from './target-churn.js';
+import { taskSlopes } from './task-slopes.js';
 import { teamSlopes } from './team-slopes.js';
 import { urgentFlood } from './urgent-flood.js';
 import { wrongSizes } from './wrong-sizes.js';
@@ -36,4 +37,5 @@
   heartbeatSlopes,
   teamSlopes,
   changeSlopes,
+  taskSlopes,
 ];
--- a/packages/entry/src/tasks/task-module.ts
+++ b/packages/entry/src/tasks/task-module.ts
@@ -26,6 +26,7 @@
 import { RetentionSweep } from './retention.js';
 import { ShardLoader } from './shard-loader.js';
 import type { TaskContext } from './task-context.js';
+import { setTaskGauges } from './task-gauges.js';
 import { TaskLearning } from './task-learning.js';
 import { TaskStore, TaskWriteKind } from './task-store.js';
 import { TaskTable } from './task-table.js';
@@ -39,6 +40,7 @@
 const LEARN_INTERVAL_MS = 1_000;
 const HOLD_INTERVAL_MS = 1_000;
 const RETENTION_INTERVAL_MS = 10_000;
+const GAUGE_INTERVAL_MS = 100;
 
 /** The module and the tables behind it. */
 export interface TaskParts {
@@ -138,6 +140,7 @@
     { name: 'place', intervalMs: PLACEMENT_INTERVAL_MS, run: (now) => placement.run(now) },
     { name: 'repair-orders', intervalMs: REPAIR_INTERVAL_MS, run: (now) => repair.run(now) },
     { name: 'retention', intervalMs: RETENTION_INTERVAL_MS, run: (now) => retention.run(now) },
+    { name: 'gauges', intervalMs: GAUGE_INTERVAL_MS, run: () => setTaskGauges(context) },
     { name: 'send-orders', intervalMs: 0, run: () => context.orders.flush() },
   ];
 }
