Measure the loss of a data centre

Cause: docs/CAPACITY.md worked out the load of a recovery from code. Ruled out: one cluster per size, because three waits for lease expiry and three starts exceed 60 s; the losses follow each other 8 s apart. Change: scenario recovery kills agents and workers of data centres with 200, 400 and 800 tasks and samples the table until all run elsewhere.

--- a/packages/bench/src/measure/scenarios/index.ts
+++ b/packages/bench/src/measure/scenarios/index.ts
@@ -9,6 +9,7 @@
 import { heartbeatSlopes } from './heartbeat-slopes.js';
 import { impossibleJobs } from './impossible-jobs.js';
 import { noisyWaves } from './noisy-waves.js';
+import { recovery } from './recovery.js';
 import { regionCut } from './region-cut.js';
 import { slopes } from './slopes.js';
 import { startRate } from './start-rate.js';
@@ -38,4 +39,5 @@
   teamSlopes,
   changeSlopes,
   taskSlopes,
+  recovery,
 ];
