Keep measurement noise out of heartbeats

Cause: measurements of tasks and used slots differ in every sample, so the sections usage and instances were sent in full each second.

Ruled out: a step for free room. An entry takes its reservations made before a heartbeat as part of the room that the heartbeat states, so room stays exact and is small. A longer heartbeat interval: the small part is what keeps the bounds on silent and leaving agents.

Change: usage is announced when the set of tasks changes, a task moves by 25 % (at least 100 millicores or 64 MB), the sum by 5 % of the VM, or a slowdown by 0.1, else after 10 s. Used slots and connections, which only the status page shows, are announced after 5 s or with another change of an instance. Guards and admission use the agent's own measurements and see no lag; sizes and interference at entries are wrong by less than the step for at most 10 s.

--- a/packages/agent/src/heartbeat/heartbeat-content.ts
+++ b/packages/agent/src/heartbeat/heartbeat-content.ts
@@ -6,8 +6,14 @@
 import type { AgentContext } from '../agent-context.js';
 import type { InstanceEntry } from '../instance-table.js';
 import type { HeartbeatContent } from './heartbeat-composer.js';
+import { SteadyInstances } from './steady-instances.js';
+import { SteadyUsage } from './steady-usage.js';
 
 export class HeartbeatDescriber {
+  private readonly steadyInstances = new SteadyInstances();
+
+  private readonly steadyUsage = new SteadyUsage();
+
   constructor(private readonly context: AgentContext) {}
 
   describe(): HeartbeatContent {
@@ -31,8 +37,8 @@
         // the free room that the heartbeat states.
         room: { free: room.free, wantsWork: room.wantsWork },
         tasks: room.heldTasks,
-        instances,
-        usage: room.usage,
+        instances: this.steadyInstances.select(instances, now),
+        usage: this.steadyUsage.select(room.usage, room.capacity, now),
       },
     };
   }
--- /dev/null
+++ b/packages/agent/src/heartbeat/steady-values.test.ts
@@ -0,0 +1,86 @@
+/**
+ * Guards against heartbeats that grow by noise, and against steps and slow drifts that entries never see.
+ */
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import type { InstanceReport, TaskUsage } from '@figjunction/types';
+import { COUNTS_INTERVAL_MS, SteadyInstances } from './steady-instances.js';
+import { SteadyUsage, USAGE_INTERVAL_MS } from './steady-usage.js';
+
+const CAPACITY = { processorMillicores: 16_000, memoryMegabytes: 60_000, accelerators: 0 };
+
+function usageOf(millicores: number, megabytes: number, slowdown: number | null = null): TaskUsage {
+  const used = { processorMillicores: millicores, memoryMegabytes: megabytes, accelerators: 0 };
+  return { taskId: 'a', kind: 'reprint', used, slowdown };
+}
+
+function instance(slotsUsed: number, ready: boolean): InstanceReport {
+  const counts = { slots: 8, slotsUsed, connections: 64, connectionsUsed: slotsUsed };
+  return { taskId: 'instance-labels-0', service: 'labels', attempt: 1, ready, ...counts };
+}
+
+describe('SteadyUsage', () => {
+  const before = usageOf(1_000, 1_000);
+  const other = { ...before, taskId: 'b' };
+  const cases = [
+    { name: 'noise of one task', from: [before], to: [usageOf(1_100, 1_050)], announced: false },
+    { name: 'a step of processors', from: [before], to: [usageOf(1_250, 1_000)], announced: true },
+    { name: 'a step of memory', from: [before], to: [usageOf(1_000, 750)], announced: true },
+    {
+      name: 'a large part of little',
+      from: [usageOf(50, 8)],
+      to: [usageOf(99, 8)],
+      announced: false,
+    },
+    { name: 'a new task', from: [before], to: [before, other], announced: true },
+    { name: 'a task less', from: [before, other], to: [before], announced: true },
+    { name: 'a replaced task', from: [before], to: [other], announced: true },
+    {
+      name: 'a sum of small moves',
+      from: [usageOf(8_000, 1)],
+      to: [usageOf(8_800, 1)],
+      announced: true,
+    },
+    {
+      name: 'noise of a slowdown',
+      from: [usageOf(1, 1, 1.1)],
+      to: [usageOf(1, 1, 1.15)],
+      announced: false,
+    },
+    {
+      name: 'a slower service',
+      from: [usageOf(1, 1, 1.1)],
+      to: [usageOf(1, 1, 1.25)],
+      announced: true,
+    },
+  ];
+  for (const { name, from, to, announced } of cases) {
+    it(`${announced ? 'announces' : 'holds back'} ${name}`, () => {
+      const steady = new SteadyUsage();
+      steady.select(from, CAPACITY, 0);
+      assert.equal(steady.select(to, CAPACITY, 1), announced ? to : from);
+      assert.equal(steady.select(to, CAPACITY, USAGE_INTERVAL_MS), to);
+    });
+  }
+
+  it('announces a drift whose single moves are below the step', () => {
+    const steady = new SteadyUsage();
+    steady.select([usageOf(1_000, 1)], CAPACITY, 0);
+    const drift = [1_100, 1_200, 1_300].map((millicores) => [usageOf(millicores, 1)]);
+    const results = drift.map((usage, index) => steady.select(usage, CAPACITY, index) === usage);
+    assert.deepEqual(results, [false, false, true]);
+  });
+});
+
+describe('SteadyInstances', () => {
+  it('holds back used slots for the interval and nothing else', () => {
+    const steady = new SteadyInstances();
+    const first = [instance(1, true)];
+    assert.equal(steady.select(first, 0), first);
+    assert.equal(steady.select([instance(2, true)], COUNTS_INTERVAL_MS - 1), first);
+    const draining = [instance(3, false)];
+    assert.equal(steady.select(draining, COUNTS_INTERVAL_MS - 1), draining);
+    const later = [instance(4, false)];
+    assert.equal(steady.select(later, 2 * COUNTS_INTERVAL_MS), later);
+  });
+});
--- a/packages/bench/src/measure/heartbeats/simulated-vm.ts
+++ b/packages/bench/src/measure/heartbeats/simulated-vm.ts
@@ -3,6 +3,7 @@
  * run ends and another starts every 10 s, measurements of all tasks move by up to 10 % each second, and
  * requests come and go in the slots.
  */
+import { SteadyInstances, SteadyUsage } from '@figjunction/agent';
 import type { HeartbeatContent } from '@figjunction/agent';
 import type { RandomSource } from '@figjunction/time';
 import { AgentState } from '@figjunction/types';
@@ -12,6 +13,7 @@
 const INSTANCES = 4;
 const SLOTS = 8;
 const CONNECTIONS = 64;
+const MILLISECONDS_PER_SECOND = 1_000;
 const SECONDS_BETWEEN_RUNS = 10;
 
 /** Measurements move by at most this part to each side. */
@@ -27,16 +29,24 @@
 const LOCATION = { region: 'marmara', dataCentre: 'istanbul', rack: 'istanbul-1' };
 
 export class SimulatedVm {
+  private readonly steadyInstances = new SteadyInstances();
+
+  private readonly steadyUsage = new SteadyUsage();
+
   constructor(
     readonly agentId: string,
     private readonly index: number,
     private readonly random: RandomSource,
+    /** False announces every measurement as it is. */
+    private readonly steady: boolean,
   ) {}
 
   /** The state in a given second. */
   describe(second: number): HeartbeatContent {
+    const now = second * MILLISECONDS_PER_SECOND;
     const tasks = this.tasks(second);
     const measured = this.measure(tasks);
+    const instances = this.instances();
     const used = measured.reduce((sum, one) => sum + one.used.processorMillicores, 0);
     return {
       core: {
@@ -53,8 +63,8 @@
           wantsWork: false,
         },
         tasks,
-        instances: this.instances(),
-        usage: measured,
+        instances: this.steady ? this.steadyInstances.select(instances, now) : instances,
+        usage: this.steady ? this.steadyUsage.select(measured, CAPACITY, now) : measured,
       },
     };
   }
--- a/packages/bench/src/measure/scenarios/heartbeat-slopes.ts
+++ b/packages/bench/src/measure/scenarios/heartbeat-slopes.ts
@@ -82,7 +82,7 @@
   const random = new RandomSource(run.seed);
   const vms = Array.from(
     { length: agents },
-    (_value, index) => new SimulatedVm(`vm-${agents}-${index}`, index, random),
+    (_value, index) => new SimulatedVm(`vm-${agents}-${index}`, index, random, onlyChanges),
   );
   return new HeartbeatSender(address, vms, onlyChanges);
 }
