--- a/packages/agent/src/slice-holder.ts
+++ b/packages/agent/src/slice-holder.ts
@@ -5,7 +5,7 @@
 import type { AgentSlice, ConfigurationRevision } from '@figjunction/types';
 
 /** Without a confirmation for this long, the agent starts no task. */
-export const CONFIRMATION_BOUND_MS = 6_000;
+const CONFIRMATION_BOUND_MS = 6_000;
 
 export class SliceHolder {
   private inForce: AgentSlice | null = null;
--- a/packages/agent/src/tasks/lease-keeper.ts
+++ b/packages/agent/src/tasks/lease-keeper.ts
@@ -8,8 +8,8 @@
 import type { AgentIncarnation, LeaseRenewResult, LeaseRow } from '@figjunction/types';
 import type { AgentContext } from '../agent-context.js';
 
-export const LEASE_MS = 10_000;
-export const LEASE_RENEWAL_INTERVAL_MS = 3_000;
+const LEASE_MS = 10_000;
+const LEASE_RENEWAL_INTERVAL_MS = 3_000;
 
 const RETRY_AFTER_MS = 400;
 /** Longer than an entry takes before it gives up on the table. */
--- a/packages/agent/src/tasks/room-loads.ts
+++ b/packages/agent/src/tasks/room-loads.ts
@@ -47,7 +47,7 @@
 }
 
 /** Everything that takes room: all but tasks that have left the worker. */
-export function roomLoads(runtime: TaskRuntime, except?: TaskEntry): RoomLoad[] {
+function roomLoads(runtime: TaskRuntime, except?: TaskEntry): RoomLoad[] {
   return runtime.tasks
     .all()
     .filter((entry) => entry.phase !== TaskPhase.Ended && entry !== except)
--- a/packages/agent/src/tasks/task-runtime.ts
+++ b/packages/agent/src/tasks/task-runtime.ts
@@ -28,7 +28,7 @@
  * An instance may outlive the agent's lease: a second copy of it is harmless, and requests must go on
  * while the table is down. It still stops within this time when the agent is gone.
  */
-export const INSTANCE_LEASE_MS = 10_000;
+const INSTANCE_LEASE_MS = 10_000;
 
 const runtimes = new WeakMap<AgentContext, TaskRuntime>();
 
--- a/packages/bench/src/measure/batch-load.ts
+++ b/packages/bench/src/measure/batch-load.ts
@@ -30,7 +30,7 @@
 }
 
 /** A task is named after team, job and its own name. */
-export function taskIdOf(team: string, jobId: string, name: string): string {
+function taskIdOf(team: string, jobId: string, name: string): string {
   return `${team}.${jobId}.${name}`;
 }
 
--- a/packages/bench/src/measure/workload.ts
+++ b/packages/bench/src/measure/workload.ts
@@ -11,7 +11,7 @@
 export const SERVICE = 'labels';
 export const INTERACTIVE_CLASS = 'interactive';
 export const URGENT_CLASS = 'rush';
-export const OVERNIGHT_CLASS = 'overnight';
+const OVERNIGHT_CLASS = 'overnight';
 export const URGENT_KIND = 'rush-reprint';
 export const OVERNIGHT_KIND = 'menu-reprint';
 /** A kind that slows services on the same VM down more than others. */
--- a/packages/bench/src/proofs/configuration/fixture.ts
+++ b/packages/bench/src/proofs/configuration/fixture.ts
@@ -15,7 +15,7 @@
 import { PlatformProxy } from './platform-proxy.js';
 import { RevisionWatch } from './revision-watch.js';
 
-export const ENTRIES = 2;
+const ENTRIES = 2;
 export const AGENTS = 2;
 export const PROCESSES = ENTRIES + AGENTS;
 
@@ -25,7 +25,7 @@
 export const OPERATOR_TOKEN = 'operator-of-the-proof';
 export const TEAM_TOKEN = 'team-of-the-proof';
 export const TEAM = 'kitchen';
-export const RUNNING_TASKS_MAXIMUM = 2;
+const RUNNING_TASKS_MAXIMUM = 2;
 
 const SIZE = { processorMillicores: 1_000, memoryMegabytes: 1_024 };
 
--- a/packages/bench/src/proofs/execution-intervals.ts
+++ b/packages/bench/src/proofs/execution-intervals.ts
@@ -24,7 +24,7 @@
   ExecutionEvent.TaskStop,
 ]);
 
-export function intervalsOf(records: ExecutionRecord[]): ExecutionInterval[] {
+function intervalsOf(records: ExecutionRecord[]): ExecutionInterval[] {
   const intervals: ExecutionInterval[] = [];
   const open = new Map<string, ExecutionInterval>();
   for (const { taskId, attempt, workerId, event, atHostMs } of records) {
--- a/packages/bench/src/proofs/faulty-link.ts
+++ b/packages/bench/src/proofs/faulty-link.ts
@@ -28,7 +28,7 @@
   Duplicated = 'duplicated',
 }
 
-export const LATE_MS = 450;
+const LATE_MS = 450;
 
 /** Decides the fault of one message from its JSON-RPC method. */
 export type FaultPlan = (method: string) => LinkFault;
--- a/packages/bench/src/proofs/request-pair.ts
+++ b/packages/bench/src/proofs/request-pair.ts
@@ -28,7 +28,7 @@
 import { FaultyLink } from './faulty-link.js';
 
 export const PAIR_TOKEN = 'token-of-the-only-team';
-export const PAIR_SERVICE = 'labels';
+const PAIR_SERVICE = 'labels';
 
 const SHARED_TOKEN = 'shared-token-of-a-pair';
 const LOCATION = { region: 'marmara', dataCentre: 'istanbul', rack: 'istanbul-1' };
@@ -47,7 +47,7 @@
   response.end(text);
 };
 
-export class PairTarget {
+class PairTarget {
   /** Bodies that this target executed, in order. */
   readonly executed: string[] = [];
 
--- a/packages/bench/src/proofs/requests/fixture.ts
+++ b/packages/bench/src/proofs/requests/fixture.ts
@@ -7,8 +7,8 @@
 import type { Cluster, ClusterOptions, TargetAnswer } from '@figjunction/test-support';
 import { RequestOutcome } from '@figjunction/types';
 
-export const SERVICE = 'labels';
-export const CALLER_TOKEN = 'token-of-the-kitchen';
+const SERVICE = 'labels';
+const CALLER_TOKEN = 'token-of-the-kitchen';
 export const OPERATOR_TOKEN = 'token-of-the-operator';
 
 const SIZE = { processorMillicores: 1_000, memoryMegabytes: 512 };
--- a/packages/client/src/configuration-file.ts
+++ b/packages/client/src/configuration-file.ts
@@ -32,7 +32,7 @@
   configuration: OperatorConfiguration;
 }
 
-export async function readConfigurationFile(
+async function readConfigurationFile(
   context: ClientContext,
   file: string,
 ): Promise<ConfigurationFile> {
--- a/packages/decisions/src/guards/guard-evictions.ts
+++ b/packages/decisions/src/guards/guard-evictions.ts
@@ -35,7 +35,7 @@
 }
 
 /** Why the VM may evict nothing now. Forgets evictions that are older than the interval. */
-export function rationRefusal(state: GuardState, { now, settings }: GuardInput): string | null {
+function rationRefusal(state: GuardState, { now, settings }: GuardInput): string | null {
   const { evictionsPerVmInterval, evictionIntervalMs } = settings;
   state.evictionTimes = state.evictionTimes.filter((at) => now - at < evictionIntervalMs);
   return state.evictionTimes.length < evictionsPerVmInterval
--- a/packages/entry/src/membership/configuration-follower.ts
+++ b/packages/entry/src/membership/configuration-follower.ts
@@ -16,8 +16,7 @@
 import { EntryError } from '../entry-error.js';
 import { buildAgentSlice } from './agent-slice.js';
 
-export const WAITING_FOR_CONFIGURATION =
-  'a configuration (the table and all peers are unreachable)';
+const WAITING_FOR_CONFIGURATION = 'a configuration (the table and all peers are unreachable)';
 
 const PEER_TIMEOUT_MS = 1_000;
 
--- a/packages/entry/src/membership/entry-list.ts
+++ b/packages/entry/src/membership/entry-list.ts
@@ -9,10 +9,10 @@
 import { randomUUID } from 'node:crypto';
 import type { EntryContext } from '../entry-context.js';
 
-export const ENTRY_SILENT_MS = 6_000;
+const ENTRY_SILENT_MS = 6_000;
 
 /** An entry that was silent for this long is gone for good and its row is deleted. */
-export const ENTRY_ROW_RETENTION_MS = 120_000;
+const ENTRY_ROW_RETENTION_MS = 120_000;
 
 interface ObservedEntry {
   row: EntryRow;
--- a/packages/entry/src/operators/absence-log.ts
+++ b/packages/entry/src/operators/absence-log.ts
@@ -7,7 +7,7 @@
 import type { EntryContext } from '../entry-context.js';
 
 /** After this time an absent process is taken as replaced. */
-export const ABSENCE_KEPT_MS = 600_000;
+const ABSENCE_KEPT_MS = 600_000;
 
 export interface AbsentProcess {
   name: string;
--- a/packages/entry/src/operators/apply-configuration.ts
+++ b/packages/entry/src/operators/apply-configuration.ts
@@ -17,7 +17,7 @@
 const STORE_ATTEMPTS_MAXIMUM = 4;
 
 /** The row is read by every entry each second, so it keeps a bounded history. */
-export const HISTORY_MAXIMUM = 50;
+const HISTORY_MAXIMUM = 50;
 
 /** What a conflict shows when an operator names a base revision although nothing was applied yet. */
 const NO_ROW: ConfigurationRow = {
--- a/packages/entry/src/peer-directory.ts
+++ b/packages/entry/src/peer-directory.ts
@@ -6,7 +6,7 @@
 import type { EntryId, KnownEntry } from '@figjunction/types';
 
 /** Rank of one entry for one key: the highest wins (rendezvous hashing). */
-export function rendezvousRank(entryId: EntryId, key: string): string {
+function rendezvousRank(entryId: EntryId, key: string): string {
   return createHash('sha256').update(`${entryId}\n${key}`).digest('hex');
 }
 
--- a/packages/entry/src/requests/claim-completion.ts
+++ b/packages/entry/src/requests/claim-completion.ts
@@ -12,7 +12,7 @@
 import type { RequestEnd } from './interactive-request.js';
 
 /** Larger answers are not kept in the table. */
-export const ANSWER_BYTES_MAXIMUM = 16 * 1024;
+const ANSWER_BYTES_MAXIMUM = 16 * 1024;
 
 /** Agents keep results for 30 s; a later write would only repeat what they forgot. */
 const WRITE_MS = 30_000;
--- a/packages/entry/src/requests/instance-stats.ts
+++ b/packages/entry/src/requests/instance-stats.ts
@@ -39,7 +39,7 @@
   reportedAt: Instant;
 }
 
-export class ServiceStats {
+class ServiceStats {
   readonly latencies = new LatencyWindow();
 
   readonly budget = new RetryBudget();
--- a/packages/entry/src/requests/request-input.ts
+++ b/packages/entry/src/requests/request-input.ts
@@ -85,7 +85,7 @@
   };
 }
 
-export function urgencyOf(request: IncomingMessage, target: Target): UrgencyClassName {
+function urgencyOf(request: IncomingMessage, target: Target): UrgencyClassName {
   const { urgencies, name } = target.team;
   const header = request.headers[URGENCY_HEADER];
   if (header === undefined) {
--- a/packages/entry/src/tasks/hold-system.ts
+++ b/packages/entry/src/tasks/hold-system.ts
@@ -27,7 +27,7 @@
 /** Stands for the hash of a kind that is not in the configuration. */
 const NO_SCOPE = 'none';
 
-export enum HoldCause {
+enum HoldCause {
   NeverFits = 'never-fits',
   KindRemoved = 'kind-removed',
   KindFails = 'kind-fails',
--- a/packages/entry/src/tasks/lease-tracker.ts
+++ b/packages/entry/src/tasks/lease-tracker.ts
@@ -7,12 +7,12 @@
 import { LeaseState } from '@figjunction/types';
 import type { AgentId, Holder, LeaseRow, VersionedRow } from '@figjunction/types';
 
-export const AGENT_LEASE_MS = 10_000;
+const AGENT_LEASE_MS = 10_000;
 const MARGIN = 1.1;
 /** Time after which an unchanged lease may be fenced. */
 export const LEASE_EXPIRY_MS = AGENT_LEASE_MS * MARGIN;
 /** A longer gap between successful reads restarts the count. */
-export const READ_GAP_MAXIMUM_MS = 3_000;
+const READ_GAP_MAXIMUM_MS = 3_000;
 
 export interface TrackedLease {
   row: VersionedRow<LeaseRow>;
--- a/packages/entry/src/tasks/task-identifiers.ts
+++ b/packages/entry/src/tasks/task-identifiers.ts
@@ -62,10 +62,6 @@
   return row.type === TaskType.Instance ? shardOfService(row.kind) : shardOfTeam(row.team);
 }
 
-export function keyOfRow(row: TaskRow): string {
-  return taskKey(shardOfRow(row), row.taskId);
-}
-
 /** The shard of a task key, or null for a key of another form. */
 export function shardOfKey(key: string): number | null {
   const match = /^tasks\/(?<shard>\d+)\//u.exec(key);
--- a/packages/platform/src/write-item.ts
+++ b/packages/platform/src/write-item.ts
@@ -52,7 +52,7 @@
   };
 }
 
-export function distinctChecks(items: WriteItem[]): TableCheck[] {
+function distinctChecks(items: WriteItem[]): TableCheck[] {
   const byKey = new Map(
     items.flatMap((item) => item.checks).map((check) => [checkId(check), check]),
   );
--- a/packages/test-support/src/worker/fake-task.ts
+++ b/packages/test-support/src/worker/fake-task.ts
@@ -34,7 +34,7 @@
 
 const DEFAULT_DURATION_MS = 1_000;
 
-export function readBatchModel(parameters: Record<string, string>): BatchModel {
+function readBatchModel(parameters: Record<string, string>): BatchModel {
   const number = (name: string, otherwise: number): number => {
     const value = Number(parameters[name] ?? otherwise);
     return Number.isFinite(value) ? value : otherwise;
