State the shape of jobs once, with its limits and defaults

Cause: the views of a run and a job, the submission and its answer were written down in the client and again in the entry, and limits in the entry, the client and the configuration; the copies could drift apart unnoticed. Ruled out: moving the zod schema to types, which has no behaviour and no dependency; the entry's schema now has to satisfy the shared shape instead. Change: packages/types/src/job-messages.ts with the shapes of submit, read, list and cancel, every limit and every default; entry, client and configuration use them. The client's calls for runs and cancellation moved beside that for a job. Three cases more in job-routes.test.ts hold the limits of parameters and names, one assertion more that of the list. Conclusion: one place to read and to change.

--- a/packages/client/src/commands/cancel.ts
+++ b/packages/client/src/commands/cancel.ts
@@ -4,6 +4,7 @@
 import type { CommandModule } from 'yargs';
 import { connect, show } from '../client-context.js';
 import type { ClientContext, CommonFlags } from '../client-context.js';
+import { requestCancellation } from '../job-requests.js';
 
 interface Flags extends CommonFlags {
   job: string;
@@ -21,9 +22,7 @@
         .example('$0 cancel overnight-1', 'repeat it when the answer was lost'),
     async handler(flags): Promise<void> {
       const { job, team } = flags;
-      const query = team === undefined ? '' : `?${new URLSearchParams({ team })}`;
-      const path = `/v1/jobs/${encodeURIComponent(job)}/cancel${query}`;
-      const answer = await connect(context, flags).call<{ cancelled: number }>('POST', path, {});
+      const answer = await requestCancellation(connect(context, flags), job, team);
       show(context, flags, answer, () => `job ${job}: ${answer.cancelled} runs cancelled`);
     },
   };
--- a/packages/client/src/commands/runs.ts
+++ b/packages/client/src/commands/runs.ts
@@ -2,11 +2,11 @@
  * `figjunction runs`: batch runs, filtered.
  */
 import type { CommandModule } from 'yargs';
-import { TaskState } from '@figjunction/types';
+import { RUNS_LIMIT_DEFAULT, RUNS_LIMIT_MAXIMUM, TaskState } from '@figjunction/types';
+import type { RunView } from '@figjunction/types';
 import { connect, requireNumbers, show } from '../client-context.js';
 import type { ClientContext, CommonFlags } from '../client-context.js';
-import { requestJob } from '../job-requests.js';
-import type { RunView } from '../job-requests.js';
+import { requestJob, requestRuns } from '../job-requests.js';
 import { formatTable } from '../table.js';
 
 interface Flags extends CommonFlags {
@@ -16,8 +16,6 @@
   limit: number;
 }
 
-const DEFAULT_LIMIT = 100;
-
 export function createRunsCommand(context: ClientContext): CommandModule<CommonFlags, Flags> {
   return {
     command: 'runs',
@@ -27,7 +25,11 @@
         .option('job', { type: 'string', describe: 'only the runs of this job' })
         .option('team', { type: 'string', describe: 'only runs of this team' })
         .option('state', { choices: Object.values(TaskState), describe: 'only runs in this state' })
-        .option('limit', { type: 'number', default: DEFAULT_LIMIT, describe: 'at most this many' })
+        .option('limit', {
+          type: 'number',
+          default: RUNS_LIMIT_DEFAULT,
+          describe: `at most this many, up to ${RUNS_LIMIT_MAXIMUM}`,
+        })
         .example('$0 runs --state held', 'what cannot run, and why')
         .example('$0 runs --job overnight-1', 'the runs of one job'),
     async handler(flags): Promise<void> {
@@ -45,14 +47,7 @@
     const { tasks } = await requestJob(entry, job, team);
     return tasks.filter((run) => state === undefined || run.state === state).slice(0, limit);
   }
-  const query = new URLSearchParams({ limit: String(limit) });
-  if (team !== undefined) {
-    query.set('team', team);
-  }
-  if (state !== undefined) {
-    query.set('state', state);
-  }
-  return (await entry.call<{ runs: RunView[] }>('GET', `/v1/runs?${query}`)).runs;
+  return (await requestRuns(entry, { team, state, limit })).runs;
 }
 
 function formatRuns(runs: RunView[]): string {
--- a/packages/client/src/commands/submit.ts
+++ b/packages/client/src/commands/submit.ts
@@ -5,15 +5,14 @@
 import { ErrorCode, errorCodeOf, toError } from '@figjunction/errors';
 import { SystemClock, deadlineAfter, hasPassed, sleep } from '@figjunction/time';
 import { TaskState } from '@figjunction/types';
+import type { JobRequest, JobView, SubmittedJob } from '@figjunction/types';
 import { ClientError } from '../client-error.js';
 import { connect, requireNumbers, show } from '../client-context.js';
 import type { ClientContext, CommonFlags } from '../client-context.js';
 import type { EntryConnection } from '../entry-connection.js';
 import { ExitCode } from '../exit-code.js';
 import { invalidJob, readJobFile } from '../job-file.js';
-import type { JobFile } from '../job-file.js';
 import { formatCounts, isFinished, requestJob } from '../job-requests.js';
-import type { JobAnswer } from '../job-requests.js';
 
 interface Flags extends CommonFlags {
   file: string;
@@ -79,7 +78,11 @@
   }
 }
 
-async function submitJob(entry: EntryConnection, job: JobFile, file: string): Promise<unknown> {
+async function submitJob(
+  entry: EntryConnection,
+  job: JobRequest,
+  file: string,
+): Promise<SubmittedJob> {
   try {
     return await entry.call('POST', '/v1/jobs', job);
   } catch (error) {
@@ -95,7 +98,7 @@
   flags: Flags,
   entry: EntryConnection,
   { jobId, team }: { jobId: string; team: string },
-): Promise<JobAnswer> {
+): Promise<JobView> {
   const clock = new SystemClock();
   const deadline = deadlineAfter(clock, flags['wait-seconds'] * MILLISECONDS_PER_SECOND);
   for (;;) {
--- a/packages/client/src/job-file.ts
+++ b/packages/client/src/job-file.ts
@@ -4,23 +4,16 @@
 import { readFileSync } from 'node:fs';
 import { parseJsonWithComments } from '@figjunction/config';
 import { toError } from '@figjunction/errors';
+import type { JobRequest } from '@figjunction/types';
 import { ClientError } from './client-error.js';
 import { ExitCode } from './exit-code.js';
 
-export interface JobFile {
-  jobId: string;
-  team: string;
-  kind: string;
-  urgency?: string;
-  tasks: { name: string; parameters: Record<string, string> }[];
-}
-
-export function readJobFile(file: string, jobId: string | undefined): JobFile {
+export function readJobFile(file: string, jobId: string | undefined): JobRequest {
   const fields = parseJsonWithComments(readText(file), file);
   if ('problems' in fields) {
     throw invalidJob(file, 'it is not JSON');
   }
-  const job = { ...(fields.value as JobFile), ...(jobId === undefined ? {} : { jobId }) };
+  const job = { ...(fields.value as JobRequest), ...(jobId === undefined ? {} : { jobId }) };
   if (typeof job.jobId !== 'string' || typeof job.team !== 'string' || !Array.isArray(job.tasks)) {
     throw invalidJob(file, '"jobId", "team", "kind" and "tasks" are needed');
   }
--- a/packages/config/src/operator-configuration.ts
+++ b/packages/config/src/operator-configuration.ts
@@ -3,9 +3,13 @@
  * that one file is one complete desired state.
  */
 import { z } from 'zod';
-import { ApprovalMode } from '@figjunction/types';
+import {
+  ApprovalMode,
+  JOB_TASKS_DEFAULT,
+  JOB_TASKS_MAXIMUM,
+  NAME_LENGTH_MAXIMUM,
+} from '@figjunction/types';
 
-const NAME_LENGTH_MAXIMUM = 63;
 const MILLICORES_MAXIMUM = 1_024_000;
 const MEMORY_MEGABYTES_MAXIMUM = 16 * 1024 * 1024;
 const ACCELERATORS_MAXIMUM = 64;
@@ -13,7 +17,6 @@
 const SLOTS_MAXIMUM = 1_024;
 const CONNECTIONS_MAXIMUM = 65_536;
 const TIMEOUT_MS_MAXIMUM = 600_000;
-const TASKS_PER_JOB_MAXIMUM = 10_000;
 const RATE_MAXIMUM = 1_000_000;
 const SHA256_HEXADECIMAL = /^[0-9a-f]{64}$/u;
 
@@ -73,7 +76,7 @@
     .max(1_000)
     .default(1)
     .describe('Cost of a lost second of this work'),
-  tasksPerJobMaximum: z.int().min(1).max(TASKS_PER_JOB_MAXIMUM).default(1_000),
+  tasksPerJobMaximum: z.int().min(1).max(JOB_TASKS_MAXIMUM).default(JOB_TASKS_DEFAULT),
   allowed: allowedVmsSchema.prefault({}),
   placement: z.enum(ApprovalMode).default(ApprovalMode.Automatic),
 });
--- a/packages/entry/src/tasks/job-reader.ts
+++ b/packages/entry/src/tasks/job-reader.ts
@@ -2,7 +2,7 @@
  * Reads tasks from the table for callers and operators; any entry can answer.
  */
 import { SCAN_ROWS_MAXIMUM, TASK_PREFIX, TaskState } from '@figjunction/types';
-import type { TaskRow } from '@figjunction/types';
+import type { RunView, TaskRow } from '@figjunction/types';
 import { configurationOf } from './task-context.js';
 import type { TaskContext } from './task-context.js';
 import type { TaskEntry } from './task-table.js';
@@ -18,22 +18,6 @@
   limit: number;
 }
 
-/** What callers see of a run. */
-export interface RunView {
-  taskId: string;
-  jobId: string;
-  team: string;
-  kind: string;
-  urgency: string;
-  state: TaskState;
-  attempt: number;
-  holder: string | null;
-  failures: number;
-  evictions: number;
-  reason: string | null;
-  decision: string | null;
-}
-
 export function viewOf({ value }: TaskEntry): RunView {
   const { taskId, jobId, team, kind, urgency, state, attempt, failures, evictions } = value;
   return {
--- a/packages/entry/src/tasks/job-routes.test.ts
+++ b/packages/entry/src/tasks/job-routes.test.ts
@@ -6,6 +6,12 @@
 import { after, before, test } from 'node:test';
 import { HttpClient, HttpServer } from '@figjunction/http';
 import type { HttpAnswer } from '@figjunction/http';
+import {
+  JOB_PARAMETERS_MAXIMUM,
+  JOB_PARAMETER_LENGTH_MAXIMUM,
+  NAME_LENGTH_MAXIMUM,
+  RUNS_LIMIT_MAXIMUM,
+} from '@figjunction/types';
 import { TaskFixture, configurationWith } from './testing/task-fixture.test.js';
 import { createJobRoutes } from './job-routes.js';
 
@@ -63,6 +69,12 @@
   };
 }
 
+const tooManyParameters = Object.fromEntries(
+  Array.from({ length: JOB_PARAMETERS_MAXIMUM + 1 }, (_, index) => [`p${index}`, 'x']),
+);
+const tooLong = 'x'.repeat(JOB_PARAMETER_LENGTH_MAXIMUM + 1);
+
+// Guards against limits that are stated in the shared shape and not enforced by the entry.
 const refused: [string, string, unknown, number, RegExp][] = [
   ['an unknown token', 'nobody', job(), 401, /not known/u],
   ['the token of another team', 'school', job(), 403, /another team/u],
@@ -79,6 +91,27 @@
   ['an unknown kind', 'kitchen', job({ kind: 'saw' }), 400, /kind/u],
   ['an urgency of others', 'kitchen', job({ urgency: 'urgent' }), 403, /urgency/u],
   ['an unknown team', 'ops', job({ team: 'bakery' }), 400, /team/u],
+  [
+    'too many parameters',
+    'kitchen',
+    job({ tasks: [{ name: 'a', parameters: tooManyParameters }] }),
+    400,
+    /parameters/u,
+  ],
+  [
+    'a parameter that is too long',
+    'kitchen',
+    job({ tasks: [{ name: 'a', parameters: { menu: tooLong } }] }),
+    400,
+    /parameters/u,
+  ],
+  [
+    'a name that is too long',
+    'kitchen',
+    job({ jobId: 'x'.repeat(NAME_LENGTH_MAXIMUM + 1) }),
+    400,
+    /jobId/u,
+  ],
   ['a field that does not exist', 'kitchen', job({ priority: 1 }), 400, /priority/u],
 ];
 
@@ -121,6 +154,8 @@
   assert.equal(runs.length, 1);
   assert.equal((await call('GET', '/v1/runs?state=lost', 'kitchen')).status, 400);
   assert.equal((await call('GET', '/v1/runs?limit=0', 'kitchen')).status, 400);
+  const tooMany = `/v1/runs?limit=${RUNS_LIMIT_MAXIMUM + 1}`;
+  assert.equal((await call('GET', tooMany, 'kitchen')).status, 400);
 });
 
 test('a cancelled job shows as cancelled and can be cancelled again', async () => {
--- a/packages/entry/src/tasks/job-routes.ts
+++ b/packages/entry/src/tasks/job-routes.ts
@@ -4,7 +4,14 @@
 import { ErrorCode } from '@figjunction/errors';
 import { readJson, sendJson } from '@figjunction/http';
 import type { Route, RouteMatch } from '@figjunction/http';
-import { Role, TaskState } from '@figjunction/types';
+import {
+  JOB_BYTES_MAXIMUM,
+  RUNS_LIMIT_DEFAULT,
+  RUNS_LIMIT_MAXIMUM,
+  Role,
+  TaskState,
+} from '@figjunction/types';
+import type { CancelledJob, JobView, RunList } from '@figjunction/types';
 import { authenticate, requireTeam } from '../authentication.js';
 import type { Identity } from '../authentication.js';
 import { EntryError } from '../entry-error.js';
@@ -14,9 +21,8 @@
 import type { TaskContext } from './task-context.js';
 import type { TaskEntry } from './task-table.js';
 
-const JOB_BYTES_MAXIMUM = 8 * 1024 * 1024;
-const RUNS_LIMIT_DEFAULT = 100;
-const RUNS_LIMIT_MAXIMUM = 1_000;
+/** The rows of a job that exists. */
+type JobRows = [TaskEntry, ...TaskEntry[]];
 
 export function createJobRoutes(context: TaskContext): Route[] {
   return [
@@ -44,7 +50,8 @@
         const rows = await rowsOfRequestedJob(context, match);
         const identity = authenticate(context.entry, match.request);
         const cancelled = await cancelRows(context, rows, `cancelled by ${identity.name}`);
-        sendJson(match.response, 200, { jobId: match.parameters.jobId, cancelled });
+        const answer: CancelledJob = { jobId: match.parameters.jobId ?? '', cancelled };
+        sendJson(match.response, 200, answer);
       },
     },
     {
@@ -57,7 +64,8 @@
           state: parseState(query.get('state')),
           limit: parseLimit(query.get('limit')),
         });
-        sendJson(response, 200, { runs: rows.map(viewOf) });
+        const answer: RunList = { runs: rows.map(viewOf) };
+        sendJson(response, 200, answer);
       },
     },
   ];
@@ -75,31 +83,26 @@
 async function rowsOfRequestedJob(
   context: TaskContext,
   { request, parameters, query }: RouteMatch,
-): Promise<TaskEntry[]> {
+): Promise<JobRows> {
   const identity = authenticate(context.entry, request);
   const jobId = parameters.jobId ?? '';
   const team = teamOf(identity, query.get('team'));
   const rows =
     team === null ? await findRowsOfJob(context, jobId) : await readRowsOfJob(context, team, jobId);
-  if (rows.length === 0) {
+  const [first, ...others] = rows;
+  if (first === undefined) {
     throw new EntryError(`job ${jobId} does not exist`, { code: ErrorCode.NotFound });
   }
-  return rows;
+  return [first, ...others];
 }
 
-function describeJob(rows: TaskEntry[]): Record<string, unknown> {
-  const counts: Record<string, number> = {};
+function describeJob(rows: JobRows): JobView {
+  const counts: JobView['counts'] = {};
   for (const { value } of rows) {
     counts[value.state] = (counts[value.state] ?? 0) + 1;
   }
-  const [first] = rows;
-  return {
-    jobId: first?.value.jobId,
-    team: first?.value.team,
-    kind: first?.value.kind,
-    counts,
-    tasks: rows.map(viewOf),
-  };
+  const { jobId, team, kind } = rows[0].value;
+  return { jobId, team, kind, counts, tasks: rows.map(viewOf) };
 }
 
 function parseState(text: string | null): TaskState | null {
--- a/packages/entry/src/tasks/job-submission.ts
+++ b/packages/entry/src/tasks/job-submission.ts
@@ -6,8 +6,16 @@
 import { z } from 'zod';
 import type { BatchKindConfiguration } from '@figjunction/config';
 import { ErrorCode } from '@figjunction/errors';
-import { TaskState, TaskType, taskKey } from '@figjunction/types';
-import type { TaskRow } from '@figjunction/types';
+import {
+  JOB_PARAMETERS_MAXIMUM,
+  JOB_PARAMETER_LENGTH_MAXIMUM,
+  JOB_TASKS_MAXIMUM,
+  NAME_LENGTH_MAXIMUM,
+  TaskState,
+  TaskType,
+  taskKey,
+} from '@figjunction/types';
+import type { JobRequest, SubmittedJob, TaskRow } from '@figjunction/types';
 import { requireTeam } from '../authentication.js';
 import type { Identity } from '../authentication.js';
 import { EntryError } from '../entry-error.js';
@@ -18,10 +26,6 @@
 import { batchTaskId, shardOfTeam } from './task-identifiers.js';
 import { TaskWriteKind } from './task-store.js';
 
-const NAME_LENGTH_MAXIMUM = 63;
-const TASKS_MAXIMUM = 10_000;
-const PARAMETERS_MAXIMUM = 64;
-const PARAMETER_LENGTH_MAXIMUM = 4_096;
 const SUBMISSION_TIMEOUT_MS = 10_000;
 /** Twice what a row takes when 64 rows share a transaction every 100 ms. */
 const SUBMISSION_MS_PER_ROW = 3;
@@ -41,24 +45,17 @@
       z.strictObject({
         name: identifierSchema,
         parameters: z
-          .record(z.string().max(NAME_LENGTH_MAXIMUM), z.string().max(PARAMETER_LENGTH_MAXIMUM))
-          .refine((parameters) => Object.keys(parameters).length <= PARAMETERS_MAXIMUM)
+          .record(z.string().max(NAME_LENGTH_MAXIMUM), z.string().max(JOB_PARAMETER_LENGTH_MAXIMUM))
+          .refine((parameters) => Object.keys(parameters).length <= JOB_PARAMETERS_MAXIMUM)
           .default({}),
       }),
     )
     .min(1)
-    .max(TASKS_MAXIMUM),
-});
+    .max(JOB_TASKS_MAXIMUM),
+}) satisfies z.ZodType<JobRequest, JobRequest>;
 
-export type JobRequest = z.infer<typeof jobSchema>;
-
-export interface SubmittedJob {
-  jobId: string;
-  team: string;
-  tasks: number;
-  /** False when the same job existed already. */
-  created: boolean;
-}
+/** A request with its defaults filled in. */
+type CheckedJob = z.output<typeof jobSchema>;
 
 export async function submitJob(
   context: TaskContext,
@@ -85,7 +82,7 @@
   };
 }
 
-function parseJob(body: unknown): JobRequest {
+function parseJob(body: unknown): CheckedJob {
   const parsed = jobSchema.safeParse(body);
   if (!parsed.success) {
     const problems = parsed.error.issues.map(
@@ -100,7 +97,7 @@
   return parsed.data;
 }
 
-function checkAgainstConfiguration(context: TaskContext, job: JobRequest): BatchKindConfiguration {
+function checkAgainstConfiguration(context: TaskContext, job: CheckedJob): BatchKindConfiguration {
   const configuration = configurationOf(context);
   if (configuration === null) {
     throw new EntryError('no configuration is in force yet', { code: ErrorCode.Unavailable });
@@ -126,7 +123,7 @@
 }
 
 /** Independent of the order of parameters, so that a client may build them in any order. */
-function hashOfJob(job: JobRequest): string {
+function hashOfJob(job: CheckedJob): string {
   const tasks = job.tasks.map(({ name, parameters }) => [
     name,
     Object.entries(parameters).sort(([left], [right]) => (left < right ? -1 : 1)),
@@ -137,7 +134,7 @@
 
 function rowsOfJob(
   context: TaskContext,
-  job: JobRequest,
+  job: CheckedJob,
   kind: BatchKindConfiguration,
 ): Omit<TaskRow, 'writeId'>[] {
   const jobHash = hashOfJob(job);
@@ -168,7 +165,7 @@
 
 async function insertRows(
   context: TaskContext,
-  job: JobRequest,
+  job: CheckedJob,
   rows: Omit<TaskRow, 'writeId'>[],
 ): Promise<void> {
   const shard = shardOfTeam(job.team);
@@ -199,7 +196,7 @@
   }
 }
 
-function contentConflict(job: JobRequest): EntryError {
+function contentConflict(job: CheckedJob): EntryError {
   return new EntryError(`job ${job.jobId} of team ${job.team} exists with other content`, {
     code: ErrorCode.Conflict,
   });
--- a/packages/entry/src/tasks/testing/task-fixture.test.ts
+++ b/packages/entry/src/tasks/testing/task-fixture.test.ts
@@ -10,13 +10,12 @@
 import type { MemoryTable } from '@figjunction/test-support';
 import { ManualClock, TickLoop } from '@figjunction/time';
 import { Role, RpcMethod, TASK_PREFIX } from '@figjunction/types';
-import type { RpcMethods, TaskReport, TaskRow } from '@figjunction/types';
+import type { RpcMethods, SubmittedJob, TaskReport, TaskRow } from '@figjunction/types';
 import { createEntryContext } from '../../entry-context.js';
 import type { EntryContext } from '../../entry-context.js';
 import type { TaskContext } from '../task-context.js';
 import { createTaskParts } from '../task-module.js';
 import { submitJob } from '../job-submission.js';
-import type { SubmittedJob } from '../job-submission.js';
 import { isLegalTransition } from '../task-transitions.js';
 import type { AgentFake } from './agent-fake.test.js';
 
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -6,6 +6,7 @@
 export * from './enums.js';
 export * from './headers.js';
 export * from './identifiers.js';
+export * from './job-messages.js';
 export * from './messages.js';
 export * from './platform-messages.js';
 export * from './resources.js';
