Give the two platform clients one call with one error handling

Cause: the clients of the table and of the object store each sent the request, turned a lost answer into an error and checked the status; a correction of one could miss the other. Both also took a client to share and closed it although its owner was said to; nothing passed one. Ruled out: one base class for both, because TableService and ObjectStore are abstract classes that they already extend. Change: PlatformClient.call sends, wraps and checks; the callers name the statuses that they handle themselves. The option `client` is gone. Errors about lost answers begin with what the call did ("reading rows at ...") like the errors about refusals. A new test holds the outcome of object writes without an answer, which only the table had. Conclusion: one place decides whether a call may have had an effect.

--- a/packages/platform/src/http-table-service.ts
+++ b/packages/platform/src/http-table-service.ts
@@ -1,7 +1,6 @@
 /**
  * The table service over HTTP (section 16.2 of the design).
  */
-import { HttpClient } from '@figjunction/http';
 import type { HttpAnswer } from '@figjunction/http';
 import type {
   TableScanParameters,
@@ -10,30 +9,33 @@
   TransactionResult,
   VersionedRow,
 } from '@figjunction/types';
-import { CallEffect, lostAnswer, parseBody, refusal } from './platform-call.js';
+import { CallEffect, parseBody } from './platform-call.js';
+import { PlatformClient } from './platform-client.js';
+import type { HttpPlatformOptions, PlatformCall } from './platform-client.js';
 import { TableService } from './table-service.js';
 
-export interface HttpPlatformOptions {
-  /** `http://<ip>:<port>`. */
-  address: string;
-  timeoutMs?: number;
-  /** A client to share; the owner closes it. */
-  client?: HttpClient;
-}
-
 const DEFAULT_TIMEOUT_MS = 5_000;
 const CONFLICT_STATUS = 409;
-const FIRST_ERROR_STATUS = 300;
 
-export class HttpTableService extends TableService {
-  private readonly client: HttpClient;
+type TableCall = Pick<PlatformCall, 'purpose' | 'effect' | 'path' | 'acceptedStatuses'>;
+
+const READ: TableCall = { purpose: 'reading rows', effect: CallEffect.Read, path: '/table/read' };
+
+const SCAN: TableCall = { purpose: 'scanning rows', effect: CallEffect.Read, path: '/table/scan' };
 
-  private readonly timeoutMs: number;
+const TRANSACT: TableCall = {
+  purpose: 'a transaction',
+  effect: CallEffect.Write,
+  path: '/table/transact',
+  acceptedStatuses: [CONFLICT_STATUS],
+};
 
-  constructor(private readonly options: HttpPlatformOptions) {
+export class HttpTableService extends TableService {
+  private readonly client: PlatformClient;
+
+  constructor({ address, timeoutMs = DEFAULT_TIMEOUT_MS }: HttpPlatformOptions) {
     super();
-    this.client = options.client ?? new HttpClient();
-    this.timeoutMs = options.timeoutMs ?? DEFAULT_TIMEOUT_MS;
+    this.client = new PlatformClient({ address, timeoutMs });
   }
 
   close(): void {
@@ -41,52 +43,34 @@
   }
 
   override async read<Value>(keys: string[]): Promise<(VersionedRow<Value> | null)[]> {
-    const answer = await this.post('/table/read', CallEffect.Read, { keys });
-    const { rows } = parseAnswer<{ rows: (VersionedRow<Value> | null)[] }>(
-      'reading rows',
-      CallEffect.Read,
-      answer,
-    );
-    return rows;
+    const answer = await this.post(READ, { keys });
+    return parse<{ rows: (VersionedRow<Value> | null)[] }>(READ, answer).rows;
   }
 
   override async scan<Value>(parameters: TableScanParameters): Promise<TableScanResult<Value>> {
-    const answer = await this.post('/table/scan', CallEffect.Read, parameters);
-    return parseAnswer<TableScanResult<Value>>('scanning rows', CallEffect.Read, answer);
+    return parse(SCAN, await this.post(SCAN, parameters));
   }
 
   override async transact(transaction: TableTransaction): Promise<TransactionResult> {
-    const answer = await this.post('/table/transact', CallEffect.Write, transaction);
+    const answer = await this.post(TRANSACT, transaction);
     if (answer.status === CONFLICT_STATUS) {
-      const body = parseBody<{ failedKeys: string[] }>('a transaction', CallEffect.Write, answer);
-      return { committed: false, failedKeys: body.failedKeys };
+      const { failedKeys } = parse<{ failedKeys: string[] }>(TRANSACT, answer);
+      return { committed: false, failedKeys };
     }
-    const { versions } = parseAnswer<{ versions: number[] }>(
-      'a transaction',
-      CallEffect.Write,
-      answer,
-    );
+    const { versions } = parse<{ versions: number[] }>(TRANSACT, answer);
     return { committed: true, versions };
   }
 
-  private async post(path: string, effect: CallEffect, body: unknown): Promise<HttpAnswer> {
-    const url = `${this.options.address}${path}`;
-    try {
-      return await this.client.request(url, {
-        method: 'POST',
-        headers: { 'content-type': 'application/json' },
-        body: JSON.stringify(body),
-        timeoutMs: this.timeoutMs,
-      });
-    } catch (error) {
-      throw lostAnswer(`the table at ${url}`, effect, error);
-    }
+  private post(call: TableCall, body: unknown): Promise<HttpAnswer> {
+    return this.client.call({
+      ...call,
+      method: 'POST',
+      headers: { 'content-type': 'application/json' },
+      body: JSON.stringify(body),
+    });
   }
 }
 
-function parseAnswer<Result>(what: string, effect: CallEffect, answer: HttpAnswer): Result {
-  if (answer.status >= FIRST_ERROR_STATUS) {
-    throw refusal(what, effect, answer);
-  }
-  return parseBody<Result>(what, effect, answer);
+function parse<Result>({ purpose, effect }: TableCall, answer: HttpAnswer): Result {
+  return parseBody<Result>(purpose, effect, answer);
 }
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -5,6 +5,7 @@
 export * from './http-object-store.js';
 export * from './http-table-service.js';
 export * from './object-store.js';
+export type { HttpPlatformOptions } from './platform-client.js';
 export * from './platform-error.js';
 export * from './retry-budget.js';
 export * from './table-service.js';
--- a/packages/platform/src/platform-services.test.ts
+++ b/packages/platform/src/platform-services.test.ts
@@ -77,6 +77,18 @@
   await close();
 });
 
+// The object store shares the error handling of the table; a lost answer to a write must not look refused.
+test('an object write whose time is up may still take effect, a read cannot', async () => {
+  const { platform, address, close } = await startPlatform();
+  const objects = new HttpObjectStore({ address, timeoutMs: 50 });
+  platform.faults.slowMs = 200;
+  await assert.rejects(objects.put('a', Buffer.from('1')), hasCode(ErrorCode.OutcomeUnknown));
+  await assert.rejects(objects.remove('a'), hasCode(ErrorCode.OutcomeUnknown));
+  await assert.rejects(objects.get('a'), hasCode(ErrorCode.Unavailable));
+  objects.close();
+  await close();
+});
+
 test('a write that reached nobody had no effect', async () => {
   const address = `http://127.0.0.1:${await findFreePort()}`;
   const table = new HttpTableService({ address });
