--- a/packages/decisions/src/placement/placement-plan.test.ts
+++ b/packages/decisions/src/placement/placement-plan.test.ts
@@ -1,82 +1,12 @@
 /**
- * Placement plans: capacity, order, quotas, fairness, spread and weights.
+ * Placement plans: capacity, order, quotas and fairness.
  */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import fc from 'fast-check';
-import { RandomSource } from '@figjunction/time';
-import { TaskType } from '@figjunction/types';
 import type { Resources } from '@figjunction/types';
-import { planPlacements } from './placement-plan.js';
-import { PossibleFit, possibleFit } from './possible-fit.js';
-import type {
-  PlacementInputs,
-  PlacementTask,
-  PlacementTeam,
-  PlacementVm,
-} from './placement-types.js';
-
-function size(processorMillicores: number, memoryMegabytes = 1): Resources {
-  return { processorMillicores, memoryMegabytes, accelerators: 0 };
-}
-
-const ANYWHERE = { dataCentres: [], racks: [], vms: [] };
-
-function task(key: string, overrides: Partial<PlacementTask> = {}): PlacementTask {
-  return {
-    key,
-    type: TaskType.Batch,
-    team: 'kitchen',
-    kind: 'labels',
-    urgencyRank: 1,
-    size: overrides.size ?? size(1_000),
-    worstCaseSize: overrides.size ?? size(1_000),
-    allowed: ANYWHERE,
-    failedOn: [],
-    order: 0,
-    instancesPerVm: null,
-    onlyVm: null,
-    ...overrides,
-  };
-}
-
-function vm(agentId: string, overrides: Partial<PlacementVm> = {}): PlacementVm {
-  return {
-    agentId,
-    location: { region: 'marmara', dataCentre: 'istanbul', rack: 'r1' },
-    capacity: size(4_000, 1_000),
-    free: size(4_000, 1_000),
-    kinds: new Map(),
-    hostsService: false,
-    startsAllowed: Number.POSITIVE_INFINITY,
-    limitReason: null,
-    kindStarts: new Map(),
-    ...overrides,
-  };
-}
-
-function team(name = 'kitchen', overrides: Partial<PlacementTeam> = {}): PlacementTeam {
-  return {
-    name,
-    weight: 1,
-    runningTasks: 0,
-    runningTasksMaximum: 1_000,
-    processorMillicores: 0,
-    processorMillicoresMaximum: 1_000_000,
-    ...overrides,
-  };
-}
-
-function plan(overrides: Partial<PlacementInputs>) {
-  return planPlacements({
-    tasks: [],
-    vms: [vm('vm-1')],
-    teams: [team()],
-    weights: { tailLatency: 1, throughput: 1, evictions: 1 },
-    random: new RandomSource(1),
-    ...overrides,
-  });
-}
+import { plan, size, task, team, vm } from './placement-fixture.test.js';
+import type { PlacementInputs } from './placement-types.js';
 
 function placedKeys(overrides: Partial<PlacementInputs>): string[] {
   return plan(overrides).placements.map(({ task: { key } }) => key);
@@ -125,59 +55,6 @@
   assert.equal(heavy, 30);
 });
 
-test('instances are spread over VMs, racks and data centres', () => {
-  const vms = ['istanbul', 'bursa'].flatMap((dataCentre) =>
-    ['r1', 'r2'].flatMap((rack) =>
-      ['a', 'b'].map((name) =>
-        vm(`${dataCentre}-${rack}-${name}`, { location: { region: 'marmara', dataCentre, rack } }),
-      ),
-    ),
-  );
-  const instance = (index: number): PlacementTask =>
-    task(`i${index}`, { type: TaskType.Instance, team: '', kind: 'api', instancesPerVm: 1 });
-  const { placements } = plan({ tasks: Array.from({ length: 4 }, (_, i) => instance(i)), vms });
-  const racks = new Set(placements.map(({ agentId }) => agentId.slice(0, -2)));
-  assert.equal(racks.size, 4);
-  const more = plan({ tasks: Array.from({ length: 20 }, (_, i) => instance(i)), vms });
-  assert.equal(more.placements.length, 8);
-});
-
-// Guards against offering a VM many tasks of an unknown kind, of which its agent admits few.
-test('tasks of unknown size are spread over VMs', () => {
-  const unknown = (key: string): PlacementTask =>
-    task(key, { size: size(500), worstCaseSize: size(3_800) });
-  const { placements } = plan({
-    tasks: ['a', 'b', 'c'].map(unknown),
-    vms: [vm('vm-1'), vm('vm-2'), vm('vm-3')],
-    weights: { tailLatency: 0, throughput: 5, evictions: 0 },
-  });
-  assert.equal(new Set(placements.map(({ agentId }) => agentId)).size, 3);
-});
-
-test('only allowed VMs are used', () => {
-  const allowed = { ...ANYWHERE, vms: ['vm-2'] };
-  const { placements } = plan({
-    tasks: [task('a', { allowed })],
-    vms: [vm('vm-1'), vm('vm-2'), vm('vm-3')],
-  });
-  assert.deepEqual(
-    placements.map(({ agentId }) => agentId),
-    ['vm-2'],
-  );
-  assert.equal(placements[0]?.rejected[0]?.reason, 'the configuration does not allow it');
-});
-
-test('a task avoids VMs on which it failed', () => {
-  for (let seed = 1; seed <= 20; seed += 1) {
-    const { placements } = plan({
-      tasks: [task('a', { failedOn: ['vm-1'] })],
-      vms: [vm('vm-1'), vm('vm-2')],
-      random: new RandomSource(seed),
-    });
-    assert.equal(placements[0]?.agentId, 'vm-2');
-  }
-});
-
 test('a limited VM gets no more starts than allowed', () => {
   const tasks = ['a', 'b', 'c'].map((key) => task(key));
   const limited = vm('vm-1', { startsAllowed: 1, limitReason: 'its last starts failed' });
@@ -186,35 +63,6 @@
   assert.equal(placedKeys({ tasks, vms: [limitedKind] }).length, 2);
 });
 
-test('weights decide between packing and headroom next to services', () => {
-  const vms = [
-    vm('full', { free: size(2_000, 500), hostsService: true }),
-    vm('empty', { hostsService: true }),
-  ];
-  const choice = (weights: PlacementInputs['weights']): string | undefined =>
-    plan({ tasks: [task('a')], vms, weights }).placements[0]?.agentId;
-  assert.equal(choice({ tailLatency: 3, throughput: 1, evictions: 1 }), 'empty');
-  assert.equal(choice({ tailLatency: 0.5, throughput: 3, evictions: 0.5 }), 'full');
-});
-
-test('interference moves a task away from the kinds it slows down', () => {
-  const vms = [vm('noisy', { kinds: new Map([['saw', 1]]) }), vm('quiet')];
-  const { placements } = plan({
-    tasks: [task('a')],
-    vms,
-    interference: (_task, { kinds }) => (kinds.has('saw') ? 1 : 0),
-  });
-  assert.equal(placements[0]?.agentId, 'quiet');
-});
-
-test('possible fit tells a VM class that is too small from one that is absent', () => {
-  const small = [vm('vm-1')];
-  assert.equal(possibleFit(size(4_000), ANYWHERE, small), PossibleFit.Possible);
-  assert.equal(possibleFit(size(4_001), ANYWHERE, small), PossibleFit.TooLarge);
-  const elsewhere = { ...ANYWHERE, racks: ['r9'] };
-  assert.equal(possibleFit(size(1), elsewhere, small), PossibleFit.NoVm);
-});
-
 test('a plan never exceeds the free room, the starts or the quota', () => {
   const sizes = fc.record({
     processorMillicores: fc.integer({ min: 0, max: 3_000 }),
--- a/packages/entry/src/tasks/holding.test.ts
+++ b/packages/entry/src/tasks/holding.test.ts
@@ -12,7 +12,8 @@
 } from '@figjunction/types';
 import type { ProposalRow } from '@figjunction/types';
 import { AgentFake } from './testing/agent-fake.test.js';
-import { TaskFixture, configurationWith, submitTasks } from './testing/task-fixture.test.js';
+import { configurationWith } from './testing/configuration-with.test.js';
+import { TaskFixture, submitTasks } from './testing/task-fixture.test.js';
 
 const LABELS = {
   name: 'labels',
--- a/packages/entry/src/tasks/job-routes.test.ts
+++ b/packages/entry/src/tasks/job-routes.test.ts
@@ -12,7 +12,8 @@
   NAME_LENGTH_MAXIMUM,
   RUNS_LIMIT_MAXIMUM,
 } from '@figjunction/types';
-import { TaskFixture, configurationWith } from './testing/task-fixture.test.js';
+import { configurationWith } from './testing/configuration-with.test.js';
+import { TaskFixture } from './testing/task-fixture.test.js';
 import { createJobRoutes } from './job-routes.js';
 
 const TICK_MS = 10;
--- a/packages/entry/src/tasks/placement-path.test.ts
+++ b/packages/entry/src/tasks/placement-path.test.ts
@@ -5,7 +5,8 @@
 import { test } from 'node:test';
 import { RpcMethod, TaskReportKind, TaskState } from '@figjunction/types';
 import { AgentFake } from './testing/agent-fake.test.js';
-import { TaskFixture, configurationWith, submitTasks } from './testing/task-fixture.test.js';
+import { configurationWith } from './testing/configuration-with.test.js';
+import { TaskFixture, submitTasks } from './testing/task-fixture.test.js';
 
 test('a run goes from pending through running to completed', async () => {
   const fixture = new TaskFixture();
--- /dev/null
+++ b/packages/entry/src/tasks/recovery.property.test.ts
@@ -0,0 +1,102 @@
+/**
+ * Properties of recovery with two entries that race each other.
+ */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import { shardOfTeam } from './task-identifiers.js';
+import { AgentFake } from './testing/agent-fake.test.js';
+import { requeues } from './testing/requeues.test.js';
+import { TaskFixture, submitTasks } from './testing/task-fixture.test.js';
+
+const SHARD_OF_TEAM = shardOfTeam('kitchen');
+
+// Two entries that both believe they own every shard: the race of two resumers, with lost answers.
+test('a run is requeued exactly once per fencing and never runs twice at once', async () => {
+  await fc.assert(
+    fc.asyncProperty(
+      fc.record({
+        lostAnswers: fc.integer({ min: 0, max: 4 }),
+        tasks: fc.integer({ min: 1, max: 6 }),
+        deadAfterMs: fc.integer({ min: 0, max: 3_000 }),
+        outageMs: fc.constantFrom(0, 1_000, 15_000),
+      }),
+      async ({ lostAnswers, tasks, deadAfterMs, outageMs }) => {
+        const fixture = new TaskFixture();
+        const entries = ['entry-1', 'entry-2'].map((id) => fixture.addEntry(id));
+        const [first] = entries;
+        assert.ok(first !== undefined);
+        const dead = await fixture.addAgent(
+          new AgentFake({ agentId: 'vm-1', ...fixture.agentOptions() }),
+        );
+        const names = Array.from({ length: tasks }, (_, index) => `t${index}`);
+        await submitTasks(fixture, first, names);
+        await fixture.run(deadAfterMs);
+        fixture.alive.delete(dead);
+        const stranded = dead.runningTasks().length;
+        const other = await fixture.addAgent(
+          new AgentFake({
+            agentId: 'vm-2',
+            ...fixture.agentOptions(),
+            capacity: { processorMillicores: 8_000, memoryMegabytes: 8_192, accelerators: 0 },
+          }),
+        );
+        fixture.platform.faults.loseAnswers = lostAnswers;
+        fixture.platform.faults.outage = outageMs > 0;
+        await fixture.run(outageMs);
+        fixture.platform.faults.outage = false;
+        await fixture.runUntil(() => other.runningTasks().length === tasks, 120_000);
+        assert.deepEqual(fixture.illegal, []);
+        for (const name of names) {
+          assert.ok(requeues(fixture, `kitchen.job-1.${name}`) <= 1);
+        }
+        assert.ok(stranded <= tasks);
+        assert.equal(new Set(other.started).size, other.started.length);
+      },
+    ),
+    { numRuns: 25, seed: 7 },
+  );
+});
+
+// Guards against stale views: an entry that trusts its own picture overfills a VM or claims a run twice.
+test('two entries with stale views neither exceed a capacity nor claim a run twice', async () => {
+  await fc.assert(
+    fc.asyncProperty(
+      fc.array(fc.integer({ min: 1, max: 12 }), { minLength: 2, maxLength: 4 }),
+      fc.integer({ min: 0, max: 2_000 }),
+      fc.integer({ min: 0, max: 3 }),
+      async (jobSizes, staleMs, lostAnswers) => {
+        const fixture = new TaskFixture();
+        const entries = ['entry-1', 'entry-2'].map((id) => fixture.addEntry(id));
+        for (const agentId of ['vm-1', 'vm-2', 'vm-3']) {
+          await fixture.addAgent(new AgentFake({ agentId, ...fixture.agentOptions() }));
+        }
+        const checkRoom = (): void =>
+          fixture.agents.forEach((agent) => {
+            assert.ok(agent.usedMillicores() <= agent.capacity.processorMillicores);
+          });
+        // Heartbeats stop: both entries go on with the room of empty agents.
+        fixture.heartbeatsPaused = true;
+        fixture.platform.faults.loseAnswers = lostAnswers;
+        for (const [index, size] of jobSizes.entries()) {
+          const names = Array.from({ length: size }, (_, position) => `t${position}`);
+          const entry = entries[index % entries.length];
+          assert.ok(entry !== undefined);
+          // Both entries learn of the job at once, so that they race for its runs.
+          entries.forEach(({ tasks }) => tasks.shards.notify([SHARD_OF_TEAM]));
+          await submitTasks(fixture, entry, names, { jobId: `job-${index}` });
+          entries.forEach(({ tasks }) => tasks.shards.notify([SHARD_OF_TEAM]));
+          checkRoom();
+        }
+        await fixture.run(staleMs);
+        fixture.heartbeatsPaused = false;
+        await fixture.run(2_000);
+        checkRoom();
+        assert.deepEqual(fixture.illegal, []);
+        const started = fixture.agents.flatMap((agent) => agent.started);
+        assert.equal(new Set(started).size, started.length);
+      },
+    ),
+    { numRuns: 20, seed: 11 },
+  );
+});
--- a/packages/entry/src/tasks/recovery.test.ts
+++ b/packages/entry/src/tasks/recovery.test.ts
@@ -3,18 +3,13 @@
  */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import fc from 'fast-check';
-import { LeaseState, RpcMethod, TaskReportKind, TaskState, leaseKey } from '@figjunction/types';
+import { LeaseState, TaskReportKind, TaskState, leaseKey } from '@figjunction/types';
 import type { KnownEntry, LeaseRow } from '@figjunction/types';
-import { cancelRows } from './cancellation.js';
-import { listRuns } from './job-reader.js';
-import { shardOfTeam } from './task-identifiers.js';
 import { AgentFake } from './testing/agent-fake.test.js';
+import { requeues } from './testing/requeues.test.js';
 import { TaskFixture, submitTasks } from './testing/task-fixture.test.js';
 import type { TestEntry } from './testing/task-fixture.test.js';
 
-const SHARD_OF_TEAM = shardOfTeam('kitchen');
-
 function knownEntry(entryId: string): KnownEntry {
   return {
     entryId,
@@ -33,15 +28,6 @@
   return row?.value;
 }
 
-function requeues(fixture: TaskFixture, taskId: string): number {
-  return fixture.changes.filter(
-    ({ before, after }) =>
-      after.taskId === taskId &&
-      before?.state === TaskState.Running &&
-      after.state === TaskState.Pending,
-  ).length;
-}
-
 // Guards against two copies of a run: the dead agent's worker may go on until its lease has passed.
 test('the tasks of a dead agent are requeued only after its lease was fenced', async () => {
   const fixture = new TaskFixture();
@@ -160,150 +146,3 @@
     await fixture.report([report], first);
   }
 });
-
-test('a cancelled running task is fenced by its row and its agent is told to stop', async () => {
-  const fixture = new TaskFixture();
-  const entry = fixture.addEntry('entry-1');
-  const agent = await fixture.addAgent(
-    new AgentFake({ agentId: 'vm-1', ...fixture.agentOptions() }),
-  );
-  await submitTasks(fixture, entry, ['a', 'b', 'c']);
-  await fixture.runUntil(() => agent.runningTasks().length === 3);
-  agent.lost.add(RpcMethod.TaskStop);
-  const rows = await listRuns(entry.tasks, { team: 'kitchen', state: null, limit: 10 });
-  const cancelled = cancelRows(entry.tasks, rows, 'cancelled by a test');
-  await fixture.run(1_000);
-  assert.equal(await cancelled, 3);
-  assert.equal(agent.runningTasks().length, 3);
-  // Guards against a task that goes on because its stop order was lost.
-  agent.lost.clear();
-  await fixture.runUntil(() => agent.runningTasks().length === 0, 20_000);
-  assert.deepEqual(fixture.illegal, []);
-});
-
-// Guards against a late report of a fenced attempt that ends the run of another agent.
-test('a report of an earlier attempt is settled without effect', async () => {
-  const fixture = new TaskFixture();
-  const entry = fixture.addEntry('entry-1');
-  const first = await fixture.addAgent(
-    new AgentFake({ agentId: 'vm-1', ...fixture.agentOptions() }),
-  );
-  await submitTasks(fixture, entry, ['a']);
-  await fixture.runUntil(() => first.runningTasks().length === 1);
-  fixture.alive.delete(first);
-  const second = await fixture.addAgent(
-    new AgentFake({ agentId: 'vm-2', ...fixture.agentOptions() }),
-  );
-  await fixture.runUntil(() => second.runningTasks().length === 1);
-  const late = first.end('kitchen.job-1.a', TaskReportKind.Completed);
-  assert.deepEqual(await fixture.report([late]), { settled: [true], applied: [false] });
-  assert.equal((await fixture.rows())[0]?.state, TaskState.Running);
-});
-
-test('an evicted run resumes with its checkpoint, and a repeated report changes nothing', async () => {
-  const fixture = new TaskFixture();
-  const entry = fixture.addEntry('entry-1');
-  const agent = await fixture.addAgent(
-    new AgentFake({ agentId: 'vm-1', ...fixture.agentOptions() }),
-  );
-  await submitTasks(fixture, entry, ['a']);
-  await fixture.runUntil(() => agent.runningTasks().length === 1);
-  const report = agent.end('kitchen.job-1.a', TaskReportKind.Evicted, 'checkpoints/a/1');
-  await fixture.report([report]);
-  await fixture.runUntil(() => agent.started.length === 2);
-  assert.deepEqual(await fixture.report([report]), { settled: [true], applied: [false] });
-  const [row] = await fixture.rows();
-  assert.equal(row?.checkpointKey, 'checkpoints/a/1');
-  assert.equal(row?.attempt, 2);
-  assert.equal(row?.evictions, 1);
-});
-
-// Two entries that both believe they own every shard: the race of two resumers, with lost answers.
-test('a run is requeued exactly once per fencing and never runs twice at once', async () => {
-  await fc.assert(
-    fc.asyncProperty(
-      fc.record({
-        lostAnswers: fc.integer({ min: 0, max: 4 }),
-        tasks: fc.integer({ min: 1, max: 6 }),
-        deadAfterMs: fc.integer({ min: 0, max: 3_000 }),
-        outageMs: fc.constantFrom(0, 1_000, 15_000),
-      }),
-      async ({ lostAnswers, tasks, deadAfterMs, outageMs }) => {
-        const fixture = new TaskFixture();
-        const entries = ['entry-1', 'entry-2'].map((id) => fixture.addEntry(id));
-        const [first] = entries;
-        assert.ok(first !== undefined);
-        const dead = await fixture.addAgent(
-          new AgentFake({ agentId: 'vm-1', ...fixture.agentOptions() }),
-        );
-        const names = Array.from({ length: tasks }, (_, index) => `t${index}`);
-        await submitTasks(fixture, first, names);
-        await fixture.run(deadAfterMs);
-        fixture.alive.delete(dead);
-        const stranded = dead.runningTasks().length;
-        const other = await fixture.addAgent(
-          new AgentFake({
-            agentId: 'vm-2',
-            ...fixture.agentOptions(),
-            capacity: { processorMillicores: 8_000, memoryMegabytes: 8_192, accelerators: 0 },
-          }),
-        );
-        fixture.platform.faults.loseAnswers = lostAnswers;
-        fixture.platform.faults.outage = outageMs > 0;
-        await fixture.run(outageMs);
-        fixture.platform.faults.outage = false;
-        await fixture.runUntil(() => other.runningTasks().length === tasks, 120_000);
-        assert.deepEqual(fixture.illegal, []);
-        for (const name of names) {
-          assert.ok(requeues(fixture, `kitchen.job-1.${name}`) <= 1);
-        }
-        assert.ok(stranded <= tasks);
-        assert.equal(new Set(other.started).size, other.started.length);
-      },
-    ),
-    { numRuns: 25, seed: 7 },
-  );
-});
-
-// Guards against stale views: an entry that trusts its own picture overfills a VM or claims a run twice.
-test('two entries with stale views neither exceed a capacity nor claim a run twice', async () => {
-  await fc.assert(
-    fc.asyncProperty(
-      fc.array(fc.integer({ min: 1, max: 12 }), { minLength: 2, maxLength: 4 }),
-      fc.integer({ min: 0, max: 2_000 }),
-      fc.integer({ min: 0, max: 3 }),
-      async (jobSizes, staleMs, lostAnswers) => {
-        const fixture = new TaskFixture();
-        const entries = ['entry-1', 'entry-2'].map((id) => fixture.addEntry(id));
-        for (const agentId of ['vm-1', 'vm-2', 'vm-3']) {
-          await fixture.addAgent(new AgentFake({ agentId, ...fixture.agentOptions() }));
-        }
-        const checkRoom = (): void =>
-          fixture.agents.forEach((agent) => {
-            assert.ok(agent.usedMillicores() <= agent.capacity.processorMillicores);
-          });
-        // Heartbeats stop: both entries go on with the room of empty agents.
-        fixture.heartbeatsPaused = true;
-        fixture.platform.faults.loseAnswers = lostAnswers;
-        for (const [index, size] of jobSizes.entries()) {
-          const names = Array.from({ length: size }, (_, position) => `t${position}`);
-          const entry = entries[index % entries.length];
-          assert.ok(entry !== undefined);
-          // Both entries learn of the job at once, so that they race for its runs.
-          entries.forEach(({ tasks }) => tasks.shards.notify([SHARD_OF_TEAM]));
-          await submitTasks(fixture, entry, names, { jobId: `job-${index}` });
-          entries.forEach(({ tasks }) => tasks.shards.notify([SHARD_OF_TEAM]));
-          checkRoom();
-        }
-        await fixture.run(staleMs);
-        fixture.heartbeatsPaused = false;
-        await fixture.run(2_000);
-        checkRoom();
-        assert.deepEqual(fixture.illegal, []);
-        const started = fixture.agents.flatMap((agent) => agent.started);
-        assert.equal(new Set(started).size, started.length);
-      },
-    ),
-    { numRuns: 20, seed: 11 },
-  );
-});
--- a/packages/entry/src/tasks/testing/task-fixture.test.ts
+++ b/packages/entry/src/tasks/testing/task-fixture.test.ts
@@ -2,12 +2,11 @@
  * Entries with a manual clock over one fake table, for tests of the task side.
  */
 import { setImmediate as nextTurn } from 'node:timers/promises';
-import { entrySettingsSchema, operatorConfigurationSchema } from '@figjunction/config';
+import { entrySettingsSchema } from '@figjunction/config';
 import type { OperatorConfiguration } from '@figjunction/config';
 import { createLogger } from '@figjunction/logger';
 import type { RpcHandlers } from '@figjunction/rpc';
 import { FakePlatform, MemoryObjectStore, MemoryTableService } from '@figjunction/test-support';
-import type { MemoryTable } from '@figjunction/test-support';
 import { ManualClock, TickLoop } from '@figjunction/time';
 import { Role, RpcMethod, TASK_PREFIX } from '@figjunction/types';
 import type { RpcMethods, SubmittedJob, TaskReport, TaskRow } from '@figjunction/types';
@@ -16,8 +15,9 @@
 import type { TaskContext } from '../task-context.js';
 import { createTaskParts } from '../task-module.js';
 import { submitJob } from '../job-submission.js';
-import { isLegalTransition } from '../task-transitions.js';
 import type { AgentFake } from './agent-fake.test.js';
+import { configurationWith } from './configuration-with.test.js';
+import { TransitionLog } from './transition-log.test.js';
 
 export const TICK_MS = 50;
 const LEASE_RENEWAL_MS = 3_000;
@@ -25,24 +25,6 @@
 
 export const OPERATOR_TOKEN = 'shared-token-of-a-test';
 
-export function configurationWith(overrides: Record<string, unknown> = {}): OperatorConfiguration {
-  return operatorConfigurationSchema.parse({
-    urgencyClasses: [
-      { name: 'urgent', rank: 0, guaranteedShare: 0.5 },
-      { name: 'overnight', rank: 2, guaranteedShare: 0.1 },
-    ],
-    batchKinds: [
-      {
-        name: 'labels',
-        urgency: 'overnight',
-        size: { processorMillicores: 1_000, memoryMegabytes: 512 },
-      },
-    ],
-    teams: [{ name: 'kitchen', urgencies: ['urgent', 'overnight'] }],
-    ...overrides,
-  });
-}
-
 /** One entry with its systems; its peers and heartbeats are set by the test. */
 export interface TestEntry {
   context: EntryContext;
@@ -68,11 +50,13 @@
   /** Agents whose lease is renewed and whose heartbeats arrive. */
   readonly alive = new Set<AgentFake>();
 
+  private readonly log = new TransitionLog(this.platform);
+
   /** Changes of rows that no legal transition allows. */
-  readonly illegal: string[] = [];
+  readonly illegal = this.log.illegal;
 
   /** Every committed change of a task row, in order. */
-  readonly changes: { before: TaskRow | null; after: TaskRow }[] = [];
+  readonly changes = this.log.changes;
 
   /** Entries keep the last heartbeat they heard. */
   heartbeatsPaused = false;
@@ -87,9 +71,7 @@
   /** Learnt sizes are off by default, so that tests count with declared sizes. */
   policy: Record<string, unknown> = { learning: false };
 
-  constructor(readonly configuration: OperatorConfiguration = configurationWith()) {
-    this.recordTransitions();
-  }
+  constructor(readonly configuration: OperatorConfiguration = configurationWith()) {}
 
   addEntry(entryId: string): TestEntry {
     const context = createEntryContext({
@@ -232,31 +214,6 @@
     }
     return agent.call(method, parameters);
   }
-
-  /** Compares every committed row with the one before it, at the moment of the commit. */
-  private recordTransitions(): void {
-    const { table } = this.platform as unknown as { table: MemoryTable };
-    const transact = table.transact.bind(table);
-    table.transact = (transaction) => {
-      const before = table.read(transaction.writes.map(({ key }) => key));
-      const result = transact(transaction);
-      if (result.committed) {
-        transaction.writes.forEach(({ key, value }, index) => {
-          if (key.startsWith(TASK_PREFIX) && value !== null) {
-            this.noteChange(before[index]?.value as TaskRow | undefined, value as TaskRow);
-          }
-        });
-      }
-      return result;
-    };
-  }
-
-  private noteChange(before: TaskRow | undefined, after: TaskRow): void {
-    this.changes.push({ before: before ?? null, after });
-    if (!isLegalTransition(before ?? null, after)) {
-      this.illegal.push(`${after.taskId}: ${before?.state} to ${after.state}`);
-    }
-  }
 }
 
 const OPERATOR = { role: Role.Operator as const, name: 'tests' };
--- a/packages/platform/src/platform-error.ts
+++ b/packages/platform/src/platform-error.ts
@@ -13,3 +13,19 @@
     return this.code !== ErrorCode.OutcomeUnknown;
   }
 }
+
+/** What the platform layer did not throw itself may have had an effect. */
+export function toPlatformError(error: Error): PlatformError {
+  if (error instanceof PlatformError) {
+    return error;
+  }
+  return new PlatformError('the table call failed', {
+    code: ErrorCode.OutcomeUnknown,
+    cause: error,
+  });
+}
+
+/** The table may accept the same call later. */
+export function isTemporary(error: PlatformError): boolean {
+  return [ErrorCode.Throttled, ErrorCode.Unavailable, ErrorCode.TimedOut].includes(error.code);
+}
--- a/packages/platform/src/write-batcher.ts
+++ b/packages/platform/src/write-batcher.ts
@@ -3,27 +3,20 @@
  * by the row's write id; one that was refused without effect is retried under a budget until its
  * deadline. Nothing is reported as done or not done unless the table has shown it.
  */
-import { randomUUID } from 'node:crypto';
-import { ErrorCode, toError } from '@figjunction/errors';
+import { toError } from '@figjunction/errors';
 import { hasPassed, sleep } from '@figjunction/time';
 import type { Clock, Instant, RandomSource } from '@figjunction/time';
 import { Backoff } from './backoff.js';
-import { PlatformError } from './platform-error.js';
+import { isTemporary, toPlatformError } from './platform-error.js';
 import { RetryBudget } from './retry-budget.js';
 import type { TableService } from './table-service.js';
-import { transactionOf } from './write-item.js';
-import type { CurrentRows, WriteItem, WriteOutcome, WriteRequest } from './write-item.js';
-import { ItemFate, fateAfterConflict, fatesAfterLostAnswer } from './write-resolution.js';
+import { createItem, transactionOf } from './write-item.js';
+import type { WriteItem, WriteOutcome, WriteRequest } from './write-item.js';
+import { ItemFate, TransactionEnding, fatesOf, readCurrentRows } from './write-resolution.js';
+import type { UnsettledTransaction } from './write-resolution.js';
 import { selectItems } from './write-selection.js';
 import { deadlineError, fail, settleByFate, settleCommitted } from './write-settlement.js';
 
-export enum TransactionEnding {
-  Committed = 'committed',
-  Conflict = 'conflict',
-  AnswerLost = 'answer-lost',
-  Refused = 'refused',
-}
-
 export interface WriteBatcherOptions {
   table: TableService;
   clock: Clock;
@@ -46,12 +39,6 @@
 
 const DRAIN_PAUSE_MS = 10;
 
-/** A transaction whose fate has to be read from the rows. */
-interface UnsettledTransaction {
-  items: WriteItem[];
-  ending: TransactionEnding.Conflict | TransactionEnding.AnswerLost;
-}
-
 export class WriteBatcher {
   private readonly table: TableService;
 
@@ -103,21 +90,8 @@
    * any other code means that it had no effect.
    */
   submit(request: WriteRequest): Promise<WriteOutcome> {
-    const { key, expectedVersion, value, checks = [], deadline } = request;
     return new Promise((resolve, reject) => {
-      this.queue.push({
-        key,
-        expectedVersion,
-        value: value === null ? null : { ...value, writeId: randomUUID() },
-        checks,
-        deadline,
-        mayHaveLanded: false,
-        alone: false,
-        isSettled: false,
-        lastError: null,
-        resolve,
-        reject,
-      });
+      this.queue.push(createItem(request, resolve, reject));
     });
   }
 
@@ -216,24 +190,14 @@
   }
 
   private async resolveUnsettled(transaction: UnsettledTransaction): Promise<void> {
-    const { items, ending } = transaction;
-    const rows = await this.readRows(items);
+    const { items } = transaction;
+    const rows = await readCurrentRows(this.table, items);
     this.unsettled = null;
-    const fates =
-      ending === TransactionEnding.Conflict
-        ? items.map((item) => fateAfterConflict(item, rows))
-        : fatesAfterLostAnswer(items, rows);
+    const fates = fatesOf(transaction, rows);
     items.forEach((item, index) => settleByFate(item, fates[index] ?? ItemFate.Pending, rows));
     this.dropSettled();
   }
 
-  private async readRows(items: WriteItem[]): Promise<CurrentRows> {
-    const keys = items.flatMap((item) => [item.key, ...item.checks.map((check) => check.key)]);
-    const distinct = [...new Set(keys)];
-    const rows = await this.table.read(distinct);
-    return new Map(distinct.map((key, index) => [key, rows[index] ?? null]));
-  }
-
   private succeed(): void {
     this.backoff.reset();
     this.budget.recordSuccess();
@@ -268,17 +232,3 @@
     this.queue = this.queue.filter((item) => !item.isSettled);
   }
 }
-
-function toPlatformError(error: Error): PlatformError {
-  if (error instanceof PlatformError) {
-    return error;
-  }
-  return new PlatformError('the table call failed', {
-    code: ErrorCode.OutcomeUnknown,
-    cause: error,
-  });
-}
-
-function isTemporary(error: PlatformError): boolean {
-  return [ErrorCode.Throttled, ErrorCode.Unavailable, ErrorCode.TimedOut].includes(error.code);
-}
--- a/packages/platform/src/write-item.ts
+++ b/packages/platform/src/write-item.ts
@@ -1,6 +1,7 @@
 /**
  * One submission to the write batcher on its way to the table.
  */
+import { randomUUID } from 'node:crypto';
 import type { Instant } from '@figjunction/time';
 import { ABSENT_VERSION } from '@figjunction/types';
 import type { Row, TableCheck, TableTransaction, VersionedRow } from '@figjunction/types';
@@ -45,6 +46,27 @@
   reject(error: PlatformError): void;
 }
 
+/** A new submission with a write id of its own. */
+export function createItem(
+  { key, expectedVersion, value, checks = [], deadline }: WriteRequest,
+  resolve: WriteItem['resolve'],
+  reject: WriteItem['reject'],
+): WriteItem {
+  return {
+    key,
+    expectedVersion,
+    value: value === null ? null : { ...value, writeId: randomUUID() },
+    checks,
+    deadline,
+    mayHaveLanded: false,
+    alone: false,
+    isSettled: false,
+    lastError: null,
+    resolve,
+    reject,
+  };
+}
+
 export function transactionOf(items: WriteItem[]): TableTransaction {
   return {
     checks: distinctChecks(items),
--- a/packages/platform/src/write-resolution.ts
+++ b/packages/platform/src/write-resolution.ts
@@ -3,9 +3,17 @@
  * read that began after the transaction ended or its answer was lost.
  */
 import { ABSENT_VERSION } from '@figjunction/types';
+import type { TableService } from './table-service.js';
 import { isUnchanged, showsWrite, versionIn } from './write-item.js';
 import type { CurrentRows, WriteItem } from './write-item.js';
 
+export enum TransactionEnding {
+  Committed = 'committed',
+  Conflict = 'conflict',
+  AnswerLost = 'answer-lost',
+  Refused = 'refused',
+}
+
 export enum ItemFate {
   Applied = 'applied',
   /** The row or a check has another version; the write had no effect and will have none. */
@@ -16,8 +24,32 @@
   Pending = 'pending',
 }
 
+/** A transaction whose fate has to be read from the rows. */
+export interface UnsettledTransaction {
+  items: WriteItem[];
+  ending: TransactionEnding.Conflict | TransactionEnding.AnswerLost;
+}
+
+/** What became of each item, in the order of the items. */
+export function fatesOf({ items, ending }: UnsettledTransaction, rows: CurrentRows): ItemFate[] {
+  return ending === TransactionEnding.Conflict
+    ? items.map((item) => fateAfterConflict(item, rows))
+    : fatesAfterLostAnswer(items, rows);
+}
+
+/** Reads the rows and the checked rows of all items in one call. */
+export async function readCurrentRows(
+  table: TableService,
+  items: WriteItem[],
+): Promise<CurrentRows> {
+  const keys = items.flatMap((item) => [item.key, ...item.checks.map((check) => check.key)]);
+  const distinct = [...new Set(keys)];
+  const rows = await table.read(distinct);
+  return new Map(distinct.map((key, index) => [key, rows[index] ?? null]));
+}
+
 /** After the table refused a transaction because of a version. */
-export function fateAfterConflict(item: WriteItem, rows: CurrentRows): ItemFate {
+function fateAfterConflict(item: WriteItem, rows: CurrentRows): ItemFate {
   if (isUnchanged(item, rows)) {
     const checksHold = item.checks.every((check) => versionIn(rows, check.key) === check.version);
     return checksHold ? ItemFate.Pending : ItemFate.Conflict;
