--- a/packages/entry/src/membership/configuration-follower.ts
+++ b/packages/entry/src/membership/configuration-follower.ts
@@ -127,7 +127,7 @@
     const { configuration, logger, waitingFor } = this.context;
     if (configuration.current() === null && !waitingFor.has(WAITING_FOR_CONFIGURATION)) {
       waitingFor.add(WAITING_FOR_CONFIGURATION);
-      logger.warn(`waiting for ${WAITING_FOR_CONFIGURATION}`);
+      logger.warn({ waitingFor: WAITING_FOR_CONFIGURATION }, 'waiting for a configuration');
     }
   }
 }
