Give every command examples that work as written

Ruled out: changes to README.md and docs/operating.md; what they show works. Conclusion: an example can be copied.

--- a/packages/client/src/commands/apply.ts
+++ b/packages/client/src/commands/apply.ts
@@ -54,8 +54,8 @@
           default: DEFAULT_WAIT_SECONDS,
           describe: 'how long to wait',
         })
-        .example('$0 apply karaca.jsonc --base-revision 7', 'apply what plan has shown')
-        .example('$0 apply karaca.jsonc --yes --output json', 'apply from a script')
+        .example('$0 apply examples/karaca.jsonc --base-revision 1', 'apply what plan has shown')
+        .example('$0 apply examples/karaca.jsonc --yes --output json', 'apply from a script')
         .epilogue(
           'Exits with 4 when another revision was applied first, 5 when not confirmed in time.',
         ),
--- a/packages/client/src/commands/cancel.ts
+++ b/packages/client/src/commands/cancel.ts
@@ -19,7 +19,7 @@
       command
         .positional('job', { type: 'string', demandOption: true, describe: 'id of the job' })
         .option('team', { type: 'string', describe: 'team of the job, for operators' })
-        .example('$0 cancel overnight-1', 'repeat it when the answer was lost'),
+        .example('$0 cancel overnight-menus', 'repeat it when the answer was lost'),
     async handler(flags): Promise<void> {
       const { job, team } = flags;
       const answer = await requestCancellation(connect(context, flags), job, team);
--- a/packages/client/src/commands/drain.ts
+++ b/packages/client/src/commands/drain.ts
@@ -18,8 +18,8 @@
       command
         .positional('vm', { type: 'string', demandOption: true, describe: 'id of the agent' })
         .option('end', { type: 'boolean', default: false, describe: 'take work again' })
-        .example('$0 drain vm-3', 'before a planned stop of vm-3')
-        .example('$0 drain vm-3 --end', 'let vm-3 take work again'),
+        .example('$0 drain vm-1', 'before a planned stop of vm-1')
+        .example('$0 drain vm-1 --end', 'let vm-1 take work again'),
     async handler(flags): Promise<void> {
       const path = `/v1/vms/${encodeURIComponent(flags.vm)}/drain`;
       const answer = await connect(context, flags).call(flags.end ? 'DELETE' : 'POST', path);
--- a/packages/client/src/commands/explain.ts
+++ b/packages/client/src/commands/explain.ts
@@ -28,7 +28,7 @@
         .positional('subject', { choices: Object.values(ExplainSubject), demandOption: true })
         .positional('id', { type: 'string', demandOption: true })
         .example('$0 explain run banquet-house.overnight-menus.gala', 'why a run is where it is')
-        .example('$0 explain vm vm-3', 'what happened on a VM'),
+        .example('$0 explain vm vm-1', 'what happened on a VM'),
     async handler(flags): Promise<void> {
       const path = `/v1/explain/${flags.subject}/${encodeURIComponent(flags.id)}`;
       const answer = await connect(context, flags).call<ExplainAnswer>('GET', path);
--- a/packages/client/src/commands/history.ts
+++ b/packages/client/src/commands/history.ts
@@ -22,7 +22,7 @@
       command
         .positional('revision', { type: 'number', describe: 'print the file of this revision' })
         .example('$0 history', 'who applied what, and when')
-        .example('$0 history 6 > before.jsonc', 'get back the file of an earlier revision'),
+        .example('$0 history 1 > before.jsonc', 'get back the file of an earlier revision'),
     async handler(flags): Promise<void> {
       requireNumbers(flags, ['revision']);
       const { revision } = flags;
--- a/packages/client/src/commands/runs.ts
+++ b/packages/client/src/commands/runs.ts
@@ -31,7 +31,7 @@
           describe: `at most this many, up to ${RUNS_LIMIT_MAXIMUM}`,
         })
         .example('$0 runs --state held', 'what cannot run, and why')
-        .example('$0 runs --job overnight-1', 'the runs of one job'),
+        .example('$0 runs --job overnight-menus', 'the runs of one job'),
     async handler(flags): Promise<void> {
       requireNumbers(flags, ['limit']);
       const runs = await readRuns(context, flags);
--- a/packages/client/src/commands/submit.ts
+++ b/packages/client/src/commands/submit.ts
@@ -42,8 +42,14 @@
         })
         .option('wait', { type: 'boolean', default: false, describe: 'wait until all runs ended' })
         .option('wait-seconds', { type: 'number', default: DEFAULT_WAIT_SECONDS })
-        .example('$0 submit overnight.json', 'submit; repeat it when the answer was lost')
-        .example('$0 submit overnight.json --job-id overnight-2 --wait', 'submit again and wait')
+        .example(
+          '$0 submit examples/overnight-menus.jsonc',
+          'submit; repeat it when the answer was lost',
+        )
+        .example(
+          '$0 submit examples/overnight-menus.jsonc --job-id second-night --wait',
+          'submit again and wait',
+        )
         .epilogue('Exits with 4 when the job id exists with other content, 1 when a run failed.'),
     handler: (flags) => submit(context, flags),
   };
