--- a/packages/entry/src/membership/configuration-follower.ts
+++ b/packages/entry/src/membership/configuration-follower.ts
@@ -16,8 +16,7 @@
 import { EntryError } from '../entry-error.js';
 import { buildAgentSlice } from './agent-slice.js';
 
-export const WAITING_FOR_CONFIGURATION =
-  'a configuration (the table and all peers are unreachable)';
+const WAITING_FOR_CONFIGURATION = 'a configuration (the table and all peers are unreachable)';
 
 const PEER_TIMEOUT_MS = 1_000;
 
@@ -128,7 +127,7 @@
     const { configuration, logger, waitingFor } = this.context;
     if (configuration.current() === null && !waitingFor.has(WAITING_FOR_CONFIGURATION)) {
       waitingFor.add(WAITING_FOR_CONFIGURATION);
-      logger.warn(`waiting for ${WAITING_FOR_CONFIGURATION}`);
+      logger.warn({ waitingFor: WAITING_FOR_CONFIGURATION }, 'waiting for a configuration');
     }
   }
 }
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -7,6 +7,7 @@
 export * from './headers.js';
 export * from './heartbeat-messages.js';
 export * from './identifiers.js';
+export * from './job-messages.js';
 export * from './messages.js';
 export * from './platform-messages.js';
 export * from './resources.js';
