Let an agent use the entry's learnt size of a kind

Cause: once an agent had measured 5 tasks of a kind it ignored the size that the entry had learnt from all agents, and counted at least the declared size until it had measured 20 itself. The opposite fault: below 5 own samples the entry's size was taken even when one of them was larger.

Change: the size of an entry that knows the kind is taken, but never less than what this agent learnt. While a reservation stays, the agent's own estimate replaces it once that is smaller.

--- a/packages/agent/src/tasks/room-loads.test.ts
+++ b/packages/agent/src/tasks/room-loads.test.ts
@@ -35,6 +35,23 @@
     assert.equal(load.estimated.processorMillicores, 1_000);
   });
 
+  it('takes a size from the entry that many samples of other agents have shrunk', async () => {
+    const runtime = await createRuntime();
+    const used = { ...ONE_CORE, processorMillicores: 200 };
+    ['a', 'b', 'c', 'd', 'e', 'f'].forEach((taskId) =>
+      recordUsage(runtime.estimates, { taskId, kind: 'reprint', used, measuredAt: 1 }),
+    );
+    assert.equal(loadOf(runtime, reserved(200, true)).estimated.processorMillicores, 200);
+    assert.equal(loadOf(runtime, reserved(1_000, false)).estimated.processorMillicores, 1_000);
+  });
+
+  it('never counts less than was measured here, whatever the entry has measured', async () => {
+    const runtime = await createRuntime();
+    const used = { ...ONE_CORE, processorMillicores: 4_000 };
+    recordUsage(runtime.estimates, { taskId: 'a', kind: 'reprint', used, measuredAt: 1 });
+    assert.equal(loadOf(runtime, reserved(200, true)).estimated.processorMillicores, 4_000);
+  });
+
   it('admits tasks of unknown size only as far as all may be five times larger', async () => {
     const runtime = await createRuntime();
     const admitted = ['a', 'b', 'c', 'd', 'e'].filter((taskId) => {
--- a/packages/agent/src/tasks/room-loads.ts
+++ b/packages/agent/src/tasks/room-loads.ts
@@ -7,6 +7,9 @@
   freeForWorstCase,
   freeRoom,
   isKindKnown,
+  learntSize,
+  maximumOfResources,
+  minimumOfResources,
   refusalForRoom,
   sumResources,
 } from '@figjunction/decisions';
@@ -36,16 +39,27 @@
   }
   const configured = kindOf(runtime, kind)?.declaredSize ?? declared;
   const isKnownHere = isKindKnown(runtime.estimates, kind);
-  const isKnownToEntryOnly = !isKnownHere && task.isSizeKnown;
   return {
     declared: configured,
-    estimated: isKnownToEntryOnly ? declared : estimateSize(runtime.estimates, kind, configured),
+    estimated: estimateOf(runtime, task, configured),
     measured,
-    isUnsure: !isKnownHere && !isKnownToEntryOnly && measured === null,
+    isUnsure: !isKnownHere && !task.isSizeKnown && measured === null,
     isBatch,
   };
 }
 
+/**
+ * An entry hears the measurements of all agents, so it knows a kind sooner than one agent does. Its size is
+ * taken, but never below what was measured here.
+ */
+function estimateOf(runtime: TaskRuntime, task: SizedTask, configured: Resources): Resources {
+  const { estimates } = runtime;
+  const own = estimateSize(estimates, task.kind, configured);
+  return task.isSizeKnown
+    ? minimumOfResources(own, maximumOfResources(task.declared, learntSize(estimates, task.kind)))
+    : own;
+}
+
 /** Everything that takes room: all but tasks that have left the worker. */
 export function roomLoads(runtime: TaskRuntime, except?: TaskEntry): RoomLoad[] {
   return runtime.tasks
--- a/packages/decisions/src/estimates/estimate-table.ts
+++ b/packages/decisions/src/estimates/estimate-table.ts
@@ -107,14 +107,21 @@
   return (table.kinds.get(kind)?.sizes.size ?? 0) >= table.options.samplesToTrust;
 }
 
+/** What was learnt of the kind alone, without the caution for few samples; zero before the first sample. */
+export function learntSize(table: EstimateTable, kind: KindName): Resources {
+  const samples = samplesOf(table, kind);
+  samples.learntSize ??= learnSize(table, [...samples.sizes.values()]);
+  return samples.learntSize;
+}
+
 /** The size to count for a task of the kind; at least the declared size until many were measured. */
 export function estimateSize(table: EstimateTable, kind: KindName, declared: Resources): Resources {
   const { samplesToTrust, samplesToShrink, wideningFactor } = table.options;
   const samples = samplesOf(table, kind);
-  samples.learntSize ??= learnSize(table, [...samples.sizes.values()]);
+  const learntAlone = learntSize(table, kind);
   const learnt = {
-    ...samples.learntSize,
-    accelerators: Math.max(declared.accelerators, samples.learntSize.accelerators),
+    ...learntAlone,
+    accelerators: Math.max(declared.accelerators, learntAlone.accelerators),
   };
   if (samples.sizes.size < samplesToTrust) {
     const { accelerators } = declared;
