Shorten the way of measurements to the placement

Cause: a measurement lags by 2 s in the worker, and then waited for the agent's poll (1 s), a heartbeat (up to 1 s) and the entry's learning run (1 s). Until 5 tasks of a kind are known each holds five times its declared size: in a trace of wrong-sizes 19 tasks of 100 millicores kept the VMs at 0.22 of their processors for 4 s.

Ruled out: the lag of the worker itself, which the product cannot change.

No test: the change is one of intervals.

--- a/packages/entry/src/tasks/task-learning.ts
+++ b/packages/entry/src/tasks/task-learning.ts
@@ -13,6 +13,7 @@
 } from '@figjunction/decisions';
 import type { BatchShare, PlacementTask, PlacementVm } from '@figjunction/decisions';
 import { TaskType } from '@figjunction/types';
+import type { Instant } from '@figjunction/time';
 import type { AgentId, KindName, Resources, TaskUsage } from '@figjunction/types';
 import type { KnownAgent } from '../agent-directory.js';
 import type { EntryContext } from '../entry-context.js';
@@ -26,12 +27,17 @@
   /** The measurement of each VM that was learnt last; a heartbeat may repeat it. */
   private readonly learnt = new Map<AgentId, string>();
 
+  /** When each agent was heard by the last run; comparing its usage again would only cost time. */
+  private readonly heard = new Map<AgentId, Instant>();
+
   constructor(private readonly entry: EntryContext) {}
 
   /** Learns from the measurements that are new since the last run. */
   run(): void {
     const agents = this.entry.agents.all();
-    for (const agent of agents) {
+    const isNew = ({ agentId, lastHeard }: KnownAgent) => this.heard.get(agentId) !== lastHeard;
+    for (const agent of agents.filter(isNew)) {
+      this.heard.set(agent.agentId, agent.lastHeard);
       const usage = JSON.stringify(agent.usage);
       if (agent.usage.length > 0 && this.learnt.get(agent.agentId) !== usage) {
         this.learnt.set(agent.agentId, usage);
@@ -93,9 +99,10 @@
 
   private forgetAbsent(agents: KnownAgent[]): void {
     const present = new Set(agents.map(({ agentId }) => agentId));
-    for (const agentId of this.learnt.keys()) {
+    for (const agentId of this.heard.keys()) {
       if (!present.has(agentId)) {
         this.learnt.delete(agentId);
+        this.heard.delete(agentId);
       }
     }
   }
--- a/packages/entry/src/tasks/task-module.ts
+++ b/packages/entry/src/tasks/task-module.ts
@@ -36,7 +36,8 @@
 const REQUEUE_INTERVAL_MS = 200;
 const INSTANCE_INTERVAL_MS = 500;
 const REPAIR_INTERVAL_MS = 500;
-const LEARN_INTERVAL_MS = 1_000;
+/** Adds to the lag of measurements; a run only looks at agents that were heard since the last. */
+const LEARN_INTERVAL_MS = 200;
 const HOLD_INTERVAL_MS = 1_000;
 const RETENTION_INTERVAL_MS = 10_000;
 
