Look for ended tasks ten times a second

Cause: with the room announced at once, 0.37 to 0.49 s still passed between the end of a task and the next start in its room, a tenth of a 4 s task. Up to 250 ms of that was the agent's poll of its worker.

Ruled out: the write of the claim and the placement tick, whose 100 ms each are design parameters.

Change: the agent polls the worker's list of tasks every 100 ms instead of 250 ms.

--- a/packages/agent/src/tasks/index.ts
+++ b/packages/agent/src/tasks/index.ts
@@ -24,7 +24,7 @@
 
 const LOOP_INTERVAL_MS = 50;
 /** Part of the time between the end of a task and the next start in its room. */
-const POLL_INTERVAL_MS = 250;
+const POLL_INTERVAL_MS = 100;
 /** Adds to the lag of measurements, during which tasks of unknown size hold room for their worst case. */
 const USAGE_INTERVAL_MS = 250;
 const INSTANCE_LEASE_INTERVAL_MS = 1_000;
