Skip measurements taken around a throttle change

Cause: the agent divides a measured use by the throttle that it believes was in force. It noted a change when the answer of the worker arrived, so a measurement between the change and the answer was read with the wrong throttle, and so was every later one when the answer was lost: a use at a throttle of 0.05 was learnt as a size 20 times too small, the opposite change as one 20 times too large. Found by reading the code while looking for ways over capacity; no measurement has shown it.

Ruled out: trusting the throttle in the worker's list of tasks, which says nothing of the time of a lagging measurement.

Change: a change has the time its first call was sent and the time it was confirmed; measurements in between are skipped, and an unanswered change is sent again until it is confirmed.

Conclusion: one way to learn a size that is too small is closed.

--- a/packages/agent/src/tasks/task-table.ts
+++ b/packages/agent/src/tasks/task-table.ts
@@ -37,6 +37,9 @@
 
 /** A throttle and when the worker took it, to read lagging measurements with the right one. */
 export interface ThrottleChange {
+  /** When the first call that may have made the change was sent. */
+  sentAt: Instant;
+  /** When the worker confirmed it. */
   at: Instant;
   throttle: number;
 }
@@ -72,6 +75,8 @@
   /** What the worker applies now. */
   throttle: number;
   throttleChanges: ThrottleChange[];
+  /** When a call was sent whose change is not confirmed yet; the throttle is uncertain since then. */
+  throttleSentAt: Instant | null;
   /** What the guards ask for; the overload control may ask for less. */
   guardThrottle: number;
   /** No new try of a failed exchange before this time. */
@@ -100,6 +105,7 @@
   measurableFrom: Number.NEGATIVE_INFINITY,
   isAdopted: false,
   throttle: 1,
+  throttleSentAt: null,
   guardThrottle: 1,
   retryAt: Number.NEGATIVE_INFINITY,
   progress: 0,
--- a/packages/agent/src/tasks/throttle-control.ts
+++ b/packages/agent/src/tasks/throttle-control.ts
@@ -3,6 +3,7 @@
  * the VM sufficient.
  */
 import { planThrottles } from '@figjunction/decisions';
+import type { Instant } from '@figjunction/time';
 import { TaskType } from '@figjunction/types';
 import { overloadTaskOf } from './room-loads.js';
 import { TaskPhase } from './task-table.js';
@@ -29,15 +30,24 @@
       entry,
       throttle: Math.min(entry.guardThrottle, throttles.get(entry.taskId) ?? 1),
     }))
-    .filter(({ entry, throttle }) => isChange(entry.throttle, throttle));
+    .filter(
+      ({ entry, throttle }) => entry.throttleSentAt !== null || isChange(entry.throttle, throttle),
+    );
   // A task may have ended meanwhile; what failed otherwise is tried again in the next run.
   await Promise.allSettled(
     changes.map(({ entry, throttle }) => setThrottle(runtime, entry, throttle)),
   );
 }
 
-/** The throttle under which a measurement was taken. */
-export function throttleAt(entry: TaskEntry, measuredAt: number): number {
+/** The throttle under which a measurement was taken; null while a change was under way. */
+export function throttleAt(entry: TaskEntry, measuredAt: Instant): number | null {
+  const { throttleSentAt, throttleChanges } = entry;
+  const isUncertain =
+    (throttleSentAt !== null && measuredAt >= throttleSentAt) ||
+    throttleChanges.some(({ sentAt, at }) => measuredAt >= sentAt && measuredAt < at);
+  if (isUncertain) {
+    return null;
+  }
   const before = entry.throttleChanges.filter(({ at }) => at <= measuredAt);
   return before[before.length - 1]?.throttle ?? 1;
 }
@@ -55,8 +65,16 @@
     return;
   }
   const { incarnation } = context;
+  // A call whose answer is lost may have taken effect, so the first one that is unanswered counts.
+  const sentAt = entry.throttleSentAt ?? context.clock.now();
+  entry.throttleSentAt = sentAt;
   await context.worker.throttle(entry.taskId, { incarnation, attempt: entry.attempt, throttle });
   entry.throttle = throttle;
-  entry.throttleChanges.push({ at: context.clock.now(), throttle });
+  entry.throttleChanges.push({
+    sentAt,
+    at: context.clock.now(),
+    throttle,
+  });
+  entry.throttleSentAt = null;
   entry.throttleChanges.splice(0, entry.throttleChanges.length - HISTORY_MAXIMUM);
 }
--- a/packages/agent/src/tasks/usage-poller.ts
+++ b/packages/agent/src/tasks/usage-poller.ts
@@ -43,6 +43,9 @@
       return one;
     }
     const used = withoutThrottle(entry, one, measuredAt);
+    if (used === null) {
+      return null;
+    }
     entry.measured = used;
     if (isBatch && context.settings.policy.learning) {
       recordUsage(estimates, { taskId: one.taskId, kind: entry.kind, used, measuredAt });
@@ -55,8 +58,11 @@
   entry: TaskEntry,
   { used }: TaskUsage,
   measuredAt: Instant,
-): TaskUsage['used'] {
+): TaskUsage['used'] | null {
   const throttle = throttleAt(entry, measuredAt);
+  if (throttle === null) {
+    return null;
+  }
   const processorMillicores = Math.round(used.processorMillicores / Math.max(throttle, 0.01));
   return { ...used, processorMillicores };
 }
--- a/packages/agent/src/tasks/worker-poller.ts
+++ b/packages/agent/src/tasks/worker-poller.ts
@@ -38,7 +38,13 @@
     throttle: task.throttle,
     // The guards relax it step by step, as if they had set it.
     guardThrottle: task.throttle,
-    throttleChanges: [{ at: Number.NEGATIVE_INFINITY, throttle: task.throttle }],
+    throttleChanges: [
+      {
+        sentAt: Number.NEGATIVE_INFINITY,
+        at: Number.NEGATIVE_INFINITY,
+        throttle: task.throttle,
+      },
+    ],
     progress: task.progress,
   });
 }
