--- a/packages/agent/src/heartbeat/heartbeat-content.ts
+++ b/packages/agent/src/heartbeat/heartbeat-content.ts
@@ -20,6 +20,7 @@
     const { context } = this;
     const { room, settings } = context;
     const now = context.clock.now();
+    room.announcedFree = room.free;
     const instances = context.instances
       .all()
       .map((instance) => describeInstance(context, instance));
