Learn from an announced measurement while it stands

Cause: agents hold back small moves of usage. Interference corrects a part of its error with each measurement, so an entry learnt too slowly and placed noisy kinds beside services.

Ruled out: announcing usage more often, 3 KB each time.

Change: an announced measurement counts with each heartbeat for 10 s, the interval within which a measuring agent announces again.

--- a/packages/entry/src/tasks/task-learning.ts
+++ b/packages/entry/src/tasks/task-learning.ts
@@ -12,19 +12,31 @@
   recordVmUsage,
 } from '@figjunction/decisions';
 import type { BatchShare, PlacementTask, PlacementVm } from '@figjunction/decisions';
+import type { Instant } from '@figjunction/time';
 import { TaskType } from '@figjunction/types';
 import type { AgentId, KindName, Resources, TaskUsage } from '@figjunction/types';
 import type { KnownAgent } from '../agent-directory.js';
 import type { EntryContext } from '../entry-context.js';
 import type { SizeEstimates } from './scope-sizes.js';
 
+/** As long as an agent holds back small moves at most. */
+const STANDS_FOR_MS = 10_000;
+
+interface LearntUsage {
+  usage: TaskUsage[];
+  text: string;
+  /** When the measurement arrived first. */
+  since: Instant;
+  lastHeard: Instant;
+}
+
 export class TaskLearning implements SizeEstimates {
   private readonly estimates = createEstimateTable();
 
   private readonly interference = createInterferenceTable();
 
   /** The measurement of each VM that was learnt last; a full heartbeat may repeat it. */
-  private readonly learnt = new Map<AgentId, { usage: TaskUsage[]; text: string }>();
+  private readonly learnt = new Map<AgentId, LearntUsage>();
 
   constructor(private readonly entry: EntryContext) {}
 
@@ -77,18 +89,26 @@
     return predictSlowdown(this.interference, service, batch, load);
   }
 
+  /**
+   * Agents measure each second and announce only moves beyond a step, so an announced measurement stands for
+   * those that follow it: interference corrects a part of its error with each one. An agent that still
+   * measures announces again within `STANDS_FOR_MS`; after that, nothing is learnt from an old one.
+   */
   private learnIfNew(agent: KnownAgent): void {
-    const { agentId, usage } = agent;
+    const { agentId, usage, lastHeard } = agent;
     const last = this.learnt.get(agentId);
-    // A heartbeat without the section keeps the same array, which needs no comparison of its content.
-    if (usage.length === 0 || last?.usage === usage) {
+    if (usage.length === 0) {
       return;
     }
-    const text = JSON.stringify(usage);
-    this.learnt.set(agentId, { usage, text });
-    if (last?.text !== text) {
-      this.learn(agent);
+    // A heartbeat without the section keeps the same array, which needs no comparison of its content.
+    const text = last?.usage === usage ? last.text : JSON.stringify(usage);
+    const isRepeated = last?.text === text;
+    const since = isRepeated ? last.since : lastHeard;
+    if (isRepeated && (lastHeard === last.lastHeard || lastHeard - since >= STANDS_FOR_MS)) {
+      return;
     }
+    this.learnt.set(agentId, { usage, text, since, lastHeard });
+    this.learn(agent);
   }
 
   private learn({ usage, capacity, lastHeard }: KnownAgent): void {
