Add a setting for the address a process advertises

Cause: entries and agents tell the others the address they listen on, so a process behind address translation, behind a forwarder or listening on 0.0.0.0 cannot be reached, and a test cannot put a relay between two processes.

Ruled out: host names.

The frame of the daemons tells the modules this address, or the one listened on when it is not set. 0.0.0.0, port 0 and octets above 255 are refused. The `listening` line carries both addresses.

Before, the flag was refused as unknown.

Conclusion: the address that others are told no longer has to be the one listened on.

--- a/packages/config/src/load-settings.test.ts
+++ b/packages/config/src/load-settings.test.ts
@@ -41,12 +41,14 @@
     environment: {
       FIGJUNCTION_PORT: '7002',
       FIGJUNCTION_RACK: 'r2',
+      FIGJUNCTION_ADVERTISED_ADDRESS: 'http://192.0.2.1:80',
       FIGJUNCTION_PEERS: 'http://127.0.0.1:1, http://127.0.0.1:2',
       FIGJUNCTION_POLICY_GUARDS: 'false',
     },
-    flags: { port: '7003', 'data-centre': 'bursa' },
+    flags: { port: '7003', 'data-centre': 'bursa', 'advertised-address': 'http://192.0.2.7:7001' },
   });
   assert.equal(settings.port, 7003);
+  assert.equal(settings.advertisedAddress, 'http://192.0.2.7:7001');
   assert.deepEqual(settings.location, { region: 'marmara', dataCentre: 'bursa', rack: 'r2' });
   assert.deepEqual(settings.peers, ['http://127.0.0.1:1', 'http://127.0.0.1:2']);
   assert.equal(settings.policy.guards, false);
@@ -66,6 +68,7 @@
     },
   });
   assert.equal(settings.agentId, 'vm-1');
+  assert.equal(settings.advertisedAddress, null);
 });
 
 const FAULT_CASES: { fault: string; sources: SettingsSources; expected: string }[] = [
@@ -96,6 +99,20 @@
     expected:
       'flag --platform-address: platformAddress: found "http://platform:9000"; allowed: use http://<ip>:<port>',
   },
+  {
+    fault: 'an advertised address that is no URL with an IP address',
+    sources: { file: fileWith(ENTRY_TEXT), flags: { 'advertised-address': 'entry-1:7001' } },
+    expected:
+      'flag --advertised-address: advertisedAddress: found "entry-1:7001"; allowed: use http://<ip>:<port>',
+  },
+  ...['http://0.0.0.0:7001', 'http://192.0.2.256:7001', 'http://192.0.2.1:0'].map((address) => ({
+    fault: `an advertised address to which nobody can connect: ${address}`,
+    sources: {
+      file: fileWith(ENTRY_TEXT),
+      environment: { FIGJUNCTION_ADVERTISED_ADDRESS: address },
+    },
+    expected: `environment variable FIGJUNCTION_ADVERTISED_ADDRESS: advertisedAddress: found "${address}"; allowed: use http://<ip>:<port> with an IP address and a port that others can connect to`,
+  })),
 ];
 
 for (const { fault, sources, expected } of FAULT_CASES) {
--- a/packages/config/src/setting-overrides.ts
+++ b/packages/config/src/setting-overrides.ts
@@ -43,6 +43,11 @@
 const COMMON_OVERRIDES: SettingOverride[] = [
   override(['host'], 'host', 'IP address to listen on'),
   override(['port'], 'port', 'port to listen on; 0 picks a free one', { kind: SettingKind.Number }),
+  override(
+    ['advertisedAddress'],
+    'advertised-address',
+    'http://<ip>:<port> where other processes reach this one; default: the address listened on',
+  ),
   override(['location', 'region'], 'region', 'region of this VM'),
   override(['location', 'dataCentre'], 'data-centre', 'data centre of this VM'),
   override(['location', 'rack'], 'rack', 'rack of this VM'),
--- a/packages/daemon/src/run-process.ts
+++ b/packages/daemon/src/run-process.ts
@@ -19,6 +19,7 @@
 
 export interface RunningProcess {
   address: string;
+  advertisedAddress: string;
   stop(): Promise<void>;
 }
 
@@ -38,7 +39,8 @@
     logger.info({ signal: await signalled }, 'stopped before it was ready');
     process.exit(0);
   }
-  logger.info({ address: running.address }, 'listening');
+  const { address, advertisedAddress } = running;
+  logger.info({ address, advertisedAddress }, 'listening');
   logger.info({ signal: await signalled }, 'signal received');
   await running.stop();
   await tracing.shutdown();
--- a/packages/runtime/src/start-daemon.test.ts
+++ b/packages/runtime/src/start-daemon.test.ts
@@ -1,5 +1,6 @@
 /**
- * Guards against a stop that cuts requests, runs twice, or leaves an agent unable to answer while it stops.
+ * Guards against a stop that cuts requests, runs twice, or leaves an agent unable to answer while it stops,
+ * and against a process that tells others an address at which they cannot reach it.
  */
 import assert from 'node:assert/strict';
 import { it } from 'node:test';
@@ -11,10 +12,11 @@
 import type { DaemonContext } from './start-daemon.js';
 import { startDaemon } from './start-daemon.js';
 
-function createContext(): DaemonContext {
+function createContext(advertisedAddress: string | null = null): DaemonContext {
   const sharedToken = 'shared-token-of-a-test';
+  const settings = { host: '127.0.0.1', port: 0, advertisedAddress, sharedToken };
   return {
-    settings: { host: '127.0.0.1', port: 0, sharedToken, stopTimeoutMs: 5_000 },
+    settings: { ...settings, stopTimeoutMs: 5_000 },
     clock: new SystemClock(),
     logger: createLogger({ name: 'test', level: 'silent' }),
     metrics: new Metrics(),
@@ -59,3 +61,20 @@
     assert.equal(status, answersWhileStopping ? 200 : null);
   });
 }
+
+for (const advertised of ['http://127.0.0.9:7001', null]) {
+  it(`tells its modules ${advertised ?? 'the address it listens on'}`, async () => {
+    let told = '';
+    const daemon = await startDaemon({
+      context: createContext(advertised),
+      modules: [],
+      onListening: (address) => {
+        told = address;
+      },
+    });
+    await daemon.stop();
+    assert.equal(told, advertised ?? daemon.address);
+    assert.equal(daemon.advertisedAddress, told);
+    assert.match(daemon.address, /^http:\/\/127\.0\.0\.1:/u);
+  });
+}
--- a/packages/runtime/src/start-daemon.ts
+++ b/packages/runtime/src/start-daemon.ts
@@ -12,7 +12,13 @@
 
 /** What the frame needs of a daemon's context. */
 export interface DaemonContext {
-  settings: { host: string; port: number; sharedToken: string; stopTimeoutMs: number };
+  settings: {
+    host: string;
+    port: number;
+    advertisedAddress: string | null;
+    sharedToken: string;
+    stopTimeoutMs: number;
+  };
   clock: Clock;
   logger: Logger;
   metrics: Metrics;
@@ -22,8 +28,8 @@
 export interface DaemonOptions {
   context: DaemonContext;
   modules: DaemonModule[];
-  /** Runs with the address before any module starts. */
-  onListening?: (address: string) => void;
+  /** Runs with the address that other processes are told, before any module starts. */
+  onListening?: (advertisedAddress: string) => void;
   /**
    * At a stop, an agent answers until its modules have stopped one after the other, because entries ask it
    * for the fate of attempts. An entry takes no new connections at once, so that the balancer moves on.
@@ -32,7 +38,10 @@
 }
 
 export interface RunningDaemon {
+  /** Where it listens. */
   address: string;
+  /** Where other processes reach it. */
+  advertisedAddress: string;
   /** Graceful; a second call waits for the first. */
   stop(): Promise<void>;
 }
@@ -46,7 +55,8 @@
   const { context, modules, onListening = () => {}, answersWhileStopping = false } = options;
   const server = createServer(context, modules);
   const address = await server.listen();
-  onListening(address);
+  const advertisedAddress = context.settings.advertisedAddress ?? address;
+  onListening(advertisedAddress);
   for (const module of modules) {
     await module.start?.();
   }
@@ -56,6 +66,7 @@
   let stopping: Promise<void> | null = null;
   return {
     address,
+    advertisedAddress,
     stop(): Promise<void> {
       stopping ??= stopDaemon(parts);
       return stopping;
