Put relays in front of entries and agents of a test cluster

Cause: a test could cut processes from the platform only, because entries and agents called each other directly.

Ruled out: one relay per pair of processes. Entries spread one advertised address per process, so a pair would need an address per caller, which is more than a setting. Instead the processes of a region connect from a loopback address of their region (a preload of the test cluster, no product change), and the relay in front of a process tells callers apart by it.

Change: `withEntryRelays` and `withAgentRelays`; `cluster.relays.cutRegion` and `restoreRegions` silence the calls between regions and to the platform while calls within a region go on. TcpRelay silences callers of one source address and counts silent connections that callers still hold. Ports move to cluster-ports.ts, relays to cluster-relays.ts.

Conclusion: links can be cut, silenced, delayed and restored per process, and between regions.

--- a/packages/test-support/src/cluster/cluster-settings.ts
+++ b/packages/test-support/src/cluster/cluster-settings.ts
@@ -24,6 +24,10 @@
   workerArguments?: string[];
   /** Puts a relay between the processes of each region and the platform. */
   withPlatformRelays?: boolean;
+  /** Puts a relay in front of each entry, which advertises the relay. */
+  withEntryRelays?: boolean;
+  /** Puts a relay in front of each agent, which advertises the relay. */
+  withAgentRelays?: boolean;
 }
 
 /** Shared by all processes of a test cluster; an operator's token until the first configuration. */
@@ -59,6 +63,8 @@
     platformArguments: [],
     workerArguments: [],
     withPlatformRelays: false,
+    withEntryRelays: false,
+    withAgentRelays: false,
     ...options,
   };
 }
@@ -74,9 +80,13 @@
 export interface SettingsContext {
   plan: ClusterPlan;
   folder: string;
+  /** Advertised addresses of all entries. */
   entryAddresses: string[];
   platformAddress: string;
   index: number;
+  /** Where this process listens, and its relay if it has one. */
+  port: number;
+  advertisedAddress: string | null;
 }
 
 export function writeEntrySettings(context: SettingsContext): string {
@@ -85,22 +95,16 @@
   const settings = {
     entryId: `entry-${index + 1}`,
     ...commonSettings(context, locationOf(plan.entryLocations, index)),
-    port: Number(new URL(own).port),
     peers: entryAddresses.filter((address) => address !== own),
   };
   return writeSettings(context, settings.entryId, entrySettingsSchema.parse(settings));
 }
 
-export function writeAgentSettings(
-  context: SettingsContext,
-  workerAddress: string,
-  port: number,
-): string {
+export function writeAgentSettings(context: SettingsContext, workerAddress: string): string {
   const { plan, index, entryAddresses } = context;
   const settings = {
     agentId: agentIdOf(index),
     ...commonSettings(context, locationOf(plan.agentLocations, index)),
-    port,
     entries: entryAddresses,
     workerAddress,
   };
@@ -112,8 +116,10 @@
 }
 
 function commonSettings(context: SettingsContext, location: Location) {
-  const { plan, platformAddress, index } = context;
+  const { plan, platformAddress, index, port, advertisedAddress } = context;
   return {
+    port,
+    advertisedAddress,
     location,
     platformAddress,
     sharedToken: TEST_SHARED_TOKEN,
--- a/packages/test-support/src/cluster/cluster.test.ts
+++ b/packages/test-support/src/cluster/cluster.test.ts
@@ -31,7 +31,13 @@
 let cluster: Cluster;
 
 before(async () => {
-  cluster = await startCluster({ entries: 1, agents: 1, withPlatformRelays: true });
+  cluster = await startCluster({
+    entries: 1,
+    agents: 1,
+    withPlatformRelays: true,
+    withEntryRelays: true,
+    withAgentRelays: true,
+  });
 });
 
 after(() => cluster.close());
@@ -52,6 +58,9 @@
   const log = await cluster.readExecutionLog();
   assert.ok(log.some(({ event }) => event === ExecutionEvent.RequestEnd));
   assert.ok((cluster.platformRelays.get('marmara')?.bytesToTarget ?? 0) > 0);
+  for (const relay of [...cluster.relays.entries, ...cluster.relays.agents]) {
+    assert.ok(relay.bytesToTarget > 0, 'a process was not called at its advertised address');
+  }
   await cluster.stopGracefully();
   const all = [...cluster.agents, ...cluster.entries, ...cluster.workers, cluster.platform];
   assert.ok(all.every((one) => !one.isRunning));
--- a/packages/test-support/src/cluster/cluster.ts
+++ b/packages/test-support/src/cluster/cluster.ts
@@ -4,12 +4,12 @@
 import { fileURLToPath } from 'node:url';
 import { ErrorCode, errorCodeOf } from '@figjunction/errors';
 import { HttpClient } from '@figjunction/http';
-import { reservePort } from '../harness/free-port.js';
-import type { PortReservation } from '../harness/free-port.js';
 import type { ManagedProcess } from '../harness/managed-process.js';
 import { ProcessHarness } from '../harness/process-harness.js';
 import { HarnessError, waitUntil } from '../harness/wait-until.js';
-import { TcpRelay } from '../relay/tcp-relay.js';
+import type { TcpRelay } from '../relay/tcp-relay.js';
+import { ClusterPorts, pick, range } from './cluster-ports.js';
+import { ClusterRelays } from './cluster-relays.js';
 import { isInForce } from './cluster-status.js';
 import type { ClusterStatus } from './cluster-status.js';
 import { PlatformControl, WorkerControl } from './control-client.js';
@@ -22,7 +22,7 @@
   writeAgentSettings,
   writeEntrySettings,
 } from './cluster-settings.js';
-import type { ClusterOptions, ClusterPlan, SettingsContext } from './cluster-settings.js';
+import type { ClusterOptions, ClusterPlan } from './cluster-settings.js';
 import type { ExecutionRecord } from '../worker/execution-log.js';
 
 const PLATFORM_FILE = fileURLToPath(new URL('../platform-main.js', import.meta.url));
@@ -36,8 +36,8 @@
 
   readonly http = new HttpClient();
 
-  /** Relay to the platform by region, when the options ask for them. */
-  readonly platformRelays = new Map<string, TcpRelay>();
+  /** Those that the options ask for. */
+  readonly relays: ClusterRelays;
 
   readonly entries: ManagedProcess[] = [];
 
@@ -52,13 +52,15 @@
 
   private readonly folder = this.harness.createFolder();
 
-  private entryAddresses: string[] = [];
+  private portsOfDaemons: ClusterPorts | null = null;
 
-  private entryPorts: PortReservation[] = [];
-
-  private agentPorts: PortReservation[] = [];
+  constructor(private readonly plan: ClusterPlan) {
+    this.relays = new ClusterRelays(plan, (closer) => this.harness.onClose(closer));
+  }
 
-  constructor(private readonly plan: ClusterPlan) {}
+  get platformRelays(): Map<string, TcpRelay> {
+    return this.relays.platform;
+  }
 
   get platform(): ManagedProcess {
     if (this.platformProcess === null) {
@@ -83,7 +85,7 @@
   async start(): Promise<void> {
     try {
       await this.startPlatform();
-      await this.startRelays();
+      await this.relays.startToPlatform(this.platform.address);
       await this.reservePorts();
       const { entries, agents } = this.plan;
       await Promise.all(range(agents).map((index) => this.startWorker(index)));
@@ -124,9 +126,11 @@
   /** Starts an entry, also again after it ended: it keeps its id and its address. */
   async startEntry(index: number): Promise<ManagedProcess> {
     const { region } = locationOf(this.plan.entryLocations, index);
-    const file = writeEntrySettings(this.settingsContext(index, region));
-    await pick(this.entryPorts, index, 'entry').release();
-    const started = await this.startDaemon(`entry-${index + 1}`, 'entry', file);
+    const port = await this.ports.releaseEntry(index);
+    const advertisedAddress = this.relays.entries[index]?.address ?? null;
+    const context = { ...this.settingsContext(index, region), port, advertisedAddress };
+    const file = writeEntrySettings(context);
+    const started = await this.startDaemon(`entry-${index + 1}`, 'entry', file, region);
     this.entries[index] = started;
     return started;
   }
@@ -135,11 +139,11 @@
   async startAgent(index: number): Promise<ManagedProcess> {
     const { region } = locationOf(this.plan.agentLocations, index);
     const { address } = pick(this.workers, index, 'worker');
-    const context = this.settingsContext(index, region);
-    const reservation = pick(this.agentPorts, index, 'agent');
-    const file = writeAgentSettings(context, address, reservation.port);
-    await reservation.release();
-    const started = await this.startDaemon(agentIdOf(index), 'agent', file);
+    const port = await this.ports.releaseAgent(index);
+    const advertisedAddress = this.relays.agents[index]?.address ?? null;
+    const context = { ...this.settingsContext(index, region), port, advertisedAddress };
+    const file = writeAgentSettings(context, address);
+    const started = await this.startDaemon(agentIdOf(index), 'agent', file, region);
     this.agents[index] = started;
     return started;
   }
@@ -195,47 +199,45 @@
     await this.harness.close();
   }
 
-  private async reservePorts(): Promise<void> {
-    const { entries, agents } = this.plan;
-    const ports = await Promise.all(range(entries + agents).map(() => reservePort()));
-    this.harness.onClose(async () => {
-      await Promise.all(ports.map((reservation) => reservation.release()));
-    });
-    this.entryPorts = ports.slice(0, entries);
-    this.agentPorts = ports.slice(entries);
-    this.entryAddresses = this.entryPorts.map(({ port }) => `http://127.0.0.1:${port}`);
+  private get ports(): ClusterPorts {
+    if (this.portsOfDaemons === null) {
+      throw new HarnessError('the ports are not reserved');
+    }
+    return this.portsOfDaemons;
   }
 
-  private startDaemon(name: string, role: string, settings: string): Promise<ManagedProcess> {
+  private async reservePorts(): Promise<void> {
+    const ports = await ClusterPorts.reserve(this.plan.entries, this.plan.agents);
+    this.harness.onClose(() => ports.releaseAll());
+    this.portsOfDaemons = ports;
+    await this.relays.startToProcesses(ports.entryAddresses, ports.agentAddresses);
+  }
+
+  private startDaemon(
+    name: string,
+    role: string,
+    settings: string,
+    region: string,
+  ): Promise<ManagedProcess> {
     return this.harness.start({
       name,
       file: DAEMON_FILE,
       arguments: [role, '--settings', settings],
+      environment: this.relays.environmentIn(region),
     });
   }
 
-  private settingsContext(index: number, region: string): SettingsContext {
-    const { plan, folder, entryAddresses } = this;
+  private settingsContext(index: number, region: string) {
+    const { plan, folder, relays } = this;
+    const entryAddresses = this.ports.entryAddresses.map(
+      (address, entry) => relays.entries[entry]?.address ?? address,
+    );
     return { plan, folder, entryAddresses, platformAddress: this.platformAddressIn(region), index };
   }
 
   private platformAddressIn(region: string): string {
     return this.platformRelays.get(region)?.address ?? this.platform.address;
   }
-
-  private async startRelays(): Promise<void> {
-    const { withPlatformRelays, entryLocations, agentLocations, seed } = this.plan;
-    if (!withPlatformRelays) {
-      return;
-    }
-    const regions = [...entryLocations, ...agentLocations].map((location) => location.region);
-    for (const region of new Set(regions)) {
-      const relay = new TcpRelay({ targetAddress: this.platform.address, seed });
-      this.platformRelays.set(region, relay);
-      this.harness.onClose(() => relay.close());
-      await relay.listen();
-    }
-  }
 }
 
 export async function startCluster(options: ClusterOptions = {}): Promise<Cluster> {
@@ -243,15 +245,3 @@
   await cluster.start();
   return cluster;
 }
-
-function range(length: number): number[] {
-  return Array.from({ length }, (_value, index) => index);
-}
-
-function pick<Item>(items: Item[], index: number, name: string): Item {
-  const item = items[index];
-  if (item === undefined) {
-    throw new HarnessError(`there is no ${name} with index ${index}`);
-  }
-  return item;
-}
--- a/packages/test-support/src/index.ts
+++ b/packages/test-support/src/index.ts
@@ -13,6 +13,7 @@
 export * from './worker/worker-faults.js';
 export * from './worker/worker-server.js';
 export * from './cluster/cluster.js';
+export * from './cluster/cluster-relays.js';
 export * from './cluster/cluster-settings.js';
 export * from './cluster/cluster-status.js';
 export * from './cluster/control-client.js';
--- a/packages/test-support/src/relay/relayed-connection.ts
+++ b/packages/test-support/src/relay/relayed-connection.ts
@@ -46,6 +46,17 @@
     );
   }
 
+  /** Address that the caller's connection comes from. */
+  get sourceAddress(): string {
+    return this.options.caller.remoteAddress ?? '';
+  }
+
+  /** Whether the caller has not closed its side. */
+  get isHeldByCaller(): boolean {
+    const { caller } = this.options;
+    return !caller.destroyed && !caller.readableEnded;
+  }
+
   destroy(): void {
     this.options.caller.destroy();
     this.options.target.destroy();
--- a/packages/test-support/src/relay/tcp-relay.test.ts
+++ b/packages/test-support/src/relay/tcp-relay.test.ts
@@ -1,6 +1,8 @@
 import assert from 'node:assert/strict';
+import { get as httpGet } from 'node:http';
 import { after, before, beforeEach, test } from 'node:test';
 import { HttpClient, HttpServer, sendJson } from '@figjunction/http';
+import { waitUntil } from '../harness/wait-until.js';
 import { TcpRelay } from './tcp-relay.js';
 
 let server: HttpServer;
@@ -72,6 +74,34 @@
   assert.deepEqual(received, []);
 });
 
+function getFrom(localAddress: string): Promise<number> {
+  return new Promise((resolve, reject) => {
+    const options = { localAddress, agent: false as const, timeout: 200 };
+    const request = httpGet(`${relay.address}/a`, options, (answer) => {
+      answer.resume();
+      resolve(answer.statusCode ?? 0);
+    });
+    request.on('timeout', () => request.destroy(new Error('no answer in time')));
+    request.on('error', reject);
+  });
+}
+
+test('only callers from one address are silenced, until the relay is restored', async () => {
+  relay.silenceFrom('127.0.1.2');
+  await assert.rejects(getFrom('127.0.1.2'), /in time/u);
+  assert.equal(await getFrom('127.0.1.1'), 200);
+  relay.restore();
+  assert.equal(await getFrom('127.0.1.2'), 200);
+});
+
+test('a silent connection counts as held until its caller closes it', async () => {
+  await get('a');
+  relay.silenceOpen();
+  assert.ok(relay.heldSilentConnections > 0);
+  client.close();
+  await waitUntil(() => relay.heldSilentConnections === 0, { what: 'the caller has gone' });
+});
+
 test('a delay holds bytes back without losing their order', async () => {
   relay.delay(60);
   const began = performance.now();
--- a/packages/test-support/src/relay/tcp-relay.ts
+++ b/packages/test-support/src/relay/tcp-relay.ts
@@ -32,6 +32,8 @@
 
   private silencesNew = false;
 
+  private readonly silencedSources = new Set<string>();
+
   private readonly server: Server;
 
   private readonly random: RandomSource;
@@ -58,7 +60,7 @@
         },
         onClose: () => this.connections.delete(connection),
       });
-      connection.isSilent = this.silencesNew;
+      connection.isSilent = this.silencesNew || this.silencedSources.has(connection.sourceAddress);
       this.connections.add(connection);
     });
   }
@@ -79,6 +81,11 @@
     return this.connections.size;
   }
 
+  /** Silent connections that their callers still keep open. */
+  get heldSilentConnections(): number {
+    return [...this.connections].filter((one) => one.isSilent && one.isHeldByCaller).length;
+  }
+
   /** Closes every connection and refuses new ones. */
   cut(): void {
     this.isCut = true;
@@ -103,6 +110,14 @@
     this.silenceOpen();
   }
 
+  /** As `silenceAll`, only for callers whose connections come from an address. */
+  silenceFrom(sourceAddress: string): void {
+    this.silencedSources.add(sourceAddress);
+    for (const connection of this.connections) {
+      connection.isSilent ||= connection.sourceAddress === sourceAddress;
+    }
+  }
+
   /** Delays bytes in both directions. */
   delay(milliseconds: number): void {
     this.conditions.delayMs = milliseconds;
@@ -121,6 +136,7 @@
   restore(): void {
     this.isCut = false;
     this.silencesNew = false;
+    this.silencedSources.clear();
     this.delay(0);
     this.reorderAnswers(0, 0);
   }
