Cut the calls between the regions in the scenario region-cut

Cause: the scenario cut a region from the platform only. Its agents went on renewing their leases through the entry of the other region, so no run of theirs was suspended, and requests crossed the cut.

Ruled out: closing the connections when the link returns, as the scenario did. After a real partition the ends learn that themselves.

Change: all entries and agents stand behind relays, and the cut silences the calls between the regions and to the platform.

--- a/packages/bench/src/measure/scenarios/region-cut.ts
+++ b/packages/bench/src/measure/scenarios/region-cut.ts
@@ -1,6 +1,6 @@
 /**
- * Stands for a partition between the regions: the region without the store loses the platform for a while.
- * The relays stand between each region and the platform; calls between entries and agents are not cut.
+ * A partition between the regions: the region without the store loses the platform and the other region's
+ * entries and agents for a while. Bytes vanish and nothing closes; calls within a region go on.
  * Shows what callers of both regions see during the cut, and how long batch work takes to come back.
  */
 import { ExecutionEvent } from '@figjunction/test-support';
@@ -26,7 +26,7 @@
 
 export const regionCut: Scenario = {
   name: 'region-cut',
-  summary: 'the region without the store loses the platform for 16 s',
+  summary: 'the region without the store loses the platform and the other region for 16 s',
   run: (run) =>
     withMeasuredCluster(
       {
@@ -37,6 +37,8 @@
           entryLocations: LOCATIONS,
           agentLocations: LOCATIONS,
           withPlatformRelays: true,
+          withEntryRelays: true,
+          withAgentRelays: true,
         },
         workload: { instances: INSTANCES, teams: ['hotel', 'banquet'] },
       },
@@ -66,11 +68,9 @@
           durationMs: 1,
         });
         const before = await both('before', BEFORE_MS);
-        const relay = cluster.platformRelays.get(OTHER_REGION.region);
-        relay?.silenceAll();
+        cluster.relays.cutRegion(OTHER_REGION.region);
         const during = await both('during', CUT_MS);
-        relay?.restore();
-        relay?.reset();
+        cluster.relays.restoreRegions();
         const restoredAtMs = clock.now();
         const after = await both('after', AFTER_MS);
         await sleep(0);
