Prove outcomes over silent links between entries and agents

Cause: proof 5 covered connections that go silent between entry and agent in process only.

Ruled out: running the case beside the load of the proof. Its 160 callers fill the queues, and a late answer would say nothing about the bound of section 7.

Change: a case of proof 5 with real processes. Relays in front of entries and agents silence open connections, first with attempts that execute on them, then while they wait in the pools. Answers must be fetched within the 2 s of section 7 plus 1 s for a busy machine, the connections closed, outcomes true to the workers' record, and no agent dropped.

--- a/packages/bench/src/proofs/not-run-is-true.ts
+++ b/packages/bench/src/proofs/not-run-is-true.ts
@@ -1,6 +1,7 @@
 /**
  * Invariant 5: a request that a caller was told did not run never began to execute, while queues overflow,
- * deadlines are short, agents are killed, restarted and paused, and the table is out for a time.
+ * deadlines are short, agents are killed, restarted and paused, and the table is out for a time; and while
+ * connections between entries and agents go silent.
  */
 import assert from 'node:assert/strict';
 import type { Cluster } from '@figjunction/test-support';
@@ -14,6 +15,7 @@
   repeatFor,
   startRequestCluster,
 } from './requests/fixture.js';
+import { checkSilentLinks } from './requests/silent-links.js';
 
 const LOAD_MS = 9_000;
 const WORKERS = 160;
@@ -42,7 +44,7 @@
   await platform.setFaults({ loseAnswers: 5 });
 }
 
-async function run(): Promise<void> {
+async function runUnderFaults(): Promise<void> {
   const cluster = await startRequestCluster();
   const callers = new Callers();
   try {
@@ -84,5 +86,8 @@
 export const notRunIsTrueProof: Proof = {
   number: 5,
   property: 'When the system says a request was not run, it was in fact not run',
-  run,
+  async run(): Promise<void> {
+    await runUnderFaults();
+    await checkSilentLinks();
+  },
 };
