Prove that regions that lose each other run nothing twice

Cause: proof 2 paused and killed processes and took the table away, but no case had a region cut from the other region and the platform while its runs executed.

Ruled out: a cut of a fixed length. The link returns once the other region has taken over every run of the lost one, so that the second attempts execute when the fenced agents come back.

Change: the case regionsLoseEachOther with entries and agents in two regions behind relays. It fails when the lost region held no run, when runs were taken over before a lease and its margin, when a run executed in two places, or when the workers of the lost region keep what they held. runScenarios takes the options of each case.

Conclusion: fencing and the agents' reaction to it are shown over a real partition.

--- a/packages/bench/src/proofs/batch-cluster.ts
+++ b/packages/bench/src/proofs/batch-cluster.ts
@@ -171,13 +171,15 @@
 
 export type BatchScenario = (cluster: BatchCluster) => Promise<void>;
 
+export interface BatchCase {
+  scenario: BatchScenario;
+  options: ClusterOptions;
+}
+
 /** Runs each scenario on a cluster of its own, all at once, and fails when one of them does. */
-export async function runScenarios(
-  scenarios: BatchScenario[],
-  options: ClusterOptions,
-): Promise<void> {
+export async function runScenarios(cases: BatchCase[]): Promise<void> {
   const results = await Promise.allSettled(
-    scenarios.map(async (scenario) => {
+    cases.map(async ({ scenario, options }) => {
       const cluster = await BatchCluster.start(options);
       try {
         await scenario(cluster);
@@ -188,7 +190,7 @@
   );
   const failures = results.flatMap((result, index) =>
     result.status === 'rejected'
-      ? [`${scenarios[index]?.name}: ${(result.reason as Error).message}`]
+      ? [`${cases[index]?.scenario.name}: ${(result.reason as Error).message}`]
       : [],
   );
   if (failures.length > 0) {
--- a/packages/bench/src/proofs/evicted-resumes-once.ts
+++ b/packages/bench/src/proofs/evicted-resumes-once.ts
@@ -87,6 +87,7 @@
   property: 'evicted work resumes exactly once',
   async run(): Promise<void> {
     const options = { entries: 2, agents: 4 };
-    await runScenarios([answersAreLost, twoResumers, objectStoreIsDown], options);
+    const scenarios = [answersAreLost, twoResumers, objectStoreIsDown];
+    await runScenarios(scenarios.map((scenario) => ({ scenario, options })));
   },
 };
--- a/packages/bench/src/proofs/run-in-one-place.ts
+++ b/packages/bench/src/proofs/run-in-one-place.ts
@@ -1,6 +1,7 @@
 /**
  * Invariant 2: a run never executes in two places at once. Agents and the placing entry are killed and
- * paused for longer than a lease while runs execute; then the table is down while leases pass.
+ * paused for longer than a lease while runs execute; the table is down while leases pass; the regions lose
+ * each other.
  */
 import { sleep } from '@figjunction/time';
 import { ExecutionEvent } from '@figjunction/test-support';
@@ -8,6 +9,7 @@
 import { BatchCluster, runScenarios } from './batch-cluster.js';
 import { ProofError, checkEachOnce, checkOnePlace } from './execution-intervals.js';
 import type { Proof } from './proof.js';
+import { REGION_OPTIONS, regionsLoseEachOther } from './regions-lose-each-other.js';
 
 const RUNS = 24;
 const RUN_MS = 5_000;
@@ -127,9 +129,16 @@
   property: 'a run never executes in two places at once',
   async run(): Promise<void> {
     const options = { entries: 2, agents: 4 };
-    await runScenarios(
-      [agentsAndEntryFail, agentRestarts, placingEntryDies, tableIsDown, cancelRacesResume],
-      options,
-    );
+    const scenarios = [
+      agentsAndEntryFail,
+      agentRestarts,
+      placingEntryDies,
+      tableIsDown,
+      cancelRacesResume,
+    ];
+    await runScenarios([
+      ...scenarios.map((scenario) => ({ scenario, options })),
+      { scenario: regionsLoseEachOther, options: REGION_OPTIONS },
+    ]);
   },
 };
