Prove evictions while only the object store is down

Cause: the fake platform could only fail as a whole, so proof 3 had no eviction with a working table and no object store, which is when a run could be given back without its checkpoint.

Ruled out: comparing the progress at the start of an attempt with that of the checkpoint record. The fake worker records it after the write, during which the run went on; the key alone names the checkpoint.

Change: the fault `objectOutage` and the counter `objectsRefused` of the fake platform; a case of proof 3 that evicts runs twice, the second time while only the object store is down. No run may stop before its checkpoint is written. All cases of the proof now check that each attempt continues from the newest checkpoint of its run. The case that took the whole platform down is renamed platformIsDown.

--- a/packages/bench/src/proofs/evicted-resumes-once.ts
+++ b/packages/bench/src/proofs/evicted-resumes-once.ts
@@ -1,8 +1,9 @@
 /**
  * Invariant 3: evicted work resumes exactly once. VMs are drained, so that their runs are checkpointed and
- * resume elsewhere, while answers of the table are lost, both entries race to resume, and the object store
- * is down at the eviction.
+ * resume elsewhere, while answers of the table are lost, both entries race to resume, and the platform or
+ * only its object store is down at the eviction.
  */
+import { ExecutionEvent, waitUntil } from '@figjunction/test-support';
 import { sleep } from '@figjunction/time';
 import { TaskState } from '@figjunction/types';
 import { BatchCluster, runScenarios } from './batch-cluster.js';
@@ -10,6 +11,7 @@
   ProofError,
   checkCheckpointsUsedOnce,
   checkEachOnce,
+  checkNewestCheckpointUsed,
   checkNothingLost,
   checkOnePlace,
 } from './execution-intervals.js';
@@ -21,12 +23,16 @@
 const FILLER_MS = 120_000;
 const LOST_ANSWERS = 6;
 const OUTAGE_MS = 4_000;
+/** Refused calls that show that several runs, or one run several times, could not be checkpointed. */
+const REFUSALS_MINIMUM = 8;
+const EVICTION_TIMEOUT_MS = 30_000;
 
 async function checkLog(cluster: BatchCluster, taskIds: string[]): Promise<void> {
   const records = await cluster.readLog();
   checkOnePlace(records);
   checkEachOnce(records, taskIds);
   checkNothingLost(records);
+  checkNewestCheckpointUsed(records);
   if (checkCheckpointsUsedOnce(records) === 0) {
     throw new ProofError('no run was evicted, so the proof shows nothing');
   }
@@ -69,25 +75,78 @@
   await checkLog(cluster, taskIds);
 }
 
-/** Checkpoints cannot be written when the eviction begins; the runs go on until they can. */
-async function objectStoreIsDown(cluster: BatchCluster): Promise<void> {
-  const taskIds = await cluster.submit('store-down', RUNS, RUN_MS * 2);
+/** Neither checkpoints nor rows can be written when the eviction begins; the runs go on until they can. */
+async function platformIsDown(cluster: BatchCluster): Promise<void> {
+  const taskIds = await cluster.submit('platform-down', RUNS, RUN_MS * 2);
   await cluster.waitForStarts(RUNS);
-  const [drained = 0] = await cluster.holdersOf('store-down');
+  const [drained = 0] = await cluster.holdersOf('platform-down');
   await cluster.processes.platformControl.setFaults({ outage: true });
   await cluster.drain(drained, true);
   await sleep(OUTAGE_MS);
   await cluster.processes.platformControl.setFaults({ outage: false });
-  await cluster.waitForState('store-down', TaskState.Completed, RUNS);
+  await cluster.waitForState('platform-down', TaskState.Completed, RUNS);
+  await checkLog(cluster, taskIds);
+}
+
+/**
+ * Runs are evicted twice, the second time while only the object store is down. Meanwhile they must go on
+ * where they are, since their last checkpoint is older than their progress.
+ */
+async function objectStoreIsDown(cluster: BatchCluster): Promise<void> {
+  const job = 'store-down';
+  const platform = cluster.processes.platformControl;
+  const taskIds = await cluster.submit(job, RUNS, RUN_MS * 2);
+  await cluster.waitForStarts(RUNS);
+  const [first = 0] = await cluster.holdersOf(job);
+  await cluster.drain(first, true);
+  await waitForEviction(cluster, first);
+  await cluster.drain(first, false);
+  const [second = 1] = (await cluster.holdersOf(job)).filter((index) => index !== first);
+  await platform.setFaults({ objectOutage: true });
+  const stopsBefore = await countStops(cluster);
+  const refusedBefore = (await platform.readStats()).objectsRefused;
+  await cluster.drain(second, true);
+  await waitUntil(
+    async () => (await platform.readStats()).objectsRefused >= refusedBefore + REFUSALS_MINIMUM,
+    { what: 'checkpoints are refused' },
+  );
+  const stopped = (await countStops(cluster)) - stopsBefore;
+  await platform.setFaults({ objectOutage: false });
+  if (stopped > 0) {
+    throw new ProofError(`${stopped} runs were stopped without a new checkpoint`);
+  }
+  await waitForEviction(cluster, second);
+  await cluster.waitForState(job, TaskState.Completed, RUNS);
   await checkLog(cluster, taskIds);
 }
 
+/** Waits until every run that a VM had goes on elsewhere or is complete. */
+async function waitForEviction(cluster: BatchCluster, index: number): Promise<void> {
+  const vm = `vm-${index + 1}`;
+  const isOver = async (): Promise<boolean> => {
+    const records = await cluster.readLog();
+    const starts = records.filter(({ event }) => event === ExecutionEvent.TaskStart);
+    const places = new Map(starts.map(({ taskId, workerId }) => [taskId, workerId]));
+    for (const { event, taskId } of records) {
+      if (event === ExecutionEvent.TaskComplete) {
+        places.delete(taskId);
+      }
+    }
+    return ![...places.values()].includes(vm);
+  };
+  await waitUntil(isOver, { what: `${vm} has no runs`, timeoutMs: EVICTION_TIMEOUT_MS });
+}
+
+async function countStops(cluster: BatchCluster): Promise<number> {
+  return (await cluster.readLog()).filter(({ event }) => event === ExecutionEvent.TaskStop).length;
+}
+
 export const evictedResumesOnceProof: Proof = {
   number: 3,
   property: 'evicted work resumes exactly once',
   async run(): Promise<void> {
     const options = { entries: 2, agents: 4 };
-    const scenarios = [answersAreLost, twoResumers, objectStoreIsDown];
+    const scenarios = [answersAreLost, twoResumers, platformIsDown, objectStoreIsDown];
     await runScenarios(scenarios.map((scenario) => ({ scenario, options })));
   },
 };
--- a/packages/bench/src/proofs/execution-intervals.ts
+++ b/packages/bench/src/proofs/execution-intervals.ts
@@ -91,6 +91,20 @@
   return resumed.length;
 }
 
+/** Fails when a start continued from another checkpoint than the newest one of its run. */
+export function checkNewestCheckpointUsed(records: ExecutionRecord[]): void {
+  const newest = new Map<string, string | undefined>();
+  for (const { event, taskId, attempt, detail } of records) {
+    if (event === ExecutionEvent.TaskCheckpoint) {
+      newest.set(taskId, detail);
+    } else if (event === ExecutionEvent.TaskStart && detail !== newest.get(taskId)) {
+      throw new ProofError(
+        `attempt ${attempt} of ${taskId} continued from ${detail}, not from ${newest.get(taskId)}`,
+      );
+    }
+  }
+}
+
 /** Fails when a run that had executed before began anew without a checkpoint. */
 export function checkNothingLost(records: ExecutionRecord[]): void {
   const starts = records.filter(({ event }) => event === ExecutionEvent.TaskStart);
--- a/packages/test-support/src/platform/fake-platform.ts
+++ b/packages/test-support/src/platform/fake-platform.ts
@@ -78,7 +78,7 @@
   }
 
   async putObject(key: string, body: Buffer): Promise<FakeCall<true>> {
-    const call = await this.call<true>(null, () => {
+    const call = await this.callObjects<true>(() => {
       this.stats.objectsWritten += 1;
       this.objects.set(key, Buffer.from(body));
       return true;
@@ -87,25 +87,34 @@
   }
 
   getObject(key: string): Promise<FakeCall<Buffer | null>> {
-    return this.call(null, () => {
+    return this.callObjects(() => {
       this.stats.objectsRead += 1;
       return this.objects.get(key) ?? null;
     });
   }
 
   async removeObject(key: string): Promise<FakeCall<boolean>> {
-    const call = await this.call(null, () => this.objects.delete(key));
+    const call = await this.callObjects(() => this.objects.delete(key));
     return this.loseAnswer(call);
   }
 
+  private async callObjects<Result>(run: () => Result): Promise<FakeCall<Result>> {
+    const call = await this.call(null, run, this.faults.objectOutage);
+    if (call.ending === FakeCallEnding.Outage) {
+      this.stats.objectsRefused += 1;
+    }
+    return call;
+  }
+
   private async call<Result>(
     limit: RateLimit | null,
     run: () => Result,
+    isOut = false,
   ): Promise<FakeCall<Result>> {
     if (this.faults.slowMs > 0) {
       await sleep(this.faults.slowMs);
     }
-    if (this.faults.outage) {
+    if (this.faults.outage || isOut) {
       this.stats.refusedInOutage += 1;
       return { ending: FakeCallEnding.Outage, result: null };
     }
--- a/packages/test-support/src/platform/platform-faults.ts
+++ b/packages/test-support/src/platform/platform-faults.ts
@@ -8,6 +8,8 @@
 export interface PlatformFaults {
   /** Every call is refused without effect. */
   outage: boolean;
+  /** As `outage`, for calls to the object store only. */
+  objectOutage: boolean;
   /** Every call waits this long before it takes effect. */
   slowMs: number;
   /** The answers of this many further writes are lost after they took effect. */
@@ -24,6 +26,8 @@
   conflicts: number;
   throttled: number;
   refusedInOutage: number;
+  /** Those of `refusedInOutage` that were calls to the object store. */
+  objectsRefused: number;
   lostAnswers: number;
   objectsWritten: number;
   objectsRead: number;
@@ -41,6 +45,7 @@
 export function createPlatformFaults(overrides: Partial<PlatformFaults> = {}): PlatformFaults {
   return {
     outage: false,
+    objectOutage: false,
     slowMs: 0,
     loseAnswers: 0,
     transactionsPerSecond: DEFAULT_TRANSACTIONS_PER_SECOND,
@@ -58,6 +63,7 @@
     conflicts: 0,
     throttled: 0,
     refusedInOutage: 0,
+    objectsRefused: 0,
     lostAnswers: 0,
     objectsWritten: 0,
     objectsRead: 0,
--- a/packages/test-support/src/platform/platform-server.test.ts
+++ b/packages/test-support/src/platform/platform-server.test.ts
@@ -66,6 +66,18 @@
   assert.deepEqual(call.result, [null]);
 });
 
+test('an outage of the object store leaves the table and the objects as they are', async () => {
+  await platform.putObject('o/1', Buffer.from('before'));
+  platform.faults.objectOutage = true;
+  const put = await client.request(`${address}/objects/o/1`, { method: 'PUT', body: 'during' });
+  assert.equal(put.status, 503);
+  assert.equal((await client.request(`${address}/objects/o/1`)).status, 503);
+  assert.equal(await statusOf('/table/read', { keys: ['c/1'] }), 200);
+  platform.faults.objectOutage = false;
+  assert.equal(String((await platform.getObject('o/1')).result), 'before');
+  assert.equal(platform.stats.objectsRefused, 2);
+});
+
 test('calls over the limit get 429 and are counted', async () => {
   const limited = new FakePlatform({ readsPerSecond: 4 });
   const endings = [];
