Tell an operator when an applied revision was replaced

A process counts as up to date with any revision at least as high. Ruled out: refusing the repeated call; it must not look like a conflict to a client that lost the answer. Change: the rollout holds the newest revision that any process has, and the client says that it has replaced the applied one. Conclusion: an old file that is applied again is not called in force.

--- a/packages/client/src/rollout.ts
+++ b/packages/client/src/rollout.ts
@@ -29,6 +29,8 @@
 
 export interface Rollout {
   revision: number;
+  /** The highest revision that any process has; higher than `revision` when that was replaced since. */
+  newestRevision: number;
   confirmed: RolloutProcess[];
   missing: RolloutProcess[];
   /** Cut off or gone, so that nobody can tell; they are not waited for. */
@@ -58,6 +60,7 @@
   const processes = listProcesses(status, revision);
   return {
     revision,
+    newestRevision: Math.max(revision, ...processes.map((known) => known.revision ?? 0)),
     absent: status.absent,
     confirmed: processes.filter(({ reason }) => reason === null),
     missing: processes.filter(({ reason }) => reason !== null),
@@ -90,7 +93,15 @@
   return state.confirmed ? null : 'has the revision but cannot confirm it';
 }
 
-export function formatRollout({ revision, confirmed, missing, absent }: Rollout): string {
+/** A file that is applied again may be in force no more, which must not read as a success. */
+export function formatRollout(rollout: Rollout): string {
+  const { revision, newestRevision } = rollout;
+  return newestRevision > revision
+    ? `revision ${newestRevision} has replaced it since; see "figjunction history"`
+    : formatProgress(rollout);
+}
+
+function formatProgress({ revision, confirmed, missing, absent }: Rollout): string {
   if (missing.length === 0) {
     const names = confirmed.map(({ name }) => name).join(', ');
     const lines = [`in force on all ${confirmed.length} known processes: ${names}`];
