Look up tokens by their hash

Cause: every request compared its token with the tokens of all operators and teams, decoding each hash: 138 µs for the 200th of 270 teams, found while the slope per team was measured. Change: an index of identities by hash for each configuration.

--- a/packages/entry/src/authentication.ts
+++ b/packages/entry/src/authentication.ts
@@ -1,10 +1,10 @@
 /**
- * Who is calling: tokens are looked up by their SHA-256 in the configuration in force. Hashes of all
- * candidates are compared in constant time.
+ * Who is calling: tokens are looked up by their SHA-256 in the configuration in force. The time of the
+ * lookup tells nothing about a token, because a caller cannot choose the hash, only the token.
  */
 import { createHash, timingSafeEqual } from 'node:crypto';
 import type { IncomingMessage } from 'node:http';
-import type { TeamConfiguration } from '@figjunction/config';
+import type { OperatorConfiguration, TeamConfiguration } from '@figjunction/config';
 import { ErrorCode } from '@figjunction/errors';
 import { bearerToken } from '@figjunction/rpc';
 import { Role } from '@figjunction/types';
@@ -24,9 +24,11 @@
 
 export type Identity = OperatorIdentity | CallerIdentity;
 
-function matches(sha256: string, tokenHash: Buffer): boolean {
-  return timingSafeEqual(Buffer.from(sha256, 'hex'), tokenHash);
-}
+/**
+ * Identities by the hash of their token, built once for each configuration: comparing with the tokens of
+ * 270 teams one after the other took 138 µs for each request.
+ */
+const indexes = new WeakMap<OperatorConfiguration, Map<string, Identity>>();
 
 /**
  * Before the first configuration is applied nobody has a token; the shared token of the processes then
@@ -40,7 +42,8 @@
     });
   }
   const hash = createHash('sha256').update(token).digest();
-  const identity = findOperator(context, hash) ?? findCaller(context, hash);
+  const configuration = context.configuration.current()?.configuration ?? null;
+  const identity = findIdentity(configuration, hash) ?? findBootstrap(context, configuration, hash);
   if (identity === null) {
     throw new EntryError('the token is not known', { code: ErrorCode.Unauthenticated });
   }
@@ -65,18 +68,36 @@
   }
 }
 
-function findOperator(context: EntryContext, hash: Buffer): OperatorIdentity | null {
-  const sharedHash = createHash('sha256').update(context.settings.sharedToken).digest();
-  const operators = context.configuration.current()?.configuration.operators ?? [];
-  if (operators.length === 0 && timingSafeEqual(sharedHash, hash)) {
-    return { role: Role.Operator, name: 'bootstrap' };
+function findIdentity(configuration: OperatorConfiguration | null, hash: Buffer): Identity | null {
+  if (configuration === null) {
+    return null;
   }
-  const found = operators.find(({ tokens }) => tokens.some(({ sha256 }) => matches(sha256, hash)));
-  return found === undefined ? null : { role: Role.Operator, name: found.name };
+  const index = indexes.get(configuration) ?? createIndex(configuration);
+  indexes.set(configuration, index);
+  return index.get(hash.toString('hex')) ?? null;
+}
+
+/** Where a token stands twice, operators come first, then the first team. */
+function createIndex({ operators, teams }: OperatorConfiguration): Map<string, Identity> {
+  const index = new Map<string, Identity>();
+  const add = (tokens: { sha256: string }[], identity: Identity): void => {
+    for (const { sha256 } of tokens) {
+      index.set(sha256, index.get(sha256) ?? identity);
+    }
+  };
+  operators.forEach(({ name, tokens }) => add(tokens, { role: Role.Operator, name }));
+  teams.forEach((team) => add(team.tokens, { role: Role.Caller, name: team.name, team }));
+  return index;
 }
 
-function findCaller(context: EntryContext, hash: Buffer): CallerIdentity | null {
-  const teams = context.configuration.current()?.configuration.teams ?? [];
-  const team = teams.find(({ tokens }) => tokens.some(({ sha256 }) => matches(sha256, hash)));
-  return team === undefined ? null : { role: Role.Caller, name: team.name, team };
+function findBootstrap(
+  { settings }: EntryContext,
+  configuration: OperatorConfiguration | null,
+  hash: Buffer,
+): OperatorIdentity | null {
+  const sharedHash = createHash('sha256').update(settings.sharedToken).digest();
+  const hasOperators = (configuration?.operators ?? []).length > 0;
+  return !hasOperators && timingSafeEqual(sharedHash, hash)
+    ? { role: Role.Operator, name: 'bootstrap' }
+    : null;
 }
