--- a/packages/bench/src/proofs/request-at-most-once.test.ts
+++ b/packages/bench/src/proofs/request-at-most-once.test.ts
@@ -2,8 +2,9 @@
 import { after, before, test } from 'node:test';
 import fc from 'fast-check';
 import { LinkFault } from './faulty-link.js';
-import { RequestPair, answerOk } from './request-pair.js';
-import type { PairAgent, TargetBehaviour } from './request-pair.js';
+import { answerOk } from './pair-agent.js';
+import { RequestPair } from './request-pair.js';
+import type { PairAgent, TargetBehaviour } from './pair-agent.js';
 
 const SEED = 41;
 const RUNS = 10;
--- a/packages/bench/src/proofs/request-outcomes.test.ts
+++ b/packages/bench/src/proofs/request-outcomes.test.ts
@@ -3,8 +3,9 @@
 import { waitUntil } from '@figjunction/test-support';
 import { ClaimState } from '@figjunction/types';
 import { LinkFault } from './faulty-link.js';
-import { RequestPair, answerOk } from './request-pair.js';
-import type { PairAgent, TargetBehaviour } from './request-pair.js';
+import { answerOk } from './pair-agent.js';
+import { RequestPair } from './request-pair.js';
+import type { PairAgent, TargetBehaviour } from './pair-agent.js';
 
 const pair = new RequestPair();
 let count = 0;
--- a/packages/bench/src/proofs/request-watch.test.ts
+++ b/packages/bench/src/proofs/request-watch.test.ts
@@ -6,7 +6,7 @@
 import { HttpClient } from '@figjunction/http';
 import { waitUntil } from '@figjunction/test-support';
 import { PAIR_TOKEN, RequestPair } from './request-pair.js';
-import type { PairAgent, TargetBehaviour } from './request-pair.js';
+import type { PairAgent, TargetBehaviour } from './pair-agent.js';
 
 const pair = new RequestPair();
 const http = new HttpClient();
--- a/packages/test-support/src/cluster/entry-client.ts
+++ b/packages/test-support/src/cluster/entry-client.ts
@@ -3,7 +3,7 @@
  */
 import { HttpClient, codeOfStatus } from '@figjunction/http';
 import type { HttpAnswer } from '@figjunction/http';
-import type { RequestOutcome } from '@figjunction/types';
+import type { JobRequest, RequestOutcome } from '@figjunction/types';
 import { HarnessError } from '../harness/wait-until.js';
 
 export interface ServiceRequest {
@@ -25,14 +25,6 @@
   body: Buffer;
 }
 
-export interface JobSubmission {
-  jobId: string;
-  team: string;
-  kind: string;
-  urgency?: string;
-  tasks: { name: string; parameters: Record<string, string> }[];
-}
-
 const APPLY_TIMEOUT_MS = 30_000;
 const DEFAULT_CALLER_TIMEOUT_MS = 30_000;
 
@@ -61,7 +53,7 @@
     return answer.status === 404 ? 0 : (parse(answer) as { revision: number }).revision;
   }
 
-  async submit(job: JobSubmission, token: string): Promise<unknown> {
+  async submit(job: JobRequest, token: string): Promise<unknown> {
     return parse(await this.call('POST', '/v1/jobs', token, job));
   }
 
