Count the entry's larger size until the agent knows a kind

An agent took the smaller of the size that the entry has learnt and its own estimate. While it has fewer than 5 samples, its own estimate is 1.5 times the declared size, so a restarted agent counted 750 millicores for tasks of 2,500. Change: the entry's size counts until the agent knows the kind, then the smaller of both, never below what was measured here.

--- a/packages/agent/src/tasks/room-loads.test.ts
+++ b/packages/agent/src/tasks/room-loads.test.ts
@@ -35,16 +35,25 @@
     assert.equal(load.estimated.processorMillicores, 1_000);
   });
 
-  it('counts by its own samples once it knows the kind, whatever the entry has learnt', async () => {
+  it('takes a smaller size from the entry once it knows the kind itself', async () => {
     const runtime = await createRuntime();
     const used = { ...ONE_CORE, processorMillicores: 200 };
     ['a', 'b', 'c', 'd', 'e', 'f'].forEach((taskId) =>
       recordUsage(runtime.estimates, { taskId, kind: 'reprint', used, measuredAt: 1 }),
     );
-    assert.equal(loadOf(runtime, reserved(200, true)).estimated.processorMillicores, 1_000);
+    assert.equal(loadOf(runtime, reserved(200, true)).estimated.processorMillicores, 200);
     assert.equal(loadOf(runtime, reserved(1_000, false)).estimated.processorMillicores, 1_000);
   });
 
+  it('takes a larger size from the entry while it has measured little itself', async () => {
+    const runtime = await createRuntime();
+    for (const taskId of ['a', 'b', 'c', 'd']) {
+      assert.equal(loadOf(runtime, reserved(5_000, true)).estimated.processorMillicores, 5_000);
+      recordUsage(runtime.estimates, { taskId, kind: 'reprint', used: ONE_CORE, measuredAt: 1 });
+    }
+    assert.equal(loadOf(runtime, reserved(5_000, true)).estimated.processorMillicores, 5_000);
+  });
+
   it('never counts less than was measured here, whatever the entry has measured', async () => {
     const runtime = await createRuntime();
     const used = { ...ONE_CORE, processorMillicores: 4_000 };
--- a/packages/agent/src/tasks/room-loads.ts
+++ b/packages/agent/src/tasks/room-loads.ts
@@ -9,6 +9,7 @@
   isKindKnown,
   learntSize,
   maximumOfResources,
+  minimumOfResources,
   refusalForRoom,
   sumResources,
 } from '@figjunction/decisions';
@@ -49,14 +50,17 @@
 
 /**
  * An entry hears the measurements of all agents, so it knows a kind sooner than one agent does. Its size is
- * taken until the kind is known here, but never below what was measured here.
+ * taken, but never below what was measured here. It may be larger than what this agent expects: until the
+ * kind is known here, that is only the declared size, which proved 5 times too small.
  */
 function estimateOf(runtime: TaskRuntime, task: SizedTask, configured: Resources): Resources {
   const { estimates } = runtime;
-  const isKnownToEntryOnly = !isKindKnown(estimates, task.kind) && task.isSizeKnown;
-  return isKnownToEntryOnly
-    ? maximumOfResources(task.declared, learntSize(estimates, task.kind))
-    : estimateSize(estimates, task.kind, configured);
+  const own = estimateSize(estimates, task.kind, configured);
+  if (!task.isSizeKnown) {
+    return own;
+  }
+  const fromEntry = maximumOfResources(task.declared, learntSize(estimates, task.kind));
+  return isKindKnown(estimates, task.kind) ? minimumOfResources(own, fromEntry) : fromEntry;
 }
 
 /** Everything that takes room: all but tasks that have left the worker. */
