Use the one drain, status and agent set-up that exist already

The cluster of the batch proofs had drain() and got setDrain(); the status of an entry was typed in five places, once by a pattern over its JSON; each of the task tests spelled out the table and clock of its fake agent. Change: setDrain is gone; EntryClient.readStatus returns ClusterStatus, and countReadyInstances serves the tour and the proofs; the task fixture makes its agents. Conclusion: one place for each.

--- a/packages/bench/src/measure/scenarios/change-slopes.ts
+++ b/packages/bench/src/measure/scenarios/change-slopes.ts
@@ -135,8 +135,8 @@
   return performance.now() - startedAt;
 }
 
-async function readStatus(cluster: Cluster): Promise<ClusterStatus> {
-  return (await cluster.entryClient().readStatus(OPERATOR_TOKEN)) as ClusterStatus;
+function readStatus(cluster: Cluster): Promise<ClusterStatus> {
+  return cluster.entryClient().readStatus(OPERATOR_TOKEN);
 }
 
 /** The change is a timeout of the first service. */
--- a/packages/bench/src/proofs/batch-cluster.ts
+++ b/packages/bench/src/proofs/batch-cluster.ts
@@ -14,7 +14,6 @@
 const COMPLETION_TIMEOUT_MS = 90_000;
 const AGENT_PREFIX = 'vm-';
 const POLL_MS = 100;
-const HTTP_ERROR = 400;
 
 const CONFIGURATION = {
   urgencyClasses: [{ name: 'overnight', rank: 1, guaranteedShare: 0.1 }],
@@ -36,11 +35,6 @@
   operators: [{ name: 'proofs', tokens: [{ sha256: sha256(OPERATOR_TOKEN) }] }],
 };
 
-interface AgentStatus {
-  state: AgentState;
-  confirmed: boolean;
-}
-
 export interface JobCounts {
   counts: Partial<Record<TaskState, number>>;
   tasks: { taskId: string; state: TaskState; holder: string | null; attempt: number }[];
@@ -138,25 +132,14 @@
     });
   }
 
-  /** Starts or ends the drain of an agent. */
-  async setDrain(index: number, drain: boolean): Promise<void> {
-    const drainPath = `/v1/vms/${AGENT_PREFIX}${index + 1}/drain`;
-    const method = drain ? 'POST' : 'DELETE';
-    const client = this.processes.entryClient(0);
-    const answer = await client.call(method, drainPath, OPERATOR_TOKEN, {});
-    if (answer.status >= HTTP_ERROR) {
-      throw new ProofError(`${method} ${drainPath} was answered with ${answer.status}`);
-    }
-  }
-
   /** Agents that an entry does not know, or that have no configuration yet, are given no runs. */
   async waitForAgents(count: number): Promise<void> {
-    const isReady = ({ state, confirmed }: AgentStatus): boolean =>
-      state === AgentState.Serving && confirmed;
     const readyAgents = async (entryIndex: number): Promise<number> => {
-      const client = this.processes.entryClient(entryIndex);
-      const { agents } = (await client.readStatus(OPERATOR_TOKEN)) as { agents: AgentStatus[] };
-      return agents.filter(isReady).length;
+      const { agents } = await this.processes.entryClient(entryIndex).readStatus(OPERATOR_TOKEN);
+      const ready = agents.filter(
+        ({ state, confirmed }) => state === AgentState.Serving && confirmed,
+      );
+      return ready.length;
     };
     await waitUntil(
       async () => {
--- a/packages/bench/src/proofs/leaving-targets.ts
+++ b/packages/bench/src/proofs/leaving-targets.ts
@@ -6,10 +6,10 @@
 import { writeFileSync } from 'node:fs';
 import path from 'node:path';
 import { DEFAULT_LOCATIONS, ExecutionEvent, agentIdOf, waitUntil } from '@figjunction/test-support';
-import type { Cluster, ExecutionRecord } from '@figjunction/test-support';
+import type { Cluster, ClusterStatus, ExecutionRecord } from '@figjunction/test-support';
 import { SystemClock, sleep } from '@figjunction/time';
 import type { Instant } from '@figjunction/time';
-import { RequestOutcome } from '@figjunction/types';
+import { AgentState, RequestOutcome } from '@figjunction/types';
 import { OPERATOR_TOKEN, OVERNIGHT_KIND } from '../measure/workload.js';
 import { CUT_FILE_VARIABLE, CUT_PORT_VARIABLE } from './leaving/cut-connections.js';
 import { RequestFeed } from './leaving/request-feed.js';
@@ -176,29 +176,24 @@
   );
 }
 
-interface StatusAnswer {
-  agents: { agentId: string; state: string; instances: { ready: boolean }[] }[];
-}
-
 async function stateOf(
   cluster: Cluster,
   entryIndex: number,
   agentId: string,
-): Promise<StatusAnswer['agents'][number] | undefined> {
-  const client = cluster.entryClient(entryIndex);
-  const status = (await client.readStatus(OPERATOR_TOKEN)) as StatusAnswer;
+): Promise<ClusterStatus['agents'][number] | undefined> {
+  const status = await cluster.entryClient(entryIndex).readStatus(OPERATOR_TOKEN);
   return status.agents.find((agent) => agent.agentId === agentId);
 }
 
 async function isServing(cluster: Cluster, entryIndex: number, agentId: string): Promise<boolean> {
   const agent = await stateOf(cluster, entryIndex, agentId);
-  return agent?.state === 'serving' && agent.instances.some(({ ready }) => ready);
+  return agent?.state === AgentState.Serving && agent.instances.some(({ ready }) => ready);
 }
 
 async function assertDropped(cluster: Cluster, entryIndex: number, agentId: string): Promise<void> {
   const agent = await stateOf(cluster, entryIndex, agentId);
   const message = `entry ${entryIndex + 1} still counts on ${agentId}`;
-  assert.ok(agent === undefined || agent.state === 'leaving', message);
+  assert.ok(agent === undefined || agent.state === AgentState.Leaving, message);
 }
 
 async function waitForInstances(cluster: Cluster): Promise<void> {
--- a/packages/bench/src/proofs/regions-lose-each-other.ts
+++ b/packages/bench/src/proofs/regions-lose-each-other.ts
@@ -68,11 +68,11 @@
 /** The other agents are drained meanwhile, so that the runs cannot all start in the region that stays. */
 async function startInLostRegion(cluster: BatchCluster): Promise<string[]> {
   await cluster.waitForAgents(AGENTS);
-  await Promise.all(STORE_AGENTS.map((index) => cluster.setDrain(index, true)));
+  await Promise.all(STORE_AGENTS.map((index) => cluster.drain(index, true)));
   await cluster.waitForAgents(AGENTS - STORE_AGENTS.length);
   const taskIds = await cluster.submit(JOB, RUNS, RUN_MS, STORE_ENTRY);
   await cluster.waitForStarts(RUNS);
-  await Promise.all(STORE_AGENTS.map((index) => cluster.setDrain(index, false)));
+  await Promise.all(STORE_AGENTS.map((index) => cluster.drain(index, false)));
   await cluster.waitForAgents(AGENTS);
   return taskIds;
 }
--- a/packages/bench/src/proofs/requests/fixture.ts
+++ b/packages/bench/src/proofs/requests/fixture.ts
@@ -3,7 +3,13 @@
  */
 import { createHash } from 'node:crypto';
 import { HttpClient, HttpClientError } from '@figjunction/http';
-import { ExecutionEvent, hashBody, startCluster, waitUntil } from '@figjunction/test-support';
+import {
+  ExecutionEvent,
+  countReadyInstances,
+  hashBody,
+  startCluster,
+  waitUntil,
+} from '@figjunction/test-support';
 import type { Cluster, ClusterOptions, TargetAnswer } from '@figjunction/test-support';
 import { RequestOutcome } from '@figjunction/types';
 
@@ -179,10 +185,7 @@
   const statuses = await Promise.all(
     cluster.entries.map((_entry, index) => cluster.entryClient(index).readStatus(OPERATOR_TOKEN)),
   );
-  return statuses.every((status) => {
-    const text = JSON.stringify(status);
-    return (text.match(/"ready":true/gu) ?? []).length >= agents;
-  });
+  return statuses.every((status) => countReadyInstances(status) >= agents);
 }
 
 function configuration(instances: number): unknown {
--- a/packages/bench/src/quickstart/tour.ts
+++ b/packages/bench/src/quickstart/tour.ts
@@ -4,7 +4,7 @@
 import { fileURLToPath } from 'node:url';
 import { ExitCode, ProcessTerminal, runClient } from '@figjunction/client';
 import { RequestOutcome } from '@figjunction/types';
-import { TEST_SHARED_TOKEN, waitUntil } from '@figjunction/test-support';
+import { TEST_SHARED_TOKEN, countReadyInstances, waitUntil } from '@figjunction/test-support';
 import type { Cluster } from '@figjunction/test-support';
 
 export const OPERATOR_TOKEN = 'karaca-operator-sample-token';
@@ -16,10 +16,6 @@
 const READY_TIMEOUT_MS = 30_000;
 const RUN_ID = 'banquet-house.overnight-menus.wedding';
 
-interface Status {
-  agents: { instances: { ready: boolean }[] }[];
-}
-
 export class Tour {
   constructor(private readonly cluster: Cluster) {}
 
@@ -55,9 +51,8 @@
     const client = this.cluster.entryClient();
     await waitUntil(
       async () => {
-        const { agents } = (await client.readStatus(OPERATOR_TOKEN)) as Status;
-        const ready = agents.flatMap(({ instances }) => instances.filter((one) => one.ready));
-        return ready.length >= wanted ? true : null;
+        const ready = countReadyInstances(await client.readStatus(OPERATOR_TOKEN));
+        return ready >= wanted ? true : null;
       },
       { what: `${wanted} label instances are ready`, timeoutMs: READY_TIMEOUT_MS },
     );
--- a/packages/entry/src/tasks/holding.test.ts
+++ b/packages/entry/src/tasks/holding.test.ts
@@ -11,7 +11,6 @@
   TaskState,
 } from '@figjunction/types';
 import type { ProposalRow } from '@figjunction/types';
-import { AgentFake } from './testing/agent-fake.test.js';
 import { configurationWith } from './testing/configuration-with.test.js';
 import { TaskFixture, submitTasks } from './testing/task-fixture.test.js';
 
@@ -25,10 +24,6 @@
   return { batchKinds: overrides.map((override) => ({ ...LABELS, ...override })) };
 }
 
-async function addVm(fixture: TaskFixture, agentId: string): Promise<AgentFake> {
-  return fixture.addAgent(new AgentFake({ agentId, ...fixture.agentOptions() }));
-}
-
 async function onlyRow(fixture: TaskFixture) {
   const [row] = await fixture.rows();
   assert.ok(row !== undefined);
@@ -40,13 +35,12 @@
   const size = { processorMillicores: 6_000, memoryMegabytes: 512 };
   const fixture = new TaskFixture(configurationWith(kinds({ size })));
   const entry = fixture.addEntry('entry-1');
-  await addVm(fixture, 'vm-1');
+  await fixture.addAgent({ agentId: 'vm-1' });
   await submitTasks(fixture, entry, ['a']);
   await fixture.runUntil(async () => (await onlyRow(fixture)).state === TaskState.Held, 15_000);
   assert.match((await onlyRow(fixture)).reason ?? '', /no allowed VM is large enough/u);
   const capacity = { processorMillicores: 8_000, memoryMegabytes: 8_192, accelerators: 0 };
-  const large = new AgentFake({ agentId: 'vm-2', capacity, ...fixture.agentOptions() });
-  await fixture.addAgent(large);
+  const large = await fixture.addAgent({ agentId: 'vm-2', capacity });
   await fixture.runUntil(() => large.runningTasks().length === 1, 10_000);
   assert.deepEqual(fixture.illegal, []);
 });
@@ -57,7 +51,7 @@
   const fixture = new TaskFixture(configurationWith(kinds({ size })));
   fixture.policy = { learning: true };
   const entry = fixture.addEntry('entry-1');
-  const agent = await addVm(fixture, 'vm-1');
+  const agent = await fixture.addAgent({ agentId: 'vm-1' });
   await submitTasks(fixture, entry, ['a']);
   await fixture.runUntil(() => agent.runningTasks().length === 1, 15_000);
   assert.equal(agent.usedMillicores(), 4_000);
@@ -75,7 +69,7 @@
 test('a run that fails too often is held, and released when its kind changes', async () => {
   const fixture = new TaskFixture(configurationWith(kinds({ failuresMaximum: 2 })));
   const entry = fixture.addEntry('entry-1');
-  const agent = await addVm(fixture, 'vm-1');
+  const agent = await fixture.addAgent({ agentId: 'vm-1' });
   await submitTasks(fixture, entry, ['a']);
   for (let failure = 0; failure < 2; failure += 1) {
     await fixture.runUntil(() => agent.runningTasks().length === 1);
@@ -100,8 +94,11 @@
     }),
   );
   const entry = fixture.addEntry('entry-1');
-  const bad = await addVm(fixture, 'vm-bad');
-  const good = await Promise.all([addVm(fixture, 'vm-1'), addVm(fixture, 'vm-2')]);
+  const bad = await fixture.addAgent({ agentId: 'vm-bad' });
+  const good = await Promise.all([
+    fixture.addAgent({ agentId: 'vm-1' }),
+    fixture.addAgent({ agentId: 'vm-2' }),
+  ]);
   const tasks = Array.from({ length: 30 }, (_, index) => `t${index}`);
   for (const kind of names) {
     await submitTasks(fixture, entry, tasks, { jobId: kind, kind });
@@ -125,7 +122,7 @@
   const fixture = new TaskFixture(configurationWith({ services: [api] }));
   fixture.policy = { learning: false, quarantine: false };
   fixture.addEntry('entry-1');
-  const agent = await addVm(fixture, 'vm-1');
+  const agent = await fixture.addAgent({ agentId: 'vm-1' });
   const delays: number[] = [];
   for (let failure = 0; failure < 4; failure += 1) {
     await fixture.runUntil(() => agent.runningTasks().length === 1);
@@ -146,7 +143,7 @@
   const approval = kinds({ placement: 'approval' });
   const fixture = new TaskFixture(configurationWith(approval));
   const entry = fixture.addEntry('entry-1');
-  const agent = await addVm(fixture, 'vm-1');
+  const agent = await fixture.addAgent({ agentId: 'vm-1' });
   await submitTasks(fixture, entry, ['a']);
   await fixture.run(12_000);
   const proposals = async (): Promise<ProposalRow[]> => {
@@ -170,7 +167,7 @@
 test('ended runs are deleted after the retention time and not before', async () => {
   const fixture = new TaskFixture();
   const entry = fixture.addEntry('entry-1');
-  const agent = await addVm(fixture, 'vm-1');
+  const agent = await fixture.addAgent({ agentId: 'vm-1' });
   await submitTasks(fixture, entry, ['a']);
   await fixture.runUntil(() => agent.runningTasks().length === 1);
   await fixture.report([agent.end('kitchen.job-1.a', TaskReportKind.Completed)]);
@@ -183,7 +180,7 @@
 test('the lease of a VM that is gone is deleted a day after it was fenced', async () => {
   const fixture = new TaskFixture();
   fixture.addEntry('entry-1');
-  const agent = await addVm(fixture, 'vm-1');
+  const agent = await fixture.addAgent({ agentId: 'vm-1' });
   fixture.alive.delete(agent);
   const leases = async (): Promise<number> => {
     const page = await fixture.table.scan({ prefix: LEASE_PREFIX, after: '', limit: 10 });
@@ -200,8 +197,8 @@
   const fixture = new TaskFixture();
   fixture.policy = { learning: false, placementMode: 'pull' };
   const entry = fixture.addEntry('entry-1');
-  const asking = await addVm(fixture, 'vm-1');
-  const silent = await addVm(fixture, 'vm-2');
+  const asking = await fixture.addAgent({ agentId: 'vm-1' });
+  const silent = await fixture.addAgent({ agentId: 'vm-2' });
   silent.wantsWork = false;
   await submitTasks(fixture, entry, ['a', 'b', 'c', 'd', 'e', 'f']);
   await fixture.runUntil(() => asking.runningTasks().length === 4);
@@ -215,7 +212,7 @@
 test('a stopping entry places nothing and settles its writes', async () => {
   const fixture = new TaskFixture();
   const entry = fixture.addEntry('entry-1');
-  const agent = await addVm(fixture, 'vm-1');
+  const agent = await fixture.addAgent({ agentId: 'vm-1' });
   entry.tasks.isStopping = true;
   await submitTasks(fixture, entry, ['a']);
   await fixture.run(3_000);
--- a/packages/entry/src/tasks/placement-path.test.ts
+++ b/packages/entry/src/tasks/placement-path.test.ts
@@ -4,16 +4,13 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { RpcMethod, TaskReportKind, TaskState } from '@figjunction/types';
-import { AgentFake } from './testing/agent-fake.test.js';
 import { configurationWith } from './testing/configuration-with.test.js';
 import { TaskFixture, submitTasks } from './testing/task-fixture.test.js';
 
 test('a run goes from pending through running to completed', async () => {
   const fixture = new TaskFixture();
   const entry = fixture.addEntry('entry-1');
-  const agent = await fixture.addAgent(
-    new AgentFake({ agentId: 'vm-1', ...fixture.agentOptions() }),
-  );
+  const agent = await fixture.addAgent({ agentId: 'vm-1' });
   await submitTasks(fixture, entry, ['a']);
   await fixture.runUntil(() => agent.runningTasks().length === 1);
   const [running] = await fixture.rows();
@@ -45,9 +42,7 @@
 test('a lost start hint is sent again', async () => {
   const fixture = new TaskFixture();
   const entry = fixture.addEntry('entry-1');
-  const agent = await fixture.addAgent(
-    new AgentFake({ agentId: 'vm-1', ...fixture.agentOptions() }),
-  );
+  const agent = await fixture.addAgent({ agentId: 'vm-1' });
   agent.lost.add(RpcMethod.TaskStart);
   await submitTasks(fixture, entry, ['a']);
   await fixture.runUntil(async () => (await fixture.rows())[0]?.state === TaskState.Running);
@@ -61,9 +56,7 @@
 test('a lost answer of the claim does not change the outcome', async () => {
   const fixture = new TaskFixture();
   const entry = fixture.addEntry('entry-1');
-  const agent = await fixture.addAgent(
-    new AgentFake({ agentId: 'vm-1', ...fixture.agentOptions() }),
-  );
+  const agent = await fixture.addAgent({ agentId: 'vm-1' });
   await fixture.run(1_000);
   fixture.platform.faults.loseAnswers = 2;
   await submitTasks(fixture, entry, ['a', 'b', 'c']).catch(() => {});
@@ -77,12 +70,8 @@
 test('an agent that does not answer holds up nobody else', async () => {
   const fixture = new TaskFixture();
   const entry = fixture.addEntry('entry-1');
-  const silent = await fixture.addAgent(
-    new AgentFake({ agentId: 'vm-1', ...fixture.agentOptions() }),
-  );
-  const agent = await fixture.addAgent(
-    new AgentFake({ agentId: 'vm-2', ...fixture.agentOptions() }),
-  );
+  const silent = await fixture.addAgent({ agentId: 'vm-1' });
+  const agent = await fixture.addAgent({ agentId: 'vm-2' });
   silent.lost.add(RpcMethod.TaskReserve);
   await submitTasks(fixture, entry, ['a', 'b', 'c', 'd']);
   await fixture.runUntil(() => agent.runningTasks().length === 4, 20_000);
@@ -92,9 +81,7 @@
 test('nothing is placed while the configuration is not confirmed', async () => {
   const fixture = new TaskFixture();
   const entry = fixture.addEntry('entry-1');
-  const agent = await fixture.addAgent(
-    new AgentFake({ agentId: 'vm-1', ...fixture.agentOptions() }),
-  );
+  const agent = await fixture.addAgent({ agentId: 'vm-1' });
   entry.context.configuration.confirm = () => {};
   await fixture.run(7_000);
   await submitTasks(fixture, entry, ['a']);
@@ -118,7 +105,7 @@
     ['vm-3', 'r2'],
     ['vm-4', 'r2'],
   ] as const) {
-    await fixture.addAgent(new AgentFake({ agentId, rack, ...fixture.agentOptions() }));
+    await fixture.addAgent({ agentId, rack });
   }
   await fixture.runUntil(() => fixture.agents.every((agent) => agent.runningTasks().length === 1));
   fixture.apply(configurationWith({ services: [{ ...service, instances: 1 }] }));
--- a/packages/entry/src/tasks/recovery.property.test.ts
+++ b/packages/entry/src/tasks/recovery.property.test.ts
@@ -5,7 +5,6 @@
 import { test } from 'node:test';
 import fc from 'fast-check';
 import { shardOfTeam } from './task-identifiers.js';
-import { AgentFake } from './testing/agent-fake.test.js';
 import { requeues } from './testing/requeues.test.js';
 import { TaskFixture, submitTasks } from './testing/task-fixture.test.js';
 
@@ -26,21 +25,16 @@
         const entries = ['entry-1', 'entry-2'].map((id) => fixture.addEntry(id));
         const [first] = entries;
         assert.ok(first !== undefined);
-        const dead = await fixture.addAgent(
-          new AgentFake({ agentId: 'vm-1', ...fixture.agentOptions() }),
-        );
+        const dead = await fixture.addAgent({ agentId: 'vm-1' });
         const names = Array.from({ length: tasks }, (_, index) => `t${index}`);
         await submitTasks(fixture, first, names);
         await fixture.run(deadAfterMs);
         fixture.alive.delete(dead);
         const stranded = dead.runningTasks().length;
-        const other = await fixture.addAgent(
-          new AgentFake({
-            agentId: 'vm-2',
-            ...fixture.agentOptions(),
-            capacity: { processorMillicores: 8_000, memoryMegabytes: 8_192, accelerators: 0 },
-          }),
-        );
+        const other = await fixture.addAgent({
+          agentId: 'vm-2',
+          capacity: { processorMillicores: 8_000, memoryMegabytes: 8_192, accelerators: 0 },
+        });
         fixture.platform.faults.loseAnswers = lostAnswers;
         fixture.platform.faults.outage = outageMs > 0;
         await fixture.run(outageMs);
@@ -69,7 +63,7 @@
         const fixture = new TaskFixture();
         const entries = ['entry-1', 'entry-2'].map((id) => fixture.addEntry(id));
         for (const agentId of ['vm-1', 'vm-2', 'vm-3']) {
-          await fixture.addAgent(new AgentFake({ agentId, ...fixture.agentOptions() }));
+          await fixture.addAgent({ agentId });
         }
         const checkRoom = (): void =>
           fixture.agents.forEach((agent) => {
--- a/packages/entry/src/tasks/recovery.test.ts
+++ b/packages/entry/src/tasks/recovery.test.ts
@@ -5,7 +5,6 @@
 import { test } from 'node:test';
 import { LeaseState, TaskReportKind, TaskState, leaseKey } from '@figjunction/types';
 import type { KnownEntry, LeaseRow } from '@figjunction/types';
-import { AgentFake } from './testing/agent-fake.test.js';
 import { requeues } from './testing/requeues.test.js';
 import { TaskFixture, submitTasks } from './testing/task-fixture.test.js';
 import type { TestEntry } from './testing/task-fixture.test.js';
@@ -32,15 +31,11 @@
 test('the tasks of a dead agent are requeued only after its lease was fenced', async () => {
   const fixture = new TaskFixture();
   const entry = fixture.addEntry('entry-1');
-  const first = await fixture.addAgent(
-    new AgentFake({ agentId: 'vm-1', ...fixture.agentOptions() }),
-  );
+  const first = await fixture.addAgent({ agentId: 'vm-1' });
   await submitTasks(fixture, entry, ['a']);
   await fixture.runUntil(() => first.runningTasks().length === 1);
   fixture.alive.delete(first);
-  const second = await fixture.addAgent(
-    new AgentFake({ agentId: 'vm-2', ...fixture.agentOptions() }),
-  );
+  const second = await fixture.addAgent({ agentId: 'vm-2' });
   await fixture.run(9_000);
   assert.equal((await leaseOf(fixture, 'vm-1'))?.state, LeaseState.Active);
   assert.equal(requeues(fixture, 'kitchen.job-1.a'), 0);
@@ -54,9 +49,7 @@
 test('a fenced agent that still announces itself gets no claim', async () => {
   const fixture = new TaskFixture();
   const entry = fixture.addEntry('entry-1');
-  const agent = await fixture.addAgent(
-    new AgentFake({ agentId: 'vm-1', ...fixture.agentOptions() }),
-  );
+  const agent = await fixture.addAgent({ agentId: 'vm-1' });
   fixture.unrenewed.add(agent);
   await fixture.runUntil(async () => (await leaseOf(fixture, 'vm-1'))?.state === LeaseState.Fenced);
   await submitTasks(fixture, entry, ['a']);
@@ -69,7 +62,7 @@
 test('a claim fails when the lease row changes after it was read', async () => {
   const fixture = new TaskFixture();
   const entry = fixture.addEntry('entry-1');
-  await fixture.addAgent(new AgentFake({ agentId: 'vm-1', ...fixture.agentOptions() }));
+  await fixture.addAgent({ agentId: 'vm-1' });
   const read = fixture.table.read.bind(fixture.table);
   let fenced = false;
   fixture.table.read = async <Value>(keys: string[]) => {
@@ -95,9 +88,7 @@
 test('an outage longer than the lease fences nobody', async () => {
   const fixture = new TaskFixture();
   const entry = fixture.addEntry('entry-1');
-  const agent = await fixture.addAgent(
-    new AgentFake({ agentId: 'vm-1', ...fixture.agentOptions() }),
-  );
+  const agent = await fixture.addAgent({ agentId: 'vm-1' });
   await submitTasks(fixture, entry, ['a']);
   await fixture.runUntil(() => agent.runningTasks().length === 1);
   fixture.platform.faults.outage = true;
@@ -113,7 +104,7 @@
 test('the end of an outage does not cause a burst of transactions', async () => {
   const fixture = new TaskFixture();
   const entry = fixture.addEntry('entry-1');
-  await fixture.addAgent(new AgentFake({ agentId: 'vm-1', ...fixture.agentOptions() }));
+  await fixture.addAgent({ agentId: 'vm-1' });
   await submitTasks(fixture, entry, ['a', 'b', 'c']);
   fixture.platform.faults.outage = true;
   await fixture.run(30_000);
@@ -128,9 +119,7 @@
   const fixture = new TaskFixture();
   const entries = ['entry-1', 'entry-2', 'entry-3'].map((id) => fixture.addEntry(id));
   makePeers(entries);
-  const agent = await fixture.addAgent(
-    new AgentFake({ agentId: 'vm-1', ...fixture.agentOptions() }),
-  );
+  const agent = await fixture.addAgent({ agentId: 'vm-1' });
   for (const leaving of [...entries]) {
     const rest = entries.filter((entry) => entry !== leaving);
     makePeers(rest);
--- a/packages/entry/src/tasks/run-endings.test.ts
+++ b/packages/entry/src/tasks/run-endings.test.ts
@@ -6,15 +6,12 @@
 import { RpcMethod, TaskReportKind, TaskState } from '@figjunction/types';
 import { cancelRows } from './cancellation.js';
 import { listRuns } from './job-reader.js';
-import { AgentFake } from './testing/agent-fake.test.js';
 import { TaskFixture, submitTasks } from './testing/task-fixture.test.js';
 
 test('a cancelled running task is fenced by its row and its agent is told to stop', async () => {
   const fixture = new TaskFixture();
   const entry = fixture.addEntry('entry-1');
-  const agent = await fixture.addAgent(
-    new AgentFake({ agentId: 'vm-1', ...fixture.agentOptions() }),
-  );
+  const agent = await fixture.addAgent({ agentId: 'vm-1' });
   await submitTasks(fixture, entry, ['a', 'b', 'c']);
   await fixture.runUntil(() => agent.runningTasks().length === 3);
   agent.lost.add(RpcMethod.TaskStop);
@@ -33,15 +30,11 @@
 test('a report of an earlier attempt is settled without effect', async () => {
   const fixture = new TaskFixture();
   const entry = fixture.addEntry('entry-1');
-  const first = await fixture.addAgent(
-    new AgentFake({ agentId: 'vm-1', ...fixture.agentOptions() }),
-  );
+  const first = await fixture.addAgent({ agentId: 'vm-1' });
   await submitTasks(fixture, entry, ['a']);
   await fixture.runUntil(() => first.runningTasks().length === 1);
   fixture.alive.delete(first);
-  const second = await fixture.addAgent(
-    new AgentFake({ agentId: 'vm-2', ...fixture.agentOptions() }),
-  );
+  const second = await fixture.addAgent({ agentId: 'vm-2' });
   await fixture.runUntil(() => second.runningTasks().length === 1);
   const late = first.end('kitchen.job-1.a', TaskReportKind.Completed);
   assert.deepEqual(await fixture.report([late]), { settled: [true], applied: [false] });
@@ -51,9 +44,7 @@
 test('an evicted run resumes with its checkpoint, and a repeated report changes nothing', async () => {
   const fixture = new TaskFixture();
   const entry = fixture.addEntry('entry-1');
-  const agent = await fixture.addAgent(
-    new AgentFake({ agentId: 'vm-1', ...fixture.agentOptions() }),
-  );
+  const agent = await fixture.addAgent({ agentId: 'vm-1' });
   await submitTasks(fixture, entry, ['a']);
   await fixture.runUntil(() => agent.runningTasks().length === 1);
   const report = agent.end('kitchen.job-1.a', TaskReportKind.Evicted, 'checkpoints/a/1');
--- a/packages/entry/src/tasks/testing/task-fixture.test.ts
+++ b/packages/entry/src/tasks/testing/task-fixture.test.ts
@@ -15,7 +15,8 @@
 import type { TaskContext } from '../task-context.js';
 import { createTaskParts } from '../task-module.js';
 import { submitJob } from '../job-submission.js';
-import type { AgentFake } from './agent-fake.test.js';
+import { AgentFake } from './agent-fake.test.js';
+import type { AgentFakeOptions } from './agent-fake.test.js';
 import { configurationWith } from './configuration-with.test.js';
 import { TransitionLog } from './transition-log.test.js';
 
@@ -106,11 +107,8 @@
     }
   }
 
-  agentOptions(): Pick<AgentFake['options'], 'table' | 'clock'> {
-    return { table: this.table, clock: this.clock };
-  }
-
-  async addAgent(agent: AgentFake): Promise<AgentFake> {
+  async addAgent(options: Omit<AgentFakeOptions, 'table' | 'clock'>): Promise<AgentFake> {
+    const agent = new AgentFake({ ...options, table: this.table, clock: this.clock });
     this.agents.push(agent);
     this.alive.add(agent);
     const acquired = this.renew(agent, true);
--- a/packages/test-support/src/cluster/cluster-status.ts
+++ b/packages/test-support/src/cluster/cluster-status.ts
@@ -6,7 +6,13 @@
 /** The part of the status that the harness looks at. */
 export interface ClusterStatus {
   entries: { entryId: string; revision: number | null; confirmed: boolean }[];
-  agents: { agentId: string; state: AgentState; revision: number; confirmed: boolean }[];
+  agents: {
+    agentId: string;
+    state: AgentState;
+    revision: number;
+    confirmed: boolean;
+    instances: { ready: boolean }[];
+  }[];
 }
 
 export interface ExpectedProcesses {
@@ -14,6 +20,11 @@
   agents: number;
 }
 
+/** Instances that an entry sends requests to. */
+export function countReadyInstances({ agents }: ClusterStatus): number {
+  return agents.flatMap(({ instances }) => instances.filter(({ ready }) => ready)).length;
+}
+
 /** True when all processes are there and have confirmed the revision or a later one. */
 export function isInForce(
   status: ClusterStatus,
--- a/packages/test-support/src/cluster/cluster.ts
+++ b/packages/test-support/src/cluster/cluster.ts
@@ -11,7 +11,6 @@
 import { ClusterPorts, pick, range } from './cluster-ports.js';
 import { ClusterRelays } from './cluster-relays.js';
 import { isInForce } from './cluster-status.js';
-import type { ClusterStatus } from './cluster-status.js';
 import { PlatformControl, WorkerControl } from './control-client.js';
 import { EntryClient } from './entry-client.js';
 import {
@@ -174,7 +173,7 @@
       const statuses = await Promise.all(
         this.entries.map((_entry, index) => this.entryClient(index).readStatus(TEST_SHARED_TOKEN)),
       );
-      return statuses.every((status) => isInForce(status as ClusterStatus, revision, this.plan));
+      return statuses.every((status) => isInForce(status, revision, this.plan));
     };
     await waitUntil(checkAll, { what: `revision ${revision} is in force everywhere` });
   }
--- a/packages/test-support/src/cluster/entry-client.ts
+++ b/packages/test-support/src/cluster/entry-client.ts
@@ -5,6 +5,7 @@
 import type { HttpAnswer } from '@figjunction/http';
 import type { JobRequest, RequestOutcome } from '@figjunction/types';
 import { HarnessError } from '../harness/wait-until.js';
+import type { ClusterStatus } from './cluster-status.js';
 
 export interface ServiceRequest {
   service: string;
@@ -65,8 +66,8 @@
     return parse(await this.call('POST', `/v1/jobs/${jobId}/cancel`, token, {}));
   }
 
-  async readStatus(token: string): Promise<unknown> {
-    return parse(await this.call('GET', '/v1/status', token));
+  async readStatus(token: string): Promise<ClusterStatus> {
+    return parse(await this.call('GET', '/v1/status', token)) as ClusterStatus;
   }
 
   async readRuns(query: Record<string, string>, token: string): Promise<unknown> {
