Rename the package of table and object stores to store

Cause: the workspace folder platform/ is to hold the adapter of the users' platform, and the package packages/platform would have given the word two meanings.

--- a/packages/agent/src/agent-context.ts
+++ b/packages/agent/src/agent-context.ts
@@ -3,7 +3,7 @@
  */
 import type { AgentSettings } from '@figjunction/config';
 import type { Logger } from '@figjunction/logger';
-import type { TableService } from '@figjunction/platform';
+import type { TableService } from '@figjunction/store';
 import { RpcClient } from '@figjunction/rpc';
 import { RandomSource, SystemClock } from '@figjunction/time';
 import type { Clock, Instant } from '@figjunction/time';
--- a/packages/agent/src/heartbeat/announcer.test.ts
+++ b/packages/agent/src/heartbeat/announcer.test.ts
@@ -7,7 +7,7 @@
 import { agentSettingsSchema } from '@figjunction/config';
 import { HttpServer } from '@figjunction/http';
 import { createLogger } from '@figjunction/logger';
-import type { TableService } from '@figjunction/platform';
+import type { TableService } from '@figjunction/store';
 import { createRpcRoute } from '@figjunction/rpc';
 import { HeartbeatReception, NO_BASE, RpcMethod } from '@figjunction/types';
 import type { HeartbeatParameters, HeartbeatResult, KnownEntry } from '@figjunction/types';
--- a/packages/agent/src/tasks/entry-stand-in.test.ts
+++ b/packages/agent/src/tasks/entry-stand-in.test.ts
@@ -2,7 +2,7 @@
  * An entry that only answers what an agent asks, and writes what it reports.
  */
 import { HttpServer } from '@figjunction/http';
-import type { TableService } from '@figjunction/platform';
+import type { TableService } from '@figjunction/store';
 import { createRpcRoute } from '@figjunction/rpc';
 import {
   HeartbeatReception,
--- a/packages/bench/src/measure/recovery-timeline.ts
+++ b/packages/bench/src/measure/recovery-timeline.ts
@@ -1,7 +1,7 @@
 /**
  * Samples of the table's load and of where tasks are, taken while VMs are lost and their tasks move.
  */
-import { HttpTableService } from '@figjunction/platform';
+import { HttpTableService } from '@figjunction/store';
 import type { Cluster, PlatformStats } from '@figjunction/test-support';
 import { SCAN_ROWS_MAXIMUM, TASK_PREFIX, TaskState } from '@figjunction/types';
 import type { AgentId, KindName, TaskRow, VersionedRow } from '@figjunction/types';
--- a/packages/bench/src/measure/scenarios/recovery.ts
+++ b/packages/bench/src/measure/scenarios/recovery.ts
@@ -4,7 +4,7 @@
  * the table while leases are fenced and tasks requeued and placed again, and the time until it is over.
  * The losses are far enough apart that the recoveries do not overlap.
  */
-import { HttpTableService } from '@figjunction/platform';
+import { HttpTableService } from '@figjunction/store';
 import { agentIdOf, waitUntil } from '@figjunction/test-support';
 import type { Cluster } from '@figjunction/test-support';
 import { sleep } from '@figjunction/time';
--- a/packages/bench/src/measure/scenarios/task-slopes.ts
+++ b/packages/bench/src/measure/scenarios/task-slopes.ts
@@ -5,7 +5,7 @@
  * of a submitted one. Left out are rows that run, that are submitted or that end, and their decision
  * records.
  */
-import { HttpTableService } from '@figjunction/platform';
+import { HttpTableService } from '@figjunction/store';
 import { waitUntil } from '@figjunction/test-support';
 import type { Cluster } from '@figjunction/test-support';
 import { sleep } from '@figjunction/time';
--- a/packages/daemon/src/run-agent.ts
+++ b/packages/daemon/src/run-agent.ts
@@ -4,7 +4,7 @@
 import { createAgentContext, startAgent } from '@figjunction/agent';
 import { loadAgentSettings } from '@figjunction/config';
 import { createLogger } from '@figjunction/logger';
-import { HttpTableService } from '@figjunction/platform';
+import { HttpTableService } from '@figjunction/store';
 import { HttpWorker } from '@figjunction/worker';
 import { runProcess, sourcesOf } from './run-process.js';
 import type { Flags } from './run-process.js';
--- a/packages/daemon/src/run-entry.ts
+++ b/packages/daemon/src/run-entry.ts
@@ -4,7 +4,7 @@
 import { loadEntrySettings } from '@figjunction/config';
 import { createEntryContext, startEntry } from '@figjunction/entry';
 import { createLogger } from '@figjunction/logger';
-import { HttpObjectStore, HttpTableService } from '@figjunction/platform';
+import { HttpObjectStore, HttpTableService } from '@figjunction/store';
 import { runProcess, sourcesOf } from './run-process.js';
 import type { Flags } from './run-process.js';
 
--- a/packages/entry/src/entry-context.ts
+++ b/packages/entry/src/entry-context.ts
@@ -4,7 +4,7 @@
 import { randomUUID } from 'node:crypto';
 import type { EntrySettings } from '@figjunction/config';
 import type { Logger } from '@figjunction/logger';
-import type { ObjectStore, TableService } from '@figjunction/platform';
+import type { ObjectStore, TableService } from '@figjunction/store';
 import { RpcClient } from '@figjunction/rpc';
 import { RandomSource, SystemClock } from '@figjunction/time';
 import type { Clock } from '@figjunction/time';
--- a/packages/entry/src/requests/claim-completion.ts
+++ b/packages/entry/src/requests/claim-completion.ts
@@ -2,7 +2,7 @@
  * Writes the ends of claimed requests into their rows, in the background and many at a time: the caller
  * has the answer already, and until the row is written a repetition asks the agent.
  */
-import { WriteBatcher } from '@figjunction/platform';
+import { WriteBatcher } from '@figjunction/store';
 import { deadlineAfter } from '@figjunction/time';
 import type { Instant } from '@figjunction/time';
 import { ClaimState, OutcomeCode, RequestOutcome } from '@figjunction/types';
--- a/packages/entry/src/requests/target-selector.test.ts
+++ b/packages/entry/src/requests/target-selector.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test';
 import { entrySettingsSchema, operatorConfigurationSchema } from '@figjunction/config';
 import { createLogger } from '@figjunction/logger';
-import type { ObjectStore, TableService } from '@figjunction/platform';
+import type { ObjectStore, TableService } from '@figjunction/store';
 import { ManualClock } from '@figjunction/time';
 import { AgentState, ExplainSubject } from '@figjunction/types';
 import type { AgentReport } from '@figjunction/types';
--- a/packages/entry/src/tasks/lease-reader.ts
+++ b/packages/entry/src/tasks/lease-reader.ts
@@ -1,7 +1,7 @@
 /**
  * Reads lease rows for claims. Requests that arrive while a read is in progress share the next one.
  */
-import type { TableService } from '@figjunction/platform';
+import type { TableService } from '@figjunction/store';
 import { toError } from '@figjunction/errors';
 import { leaseKey } from '@figjunction/types';
 import type { AgentId, LeaseRow, VersionedRow } from '@figjunction/types';
--- a/packages/entry/src/tasks/shard-loader.ts
+++ b/packages/entry/src/tasks/shard-loader.ts
@@ -3,7 +3,7 @@
  * notification, and drops those that another entry owns now. Scans run beside the loop.
  */
 import type { Clock, Instant, RandomSource } from '@figjunction/time';
-import type { TableService } from '@figjunction/platform';
+import type { TableService } from '@figjunction/store';
 import { SCAN_ROWS_MAXIMUM, SHARD_COUNT, shardPrefix } from '@figjunction/types';
 import type { TaskRow } from '@figjunction/types';
 import type { TaskEntry, TaskTable } from './task-table.js';
--- a/packages/entry/src/tasks/task-module.ts
+++ b/packages/entry/src/tasks/task-module.ts
@@ -2,7 +2,7 @@
  * Joins the task systems of an entry.
  */
 import { FailureHistory } from '@figjunction/decisions';
-import { WriteBatcher } from '@figjunction/platform';
+import { WriteBatcher } from '@figjunction/store';
 import type { RpcHandlers } from '@figjunction/rpc';
 import { sleep } from '@figjunction/time';
 import type { Instant, TickSystem } from '@figjunction/time';
--- a/packages/entry/src/tasks/task-store.ts
+++ b/packages/entry/src/tasks/task-store.ts
@@ -4,7 +4,7 @@
  */
 import type { Metrics } from '@figjunction/telemetry';
 import type { Clock, Instant } from '@figjunction/time';
-import type { TableService } from '@figjunction/platform';
+import type { TableService } from '@figjunction/store';
 import { deadlineAfter } from '@figjunction/time';
 import { ABSENT_VERSION } from '@figjunction/types';
 import type { TableCheck, TaskRow, VersionedRow } from '@figjunction/types';
--- a/packages/entry/src/tasks/testing/agent-fake.test.ts
+++ b/packages/entry/src/tasks/testing/agent-fake.test.ts
@@ -2,7 +2,7 @@
  * An agent for tests of the entry's task side: admits by its real room in one place, starts a task only
  * when the row names it, and keeps a record of what ran. Orders can be lost or delayed by the test.
  */
-import type { TableService } from '@figjunction/platform';
+import type { TableService } from '@figjunction/store';
 import type { Clock } from '@figjunction/time';
 import { AgentState, RpcMethod, TaskReportKind, TaskState } from '@figjunction/types';
 import type {
--- a/packages/test-support/src/contracts/object-store-contract.ts
+++ b/packages/test-support/src/contracts/object-store-contract.ts
@@ -4,7 +4,7 @@
 import assert from 'node:assert/strict';
 import { after, before, beforeEach, describe, test } from 'node:test';
 import { ErrorCode, errorCodeOf } from '@figjunction/errors';
-import type { ObjectStore } from '@figjunction/platform';
+import type { ObjectStore } from '@figjunction/store';
 import type { FakePlatform } from '../platform/fake-platform.js';
 import { createPlatformFaults } from '../platform/platform-faults.js';
 
--- a/packages/test-support/src/contracts/table-service-contract.ts
+++ b/packages/test-support/src/contracts/table-service-contract.ts
@@ -4,7 +4,7 @@
 import assert from 'node:assert/strict';
 import { after, before, beforeEach, describe, test } from 'node:test';
 import { ErrorCode, errorCodeOf } from '@figjunction/errors';
-import type { TableService } from '@figjunction/platform';
+import type { TableService } from '@figjunction/store';
 import { ABSENT_VERSION, TRANSACTION_ITEMS_MAXIMUM } from '@figjunction/types';
 import type { FakePlatform } from '../platform/fake-platform.js';
 import { createPlatformFaults } from '../platform/platform-faults.js';
--- a/packages/test-support/src/platform/memory-services.ts
+++ b/packages/test-support/src/platform/memory-services.ts
@@ -2,7 +2,7 @@
  * `TableService` and `ObjectStore` over a fake platform in the same process, for unit tests.
  */
 import { ErrorCode } from '@figjunction/errors';
-import { ObjectStore, PlatformError, TableService } from '@figjunction/platform';
+import { ObjectStore, PlatformError, TableService } from '@figjunction/store';
 import type {
   TableScanParameters,
   TableScanResult,
