--- /dev/null
+++ b/packages/gateway/src/gateway-error.ts
@@ -0,0 +1,6 @@
+/**
+ * Errors of the gateway.
+ */
+import { FigjunctionError } from '@figjunction/errors';
+
+export class GatewayError extends FigjunctionError {}
--- /dev/null
+++ b/packages/gateway/src/index.ts
@@ -0,0 +1,8 @@
+/**
+ * The door for callers: accepts, shows and cancels jobs.
+ */
+export * from './gateway-context.js';
+export * from './gateway-error.js';
+export * from './job-cancellation.js';
+export * from './job-queries.js';
+export * from './job-submission.js';
--- a/packages/logger/src/index.ts
+++ b/packages/logger/src/index.ts
@@ -4,6 +4,7 @@
 import { pino } from 'pino';
 import type { Logger } from 'pino';
 
+export * from './event-log.js';
 export type { Logger } from 'pino';
 
 export interface LoggerOptions {
--- /dev/null
+++ b/packages/runner/src/reporter.ts
@@ -0,0 +1,227 @@
+/**
+ * Reports to the scheduler what runs and ends on the VM, and follows it from one scheduler to the next.
+ * When nobody schedules the cell, this process offers itself.
+ */
+import { toError } from '@figjunction/errors';
+import type { EventLog } from '@figjunction/logger';
+import type { RpcClient } from '@figjunction/rpc';
+import type { OwnerDirectory, OwnerView } from '@figjunction/scheduler';
+import { sleep } from '@figjunction/time';
+import type { Clock, Instant } from '@figjunction/time';
+import { RpcMethod } from '@figjunction/types';
+import type { ReportParameters, ReportResult, RunAnswer } from '@figjunction/types';
+import type { VmSession } from './vm-session.js';
+
+export interface ReporterOptions {
+  clock: Clock;
+  events: EventLog;
+  rpc: RpcClient;
+  directory: OwnerDirectory;
+  runnerId: string;
+  address: string;
+  processId: string;
+  session: () => VmSession | null;
+  /** Takes the cell over; the reason goes into the log. */
+  takeOver: (view: OwnerView, reason: string) => Promise<void>;
+}
+
+/** Why the scheduler is not heard. */
+enum Silence {
+  Unknown = 'no-scheduler-known',
+  Unanswered = 'unanswered',
+  /** The process at its address does not schedule. */
+  OtherProcess = 'other-process',
+}
+
+const REPORT_INTERVAL_MS = 500;
+const REPORT_TIMEOUT_MS = 1_000;
+const RETRY_MS = 120;
+
+export class Reporter {
+  /** The scheduler's session; 0 for none. */
+  session = 0;
+
+  /** Epoch of the scheduler that this process follows. */
+  epoch = 0;
+
+  /** Until when the last grant runs, on this process's clock. */
+  private grantedUntil: Instant = 0;
+
+  private answers: RunAnswer[] = [];
+
+  /** The last end that the scheduler has received in this session. */
+  private receivedEnd = 0;
+
+  private wakeUp = new AbortController();
+
+  private woken = false;
+
+  private stopped = false;
+
+  private useNewConnection = false;
+
+  constructor(private readonly options: ReporterOptions) {}
+
+  /** True while orders of the session may be carried out. */
+  accepts(epoch: number, session: number): boolean {
+    const isCurrent = epoch === this.epoch && session === this.session && session !== 0;
+    return isCurrent && this.options.clock.now() < this.grantedUntil;
+  }
+
+  addAnswer(answer: RunAnswer): void {
+    this.answers.push(answer);
+    this.wake();
+  }
+
+  /** Sends a report at once, or right after the one that is on its way. */
+  wake(): void {
+    this.woken = true;
+    this.wakeUp.abort();
+  }
+
+  /** A new life of the VM: ends count from the start again. */
+  startAnew(): void {
+    this.receivedEnd = 0;
+    this.session = 0;
+    this.wake();
+  }
+
+  /** Follows a scheduler with a higher epoch. */
+  follow(epoch: number): void {
+    if (epoch > this.epoch) {
+      this.epoch = epoch;
+      this.session = 0;
+      this.receivedEnd = 0;
+      this.options.session()?.relist();
+      this.wake();
+    }
+  }
+
+  stop(): void {
+    this.stopped = true;
+    this.wake();
+  }
+
+  async run(): Promise<void> {
+    while (!this.stopped) {
+      this.woken = false;
+      const delayMs = await this.reportOnce();
+      if (!this.woken) {
+        this.wakeUp = new AbortController();
+        await sleep(delayMs, this.wakeUp.signal);
+      }
+    }
+  }
+
+  /** Returns how long to wait for the next report. */
+  private async reportOnce(): Promise<number> {
+    const { directory, events } = this.options;
+    const { owner } = directory;
+    try {
+      if (owner === null) {
+        return await this.findOwner(Silence.Unknown);
+      }
+      this.follow(owner.epoch);
+      return await this.exchange(owner.address);
+    } catch (error) {
+      this.useNewConnection = true;
+      const { message } = toError(error);
+      events.write('report-failed', { owner: owner?.address, epoch: this.epoch, error: message });
+      return this.findOwnerSafely(Silence.Unanswered);
+    }
+  }
+
+  private async exchange(address: string): Promise<number> {
+    const vmSession = this.options.session();
+    const sentAt = this.options.clock.now();
+    const vmMs = vmSession?.earliestVmMs() ?? null;
+    const report = this.describe(vmSession);
+    const result = await this.options.rpc.call(address, RpcMethod.RunnerReport, report, {
+      timeoutMs: REPORT_TIMEOUT_MS,
+      newConnection: this.useNewConnection,
+    });
+    this.useNewConnection = false;
+    if (result.epoch === 0) {
+      return this.findOwnerSafely(Silence.OtherProcess);
+    }
+    if (result.epoch !== this.epoch) {
+      this.follow(result.epoch);
+      return RETRY_MS;
+    }
+    if (result.session === 0) {
+      this.session = 0;
+      return RETRY_MS;
+    }
+    this.accept(result, report, vmSession, sentAt);
+    if (vmMs !== null) {
+      vmSession?.grantUntil(vmMs + result.grantMs);
+    }
+    return REPORT_INTERVAL_MS;
+  }
+
+  private describe(vmSession: VmSession | null): ReportParameters {
+    const { runnerId, address, processId } = this.options;
+    const isListed = vmSession !== null && vmSession.listedEpoch === this.epoch;
+    const canList = isListed || vmSession === null;
+    return {
+      agentId: runnerId,
+      address,
+      processId,
+      session: this.session,
+      vm: vmSession?.announcement ?? null,
+      running: canList ? (vmSession?.runs.list() ?? []) : null,
+      ended: isListed
+        ? vmSession.runs.unsettled.filter(({ sequence }) => sequence > this.receivedEnd)
+        : [],
+      answers: this.answers,
+      vanished: isListed ? vmSession.vanished : [],
+    };
+  }
+
+  private accept(
+    result: ReportResult,
+    report: ReportParameters,
+    vmSession: VmSession | null,
+    sentAt: Instant,
+  ): void {
+    this.session = result.session;
+    this.grantedUntil = sentAt + result.grantMs;
+    this.answers = this.answers.filter((answer) => !report.answers.includes(answer));
+    if (vmSession !== null && vmSession === this.options.session()) {
+      const sent = new Set(report.vanished);
+      vmSession.vanished = vmSession.vanished.filter((reference) => !sent.has(reference));
+      this.receivedEnd = Math.max(this.receivedEnd, ...report.ended.map((end) => end.sequence));
+      vmSession.settle(result.settledThrough);
+      result.known.forEach((attributes) => vmSession.runs.describe(attributes));
+    }
+  }
+
+  private async findOwnerSafely(silence: Silence): Promise<number> {
+    try {
+      return await this.findOwner(silence);
+    } catch (error) {
+      this.options.events.write('owner-unknown', { silence, error: toError(error).message });
+      return RETRY_MS;
+    }
+  }
+
+  /** Reads who schedules; takes over when nobody does any more. */
+  private async findOwner(silence: Silence): Promise<number> {
+    const { directory, address, processId, takeOver } = this.options;
+    const silentEpoch = directory.owner?.epoch ?? null;
+    const view = await directory.refresh();
+    if (view === null) {
+      return RETRY_MS;
+    }
+    const { owner, lease, storeMs } = view;
+    const isOver = lease === null || lease.leasedUntilStoreMs <= storeMs;
+    const isPredecessor = owner?.address === address && owner.processId !== processId;
+    // Another process at the owner's address proves that the owner has ended.
+    const isReplaced = silence === Silence.OtherProcess && owner?.epoch === silentEpoch;
+    if (owner === null || isOver || isPredecessor || isReplaced) {
+      await takeOver(view, silence);
+      this.wake();
+    }
+    return RETRY_MS;
+  }
+}
--- /dev/null
+++ b/packages/runner/src/runner-error.ts
@@ -0,0 +1,6 @@
+/**
+ * Errors of the runner.
+ */
+import { FigjunctionError } from '@figjunction/errors';
+
+export class RunnerError extends FigjunctionError {}
--- /dev/null
+++ b/packages/scheduler/src/cell-context.ts
@@ -0,0 +1,26 @@
+/**
+ * What the parts of a scheduler share.
+ */
+import type { EventLog } from '@figjunction/logger';
+import type { RpcClient } from '@figjunction/rpc';
+import type { FeedStore, StoreClock } from '@figjunction/store';
+import type { Metrics } from '@figjunction/telemetry';
+import type { Clock } from '@figjunction/time';
+import type { Adviser } from './adviser.js';
+
+export interface CellContext {
+  store: FeedStore;
+  storeClock: StoreClock;
+  clock: Clock;
+  events: EventLog;
+  metrics: Metrics;
+  rpc: RpcClient;
+  adviser: Adviser;
+  /** Where runners and gateways reach this process. */
+  address: string;
+  processId: string;
+  /** How long a runner may extend the lease of its VM after a report. */
+  grantMs: number;
+  /** How long the state of a finished job is kept. */
+  statusMs: number;
+}
--- /dev/null
+++ b/packages/scheduler/src/cell-lease.ts
@@ -0,0 +1,197 @@
+/**
+ * The lease on a cell. The row says until when it runs on the store's clock; the holder acts only while
+ * the store's clock has surely not reached that time. Every write of the holder requires the version of
+ * the owner row, so that nothing it sends can take effect after another process has taken over.
+ */
+import { ErrorCode, errorCodeOf } from '@figjunction/errors';
+import type { FeedStore, RowExpectation, StoreClock, WriteResult } from '@figjunction/store';
+import type { Clock, Instant } from '@figjunction/time';
+import type { CellLeaseRow, CellOwnerRow } from '@figjunction/types';
+import { CELL_PARTITION, CellCollection, LEASE_KEY, OWNER_KEY } from './cell-tables.js';
+import type { OwnerView } from './owner-directory.js';
+
+export interface CellLeaseOptions {
+  store: FeedStore;
+  storeClock: StoreClock;
+  clock: Clock;
+  address: string;
+  processId: string;
+  leaseMs?: number;
+  renewalMs?: number;
+}
+
+export enum RenewalOutcome {
+  Renewed = 'renewed',
+  NotDue = 'not-due',
+  Failed = 'failed',
+  /** Another process owns the cell. */
+  Deposed = 'deposed',
+}
+
+const DEFAULT_LEASE_MS = 3_000;
+const DEFAULT_RENEWAL_MS = 750;
+/** Kept between the end of the holder's own right and the end that the row shows. */
+const LEASE_MARGIN_MS = 150;
+/** A larger step between wall clock and steady clock hints at a suspended VM. */
+const SUSPENSION_STEP_MS = 200;
+
+export class CellLease {
+  epoch = 0;
+
+  private ownerVersion = 0;
+
+  private leaseVersion = 0;
+
+  private leasedUntilStoreMs = 0;
+
+  private lastRenewalAt: Instant = 0;
+
+  private wallOffsetMs = 0;
+
+  private renewing = false;
+
+  private readonly leaseMs: number;
+
+  private readonly renewalMs: number;
+
+  constructor(private readonly options: CellLeaseOptions) {
+    this.leaseMs = options.leaseMs ?? DEFAULT_LEASE_MS;
+    this.renewalMs = options.renewalMs ?? DEFAULT_RENEWAL_MS;
+  }
+
+  /** True while no other process can own the cell. */
+  isHeld(): boolean {
+    return (
+      this.epoch > 0 &&
+      this.options.storeClock.latest() + LEASE_MARGIN_MS < this.leasedUntilStoreMs &&
+      !this.maybeSuspended()
+    );
+  }
+
+  /** The condition of every write of the holder. */
+  expectation(): RowExpectation {
+    return { collection: CellCollection.Cells, key: OWNER_KEY, version: this.ownerVersion };
+  }
+
+  /** Takes the cell over from the owner in the view. */
+  async acquire(view: OwnerView): Promise<boolean> {
+    const epoch = (view.owner?.epoch ?? 0) + 1;
+    const { address, processId } = this.options;
+    const owner: CellOwnerRow = { epoch, address, processId };
+    const result = await this.send(
+      [
+        { ...ownerReference, version: view.ownerVersion },
+        { ...leaseReference, version: view.leaseVersion },
+      ],
+      epoch,
+      owner,
+    );
+    if (!result.committed) {
+      return false;
+    }
+    this.epoch = epoch;
+    this.ownerVersion = result.version;
+    return true;
+  }
+
+  /** Extends the lease when it is time. */
+  async renew(): Promise<RenewalOutcome> {
+    const now = this.options.clock.now();
+    const isDue = now - this.lastRenewalAt >= this.renewalMs || this.maybeSuspended();
+    if (this.renewing || !isDue) {
+      return RenewalOutcome.NotDue;
+    }
+    this.renewing = true;
+    try {
+      const expected = [this.expectation(), { ...leaseReference, version: this.leaseVersion }];
+      const result = await this.send(expected, this.epoch, null);
+      return result.committed ? RenewalOutcome.Renewed : this.resolveConflict(result);
+    } catch (error) {
+      this.lastRenewalAt = now;
+      if (errorCodeOf(error) === ErrorCode.OutcomeUnknown) {
+        return await this.resolveUnknown();
+      }
+      return RenewalOutcome.Failed;
+    } finally {
+      this.renewing = false;
+    }
+  }
+
+  /** Ends the lease, so that another process can take over at once. */
+  async release(): Promise<void> {
+    const epoch = this.epoch;
+    const expected = [this.expectation()];
+    this.epoch = 0;
+    this.leasedUntilStoreMs = 0;
+    await this.options.store.write({
+      partition: CELL_PARTITION,
+      expected,
+      writes: [{ ...leaseReference, value: { epoch, leasedUntilStoreMs: 0 } }],
+    });
+  }
+
+  forget(): void {
+    this.epoch = 0;
+    this.leasedUntilStoreMs = 0;
+  }
+
+  private async send(
+    expected: RowExpectation[],
+    epoch: number,
+    owner: CellOwnerRow | null,
+  ): Promise<WriteResult> {
+    const sentAt = this.options.clock.now();
+    const wallOffsetMs = this.options.clock.wallTimeMs() - sentAt;
+    const leasedUntilStoreMs = Math.floor(this.options.storeClock.earliest() + this.leaseMs);
+    const lease: CellLeaseRow = { epoch, leasedUntilStoreMs };
+    const writes = [{ ...leaseReference, value: lease as unknown }];
+    if (owner !== null) {
+      writes.push({ ...ownerReference, value: owner });
+    }
+    const result = await this.options.store.write({ partition: CELL_PARTITION, expected, writes });
+    if (result.committed) {
+      this.leaseVersion = result.version;
+      this.leasedUntilStoreMs = leasedUntilStoreMs;
+      this.lastRenewalAt = sentAt;
+      this.wallOffsetMs = wallOffsetMs;
+    }
+    return result;
+  }
+
+  private resolveConflict(result: WriteResult & { committed: false }): RenewalOutcome {
+    const owner = result.conflicting.find(({ key }) => key === OWNER_KEY);
+    if (owner !== undefined && owner.version !== this.ownerVersion) {
+      this.forget();
+      return RenewalOutcome.Deposed;
+    }
+    // An earlier renewal without an answer took effect.
+    const lease = result.conflicting.find(({ key }) => key === LEASE_KEY);
+    this.leaseVersion = lease?.version ?? this.leaseVersion;
+    this.lastRenewalAt = 0;
+    return RenewalOutcome.Failed;
+  }
+
+  /** Learns the version of the lease row, so that a renewal that is still on its way fails. */
+  private async resolveUnknown(): Promise<RenewalOutcome> {
+    try {
+      const { rows } = await this.options.store.readRange({
+        collection: CellCollection.Cells,
+        partition: CELL_PARTITION,
+      });
+      const conflicting = rows;
+      return this.resolveConflict({ committed: false, conflicting, storeMs: 0 });
+    } catch {
+      // The next renewal meets the same question and asks again.
+      return RenewalOutcome.Failed;
+    }
+  }
+
+  private maybeSuspended(): boolean {
+    const { clock } = this.options;
+    const step = clock.wallTimeMs() - clock.now() - this.wallOffsetMs;
+    return Math.abs(step) > SUSPENSION_STEP_MS;
+  }
+}
+
+const ownerReference = { collection: CellCollection.Cells, key: OWNER_KEY };
+const leaseReference = { collection: CellCollection.Cells, key: LEASE_KEY };
--- /dev/null
+++ b/packages/scheduler/src/cell-run.ts
@@ -0,0 +1,239 @@
+/**
+ * One term of a scheduler: from the take-over of the cell to its release or loss.
+ */
+import {
+  CellState,
+  lapseVms,
+  placeTasks,
+  preemptFor,
+  stopStalledRuns,
+  visibleState,
+} from '@figjunction/scheduling';
+import type { RunRecord } from '@figjunction/scheduling';
+import { toError } from '@figjunction/errors';
+import { WakeLoop } from '@figjunction/time';
+import type { Instant } from '@figjunction/time';
+import { JobState } from '@figjunction/types';
+import type { FleetConfiguration, JobRow } from '@figjunction/types';
+import { AdviceDesk } from './advice-desk.js';
+import type { CellContext } from './cell-context.js';
+import type { CellLease } from './cell-lease.js';
+import type { LoadedCell } from './cell-loader.js';
+import { CellCollection } from './cell-tables.js';
+import { CollectionWatch } from './collection-watch.js';
+import { JobIntake } from './job-intake.js';
+import { OrderSender } from './order-sender.js';
+import { ProgressWriter } from './progress-writer.js';
+import { RunnerDesk, lapseAfterMs } from './runner-desk.js';
+
+export interface CellRunOptions {
+  context: CellContext;
+  lease: CellLease;
+  loaded: LoadedCell;
+  configuration: FleetConfiguration | null;
+  onDeposed: () => void;
+}
+
+const HOUSEKEEPING_MS = 200;
+
+export class CellRun {
+  readonly state = new CellState();
+
+  readonly desk: RunnerDesk;
+
+  private readonly intake: JobIntake;
+
+  private readonly writer: ProgressWriter;
+
+  private readonly sender: OrderSender;
+
+  private readonly advice: AdviceDesk;
+
+  private readonly loop: WakeLoop;
+
+  private readonly watches: CollectionWatch<never>[];
+
+  private housekeepingAt: Instant = 0;
+
+  constructor(private readonly options: CellRunOptions) {
+    const { context, lease, loaded, onDeposed } = options;
+    const { state } = this;
+    const wake = (): void => this.loop.wake();
+    this.intake = new JobIntake({ context, state, epoch: lease.epoch });
+    this.writer = new ProgressWriter({
+      context,
+      state,
+      lease,
+      onDeposed,
+      onRegistered: (id, address) => this.addRunner(id, address),
+      onStored: wake,
+    });
+    this.desk = new RunnerDesk({ context, state, lease, writer: this.writer, onChange: wake });
+    this.sender = new OrderSender({ context, state, epoch: lease.epoch, onAnswers: wake });
+    this.advice = new AdviceDesk(context, state, wake);
+    this.loop = new WakeLoop({
+      clock: context.clock,
+      run: (now) => this.tick(now),
+      onError: (error) => {
+        const { message, stack } = toError(error);
+        context.events.write('tick-failed', { error: message, stack });
+      },
+    });
+    this.configure(options.configuration);
+    this.restore(loaded);
+    this.watches = this.createWatches(loaded);
+  }
+
+  start(): void {
+    this.loop.start();
+    this.watches.forEach((watch) => {
+      watch.run().catch(() => {
+        // `run` reports its failures itself and only ends when it is stopped.
+      });
+    });
+  }
+
+  stop(): void {
+    this.loop.stop();
+    this.watches.forEach((watch) => watch.stop());
+  }
+
+  configure(configuration: FleetConfiguration | null): void {
+    if (configuration !== null) {
+      this.state.queues.clear();
+      configuration.queues.forEach((queue) => this.state.queues.set(queue.name, queue));
+      this.loop.wake();
+    }
+  }
+
+  jobStates(jobIds: string[]): (JobState | null)[] {
+    return jobIds.map((id) => {
+      const job = this.state.jobs.get(id);
+      return job === undefined ? null : visibleState(job);
+    });
+  }
+
+  pendingCounts(): Record<string, number> {
+    const counts: Record<string, number> = {};
+    for (const job of this.state.jobs.values()) {
+      const isPending =
+        job.finishedAt === null && !job.cancelled && visibleState(job) === JobState.Queued;
+      if (isPending) {
+        counts[job.queue] = (counts[job.queue] ?? 0) + 1;
+      }
+    }
+    return counts;
+  }
+
+  /** True when nothing waits to be stored. */
+  get isSettled(): boolean {
+    return this.state.dirty.size === 0;
+  }
+
+  flush(): void {
+    this.writer.flush(this.options.context.clock.now());
+  }
+
+  private restore(loaded: LoadedCell): void {
+    const { context } = this.options;
+    const now = context.clock.now();
+    this.intake.keepProgress(loaded.progress);
+    this.intake.addJobs(loaded.jobs, true, now);
+    this.intake.cancelJobs(loaded.cancellations, now);
+    for (const { key, value } of loaded.runners) {
+      if (value !== null) {
+        this.state.addVm(key, value.address);
+        this.state.unheard.set(key, now + lapseAfterMs(context.grantMs));
+        this.callRunner(key, value.address);
+      }
+    }
+  }
+
+  private callRunner(id: string, address: string): void {
+    this.desk.adopt(id, address).catch((error: unknown) => {
+      const fields = { vm: id, error: toError(error).message };
+      this.options.context.events.write('adopt-failed', fields);
+    });
+  }
+
+  private addRunner(id: string, address: string): void {
+    const vm = this.state.vms.get(id);
+    if (vm === undefined) {
+      this.state.addVm(id, address);
+    } else {
+      vm.address = address;
+    }
+  }
+
+  private createWatches(loaded: LoadedCell): CollectionWatch<never>[] {
+    const { context } = this.options;
+    const jobs = new CollectionWatch<JobRow>({
+      context,
+      collection: CellCollection.Jobs,
+      afterVersion: loaded.jobsVersion,
+      onRows: (rows) => {
+        this.intake.addJobs(rows, false, context.clock.now());
+        this.loop.wake();
+      },
+    });
+    const cancellations = new CollectionWatch({
+      context,
+      collection: CellCollection.Cancellations,
+      afterVersion: loaded.cancellationsVersion,
+      onRows: (rows) => {
+        this.intake.cancelJobs(rows, context.clock.now());
+        this.loop.wake();
+      },
+    });
+    return [jobs, cancellations] as CollectionWatch<never>[];
+  }
+
+  private tick(now: Instant): void {
+    const { context, lease } = this.options;
+    if (!lease.isHeld()) {
+      return;
+    }
+    lapseVms(this.state, now).forEach((vm) => {
+      context.events.write('vm-lapsed', { vm: vm.id, silentMs: Math.round(now - vm.reportedAt) });
+    });
+    this.intake.activateDue(now);
+    if (now >= this.housekeepingAt) {
+      this.housekeepingAt = now + HOUSEKEEPING_MS;
+      this.keepHouse(now);
+    }
+    const { started, unplaced } = placeTasks(this.state, now);
+    started.forEach((run) => this.logStart(run, now));
+    preemptFor(this.state, unplaced, now).forEach((run) => this.logStop(run, 'preempted'));
+    this.advice.askForWaiting(now);
+    this.sender.sendDue(now);
+    this.writer.flush(now);
+  }
+
+  private keepHouse(now: Instant): void {
+    const { context } = this.options;
+    stopStalledRuns(this.state, now).forEach((run) => this.logStop(run, 'stalled'));
+    for (const job of this.state.jobs.values()) {
+      if (job.finishedAt !== null && now - job.finishedAt > context.statusMs) {
+        this.writer.remove(job);
+      }
+    }
+  }
+
+  private logStart({ task, run, vm, ticket }: RunRecord, now: Instant): void {
+    const waitedMs = Math.round(now - task.waitingSince);
+    this.options.context.metrics.recordLatency('start_wait_ms', waitedMs);
+    this.options.context.events.write('run-ordered', {
+      task: task.id,
+      run,
+      vm: vm.id,
+      waitedMs,
+      resumed: task.checkpoint !== '',
+      ticket: ticket ?? undefined,
+    });
+  }
+
+  private logStop({ task, run, vm, percent }: RunRecord, reason: string): void {
+    const fields = { task: task.id, run, vm: vm.id, reason, percent };
+    this.options.context.events.write('run-stopped', fields);
+  }
+}
--- /dev/null
+++ b/packages/scheduler/src/cell-scheduler.ts
@@ -0,0 +1,161 @@
+/**
+ * A process that can schedule the cell: takes the cell over when nobody owns it, keeps the lease, and
+ * gives the cell up when it stops or another process has taken over.
+ */
+import { toError } from '@figjunction/errors';
+import type { RpcHandlers } from '@figjunction/rpc';
+import { sleep } from '@figjunction/time';
+import { RpcMethod } from '@figjunction/types';
+import type { FleetConfiguration } from '@figjunction/types';
+import type { CellContext } from './cell-context.js';
+import { CellLease, RenewalOutcome } from './cell-lease.js';
+import { loadCell } from './cell-loader.js';
+import { CellRun } from './cell-run.js';
+import type { OwnerDirectory, OwnerView } from './owner-directory.js';
+
+export interface CellSchedulerOptions {
+  context: CellContext;
+  directory: OwnerDirectory;
+}
+
+const RENEWAL_CHECK_MS = 100;
+const LOAD_RETRY_MS = 200;
+/** How long a stop waits for progress to be stored. */
+const SETTLE_MS = 1_500;
+const SETTLE_CHECK_MS = 20;
+
+export class CellScheduler {
+  private readonly lease: CellLease;
+
+  private run: CellRun | null = null;
+
+  private configuration: FleetConfiguration | null = null;
+
+  /** Claims the cell: trying to take it over, or loading it. */
+  private claiming = false;
+
+  private stopping = false;
+
+  constructor(private readonly options: CellSchedulerOptions) {
+    this.lease = new CellLease(options.context);
+  }
+
+  get isOwner(): boolean {
+    return this.run !== null || this.claiming;
+  }
+
+  configure(configuration: FleetConfiguration): void {
+    this.configuration = configuration;
+    this.run?.configure(configuration);
+  }
+
+  /** Takes the cell over from the owner in the view. The caller has made sure that its time is over. */
+  async takeOver(view: OwnerView, reason: string): Promise<void> {
+    if (this.isOwner || this.stopping) {
+      return;
+    }
+    this.claiming = true;
+    const { context, directory } = this.options;
+    try {
+      if (await this.lease.acquire(view)) {
+        const { epoch } = this.lease;
+        context.events.write('cell-taken-over', { epoch, reason, before: view.owner?.processId });
+        directory.learn({ epoch, address: context.address, processId: context.processId });
+        await this.load();
+      }
+    } catch (error) {
+      context.events.write('take-over-failed', { reason, error: toError(error).message });
+    } finally {
+      this.claiming = false;
+    }
+  }
+
+  /** Gives the cell up after what has ended is stored. */
+  async stop(): Promise<void> {
+    this.stopping = true;
+    const { run } = this;
+    if (run === null) {
+      return;
+    }
+    const { clock } = this.options.context;
+    const giveUpAt = clock.now() + SETTLE_MS;
+    run.stop();
+    while (!run.isSettled && clock.now() < giveUpAt && this.lease.isHeld()) {
+      run.flush();
+      await sleep(SETTLE_CHECK_MS);
+    }
+    this.run = null;
+    await this.lease.release().catch((error: unknown) => {
+      this.options.context.events.write('release-failed', { error: toError(error).message });
+    });
+  }
+
+  handlers(): RpcHandlers {
+    return {
+      [RpcMethod.RunnerReport]: (report) =>
+        this.run?.desk.report(report) ?? {
+          epoch: this.claiming ? this.lease.epoch || -1 : 0,
+          session: 0,
+          grantMs: 0,
+          settledThrough: 0,
+          known: [],
+        },
+      [RpcMethod.JobStates]: ({ jobIds }) => ({
+        states: this.activeRun()?.jobStates(jobIds) ?? jobIds.map(() => null),
+      }),
+      [RpcMethod.PendingCounts]: () => ({ counts: this.activeRun()?.pendingCounts() ?? null }),
+    };
+  }
+
+  private activeRun(): CellRun | null {
+    return this.lease.isHeld() ? this.run : null;
+  }
+
+  private async load(): Promise<void> {
+    const { context } = this.options;
+    const { epoch } = this.lease;
+    this.keepLease(epoch).catch((error: unknown) => {
+      context.events.write('lease-keeper-failed', { error: toError(error).message });
+    });
+    while (this.lease.epoch === epoch && this.run === null && !this.stopping) {
+      try {
+        const loaded = await loadCell(context);
+        const { lease, configuration } = this;
+        const onDeposed = (): void => this.lose();
+        this.run = new CellRun({ context, lease, loaded, configuration, onDeposed });
+        this.run.start();
+        const jobs = loaded.jobs.length;
+        context.events.write('cell-loaded', { epoch, jobs, runners: loaded.runners.length });
+      } catch (error) {
+        context.events.write('cell-load-failed', { epoch, error: toError(error).message });
+        await sleep(LOAD_RETRY_MS);
+      }
+    }
+  }
+
+  private async keepLease(epoch: number): Promise<void> {
+    const { context } = this.options;
+    let failing = false;
+    while (this.lease.epoch === epoch && !this.stopping) {
+      const outcome = await this.lease.renew();
+      if (outcome === RenewalOutcome.Deposed) {
+        this.lose();
+        return;
+      }
+      if (outcome !== RenewalOutcome.NotDue && failing !== (outcome === RenewalOutcome.Failed)) {
+        failing = outcome === RenewalOutcome.Failed;
+        const event = failing ? 'lease-renewal-failed' : 'lease-renewal-regained';
+        context.events.write(event, { epoch, held: this.lease.isHeld() });
+      }
+      await sleep(RENEWAL_CHECK_MS);
+    }
+  }
+
+  private lose(): void {
+    const { epoch } = this.lease;
+    this.run?.stop();
+    this.run = null;
+    this.lease.forget();
+    this.options.context.events.write('cell-lost', { epoch });
+  }
+}
--- /dev/null
+++ b/packages/scheduler/src/collection-watch.ts
@@ -0,0 +1,84 @@
+/**
+ * Follows the changes of one collection. When the history is gone, all rows are read anew.
+ */
+import { toError } from '@figjunction/errors';
+import type { FeedRow } from '@figjunction/store';
+import { sleep } from '@figjunction/time';
+import type { CellContext } from './cell-context.js';
+import { CELL_PARTITION } from './cell-tables.js';
+
+export interface CollectionWatchOptions<Value> {
+  context: Pick<CellContext, 'store' | 'events'>;
+  collection: string;
+  afterVersion: number;
+  onRows: (rows: FeedRow<Value>[]) => void;
+}
+
+/** A connection that went silent costs at most this and the timeout of the call. */
+const WAIT_MS = 1_500;
+const RETRY_MS = 150;
+
+export class CollectionWatch<Value> {
+  private stopped = false;
+
+  private afterVersion: number;
+
+  private failing = false;
+
+  constructor(private readonly options: CollectionWatchOptions<Value>) {
+    this.afterVersion = options.afterVersion;
+  }
+
+  async run(): Promise<void> {
+    while (!this.stopped) {
+      try {
+        await this.step();
+        this.noteRecovery();
+      } catch (error) {
+        this.noteFailure(toError(error));
+        await sleep(RETRY_MS);
+      }
+    }
+  }
+
+  stop(): void {
+    this.stopped = true;
+  }
+
+  private async step(): Promise<void> {
+    const { context, collection } = this.options;
+    const { afterVersion } = this;
+    const change = await context.store.watch<Value>({ collection, afterVersion, waitMs: WAIT_MS });
+    if (change.rows !== null) {
+      this.deliver(change.rows, change.version);
+      return;
+    }
+    context.events.write('history-gone', { collection, afterVersion });
+    const range = { collection, partition: CELL_PARTITION };
+    const whole = await context.store.readRange<Value>(range);
+    this.deliver(whole.rows, whole.version);
+  }
+
+  private deliver(rows: FeedRow<Value>[], version: number): void {
+    this.afterVersion = version;
+    if (rows.length > 0 && !this.stopped) {
+      this.options.onRows(rows);
+    }
+  }
+
+  private noteFailure(error: Error): void {
+    if (!this.failing) {
+      this.failing = true;
+      const { context, collection } = this.options;
+      context.events.write('watch-lost', { collection, error: error.message });
+    }
+  }
+
+  private noteRecovery(): void {
+    if (this.failing) {
+      this.failing = false;
+      const { context, collection } = this.options;
+      context.events.write('watch-regained', { collection });
+    }
+  }
+}
--- /dev/null
+++ b/packages/scheduler/src/operator-feed.ts
@@ -0,0 +1,100 @@
+/**
+ * What operators write for a cell, and the loop that follows it.
+ */
+import { toError } from '@figjunction/errors';
+import type { EventLog } from '@figjunction/logger';
+import { sleep } from '@figjunction/time';
+import type { FleetConfiguration, MaintenanceWave, WaveState } from '@figjunction/types';
+
+export interface OperatorChange {
+  /** Null when the configuration has not changed. */
+  configuration: FleetConfiguration | null;
+  waves: MaintenanceWave[];
+  version: number;
+}
+
+export abstract class OperatorFeed {
+  /** Reads everything. */
+  abstract read(): Promise<OperatorChange>;
+
+  /** Waits for changes; null when the history is gone and everything must be read. */
+  abstract watch(afterVersion: number, waitMs: number): Promise<OperatorChange | null>;
+
+  abstract writeWaveState(wave: number, state: WaveState): Promise<void>;
+}
+
+export interface OperatorFollowerOptions {
+  feed: OperatorFeed;
+  events: EventLog;
+  onConfiguration: (configuration: FleetConfiguration) => void;
+  onWaves: (waves: MaintenanceWave[]) => void;
+}
+
+const WAIT_MS = 1_200;
+const RETRY_MS = 150;
+
+export class OperatorFollower {
+  /** The newest configuration; older ones never replace it. */
+  configuration: FleetConfiguration | null = null;
+
+  private version: number | null = null;
+
+  private stopped = false;
+
+  private failing = false;
+
+  constructor(private readonly options: OperatorFollowerOptions) {}
+
+  stop(): void {
+    this.stopped = true;
+  }
+
+  async run(): Promise<void> {
+    while (!this.stopped) {
+      try {
+        await this.step();
+        this.note(null);
+      } catch (error) {
+        this.note(toError(error));
+        await sleep(RETRY_MS);
+      }
+    }
+  }
+
+  private async step(): Promise<void> {
+    const { feed } = this.options;
+    if (this.version === null) {
+      this.apply(await feed.read());
+      return;
+    }
+    const change = await feed.watch(this.version, WAIT_MS);
+    if (change === null) {
+      this.version = null;
+      return;
+    }
+    this.apply(change);
+  }
+
+  private apply({ configuration, waves, version }: OperatorChange): void {
+    this.version = version;
+    const { events, onConfiguration, onWaves } = this.options;
+    if (configuration !== null && configuration.revision > (this.configuration?.revision ?? 0)) {
+      this.configuration = configuration;
+      const { revision, queues } = configuration;
+      events.write('configuration-applied', { revision, queues: queues.length });
+      onConfiguration(configuration);
+    }
+    if (waves.length > 0) {
+      onWaves(waves);
+    }
+  }
+
+  private note(error: Error | null): void {
+    const isFailing = error !== null;
+    if (isFailing !== this.failing) {
+      this.failing = isFailing;
+      const event = isFailing ? 'configuration-watch-lost' : 'configuration-watch-regained';
+      this.options.events.write(event, { error: error?.message, version: this.version });
+    }
+  }
+}
--- /dev/null
+++ b/packages/scheduler/src/order-sender.ts
@@ -0,0 +1,106 @@
+/**
+ * Sends orders to runners. An order without an answer goes out again; runners carry out each only once.
+ */
+import { toError } from '@figjunction/errors';
+import { RunPhase, applyAnswers } from '@figjunction/scheduling';
+import type { CellState, RunRecord, VmRecord } from '@figjunction/scheduling';
+import type { Instant } from '@figjunction/time';
+import { RpcMethod } from '@figjunction/types';
+import type { JobId, OrdersParameters, RunReference, StartOrder } from '@figjunction/types';
+import type { CellContext } from './cell-context.js';
+
+export interface OrderSenderOptions {
+  context: CellContext;
+  state: CellState;
+  epoch: number;
+  /** Answers have changed the tables. */
+  onAnswers: () => void;
+}
+
+const ORDER_TIMEOUT_MS = 800;
+/** Delay before an order that was received, but not answered, goes out again. */
+const RESEND_MS = 1_000;
+const RETRY_MS = 150;
+
+export class OrderSender {
+  constructor(private readonly options: OrderSenderOptions) {}
+
+  sendDue(now: Instant): void {
+    for (const vm of this.options.state.vms.values()) {
+      if (vm.session !== 0 && vm.announcement !== null) {
+        this.sendTo(vm, now);
+      }
+    }
+  }
+
+  private sendTo(vm: VmRecord, now: Instant): void {
+    const due = [...vm.runs.values()].filter(
+      ({ phase, sendAt }) => phase !== RunPhase.Running && sendAt <= now,
+    );
+    const orphans = [...vm.orphans.values()].filter(({ sendAt }) => sendAt <= now);
+    if (due.length + orphans.length === 0) {
+      return;
+    }
+    const items = [...due, ...orphans];
+    items.forEach((item) => {
+      item.sendAt = now + RESEND_MS;
+    });
+    const starts = due.filter(({ phase }) => phase === RunPhase.Ordered);
+    const stops: RunReference[] = due
+      .filter(({ phase }) => phase === RunPhase.Stopping)
+      .map(({ task, run }) => ({ taskId: task.id, run }));
+    stops.push(...orphans.map(({ taskId, run }) => ({ taskId, run })));
+    this.post(vm, {
+      epoch: this.options.epoch,
+      session: vm.session,
+      instanceId: vm.announcement?.instanceId ?? '',
+      settledThrough: vm.settledThrough,
+      payloads: payloadsOf(starts),
+      starts: starts.map(describeStart),
+      stops,
+    }).catch((error: unknown) => this.fail(vm, items, toError(error)));
+  }
+
+  private async post(vm: VmRecord, parameters: OrdersParameters): Promise<void> {
+    const { context, state } = this.options;
+    const sentAt = context.clock.now();
+    const result = await context.rpc.call(vm.address, RpcMethod.RunnerOrders, parameters, {
+      timeoutMs: ORDER_TIMEOUT_MS,
+    });
+    const now = context.clock.now();
+    context.metrics.recordLatency('order_ms', now - sentAt);
+    if (vm.session === parameters.session) {
+      applyAnswers(state, vm, result, now);
+      const refused = result.answers.filter(({ refusal }) => refusal !== null);
+      refused.forEach(({ taskId, run, refusal }) =>
+        context.events.write('run-refused', { task: taskId, run, vm: vm.id, refusal }),
+      );
+      this.options.onAnswers();
+    }
+  }
+
+  private fail(vm: VmRecord, items: { sendAt: Instant }[], error: Error): void {
+    const { context } = this.options;
+    const retryAt = context.clock.now() + RETRY_MS;
+    items.forEach((item) => {
+      item.sendAt = Math.min(item.sendAt, retryAt);
+    });
+    const { session } = vm;
+    context.events.write('orders-unanswered', { vm: vm.id, session, error: error.message });
+  }
+}
+
+function payloadsOf(starts: RunRecord[]): Record<JobId, string> {
+  return Object.fromEntries(
+    starts.map(({ task }) => [
+      task.step.occurrence.job.id,
+      task.step.occurrence.job.specification.payload,
+    ]),
+  );
+}
+
+function describeStart({ task, run, ticket }: RunRecord): StartOrder {
+  const { fills, latencyTargetMs } = task.step.specification;
+  const { checkpoint } = task;
+  return { taskId: task.id, run, checkpoint, ticket, fills, latencyTargetMs };
+}
--- /dev/null
+++ b/packages/scheduler/src/owner-directory.ts
@@ -0,0 +1,83 @@
+/**
+ * What this process knows of the scheduler of the cell: who it is and until when its lease runs.
+ */
+import type { FeedStore, StoreClock } from '@figjunction/store';
+import type { Clock, Instant } from '@figjunction/time';
+import type { CellLeaseRow, CellOwnerRow } from '@figjunction/types';
+import { CELL_PARTITION, CellCollection, LEASE_KEY, OWNER_KEY } from './cell-tables.js';
+
+export interface OwnerView {
+  owner: CellOwnerRow | null;
+  ownerVersion: number;
+  lease: CellLeaseRow | null;
+  leaseVersion: number;
+  /** The store's time when it answered. */
+  storeMs: number;
+}
+
+export interface OwnerDirectoryOptions {
+  store: FeedStore;
+  storeClock: StoreClock;
+  clock: Clock;
+  /** Shortest time between two reads. */
+  pauseMs?: number;
+}
+
+const DEFAULT_PAUSE_MS = 300;
+
+export class OwnerDirectory {
+  private view: OwnerView | null = null;
+
+  private readAt: Instant = Number.NEGATIVE_INFINITY;
+
+  private reading: Promise<OwnerView | null> | null = null;
+
+  private readonly pauseMs: number;
+
+  constructor(private readonly options: OwnerDirectoryOptions) {
+    this.pauseMs = options.pauseMs ?? DEFAULT_PAUSE_MS;
+  }
+
+  get owner(): CellOwnerRow | null {
+    return this.view?.owner ?? null;
+  }
+
+  /** A scheduler that announced itself; one with a lower epoch is ignored. */
+  learn(owner: CellOwnerRow): void {
+    if (owner.epoch > (this.owner?.epoch ?? 0)) {
+      this.view = { owner, ownerVersion: 0, lease: null, leaseVersion: 0, storeMs: 0 };
+    }
+  }
+
+  /** Reads the rows, unless that was done just now. Null when it was too soon to read again. */
+  refresh(): Promise<OwnerView | null> {
+    if (this.reading === null && this.options.clock.now() - this.readAt < this.pauseMs) {
+      return Promise.resolve(null);
+    }
+    this.reading ??= this.read().finally(() => {
+      this.reading = null;
+    });
+    return this.reading;
+  }
+
+  private async read(): Promise<OwnerView> {
+    this.readAt = this.options.clock.now();
+    const { rows, storeMs } = await this.options.store.readRange<CellOwnerRow | CellLeaseRow>({
+      collection: CellCollection.Cells,
+      partition: CELL_PARTITION,
+    });
+    const ownerRow = rows.find(({ key }) => key === OWNER_KEY);
+    const leaseRow = rows.find(({ key }) => key === LEASE_KEY);
+    const view: OwnerView = {
+      owner: (ownerRow?.value ?? null) as CellOwnerRow | null,
+      ownerVersion: ownerRow?.version ?? 0,
+      lease: (leaseRow?.value ?? null) as CellLeaseRow | null,
+      leaseVersion: leaseRow?.version ?? 0,
+      storeMs,
+    };
+    if ((view.owner?.epoch ?? 0) >= (this.owner?.epoch ?? 0)) {
+      this.view = view;
+    }
+    return view;
+  }
+}
--- /dev/null
+++ b/packages/scheduler/src/progress-writer.ts
@@ -0,0 +1,205 @@
+/**
+ * Stores the progress of occurrences and the registrations of runners, one transaction at a time. Ends of
+ * runs count as settled only once their effect is stored.
+ */
+import { toError } from '@figjunction/errors';
+import { encodeProgress, isFinished, occurrenceCount } from '@figjunction/scheduling';
+import type { CellState, JobRecord, OccurrenceRecord, VmRecord } from '@figjunction/scheduling';
+import type { RowReference, RowWrite } from '@figjunction/store';
+import type { Instant } from '@figjunction/time';
+import type { JobState } from '@figjunction/types';
+import type { CellContext } from './cell-context.js';
+import type { CellLease } from './cell-lease.js';
+import { CELL_PARTITION, CellCollection, progressKey } from './cell-tables.js';
+
+export interface ProgressWriterOptions {
+  context: CellContext;
+  state: CellState;
+  lease: CellLease;
+  /** A runner has been registered and may get work. */
+  onRegistered: (runnerId: string, address: string) => void;
+  /** Another process owns the cell. */
+  onDeposed: () => void;
+  onStored: () => void;
+}
+
+/** One entry of a transaction is the condition on the owner. */
+const ENTRIES_MAXIMUM = 99;
+const RETRY_FIRST_MS = 50;
+const RETRY_MAXIMUM_MS = 800;
+const RETRY_FACTOR = 2;
+
+interface Batch {
+  occurrences: { occurrence: OccurrenceRecord; state: JobState }[];
+  runners: [string, string][];
+  removedJobs: JobRecord[];
+  ends: [VmRecord, number, string][];
+}
+
+export class ProgressWriter {
+  private readonly unregistered = new Map<string, string>();
+
+  private readonly expired = new Set<JobRecord>();
+
+  private writing = false;
+
+  private retryAt: Instant = 0;
+
+  private retryDelayMs = RETRY_FIRST_MS;
+
+  constructor(private readonly options: ProgressWriterOptions) {}
+
+  register(runnerId: string, address: string): void {
+    this.unregistered.set(runnerId, address);
+  }
+
+  /** Removes a job and its progress for good. */
+  remove(job: JobRecord): void {
+    this.expired.add(job);
+  }
+
+  /** Starts a transaction when there is something to store. */
+  flush(now: Instant): void {
+    const { state } = this.options;
+    if (this.writing || now < this.retryAt) {
+      return;
+    }
+    if (state.dirty.size + this.unregistered.size + this.expired.size === 0) {
+      for (const vm of state.vms.values()) {
+        vm.settledThrough = vm.lastEnd;
+      }
+      return;
+    }
+    this.writing = true;
+    this.store(this.collect())
+      .catch((error: unknown) => this.fail(toError(error)))
+      .finally(() => {
+        this.writing = false;
+      });
+  }
+
+  private collect(): Batch {
+    const { state } = this.options;
+    const occurrences = [...state.dirty].slice(0, ENTRIES_MAXIMUM);
+    const room = ENTRIES_MAXIMUM - occurrences.length;
+    const isWhole = occurrences.length === state.dirty.size;
+    return {
+      occurrences: occurrences.map((occurrence) => ({ occurrence, state: occurrence.state })),
+      runners: [...this.unregistered].slice(0, room),
+      removedJobs: isWhole && this.unregistered.size === 0 ? this.removable(room) : [],
+      ends: isWhole ? [...state.vms.values()].map((vm) => [vm, vm.lastEnd, vm.processId]) : [],
+    };
+  }
+
+  private removable(room: number): JobRecord[] {
+    const jobs: JobRecord[] = [];
+    let entries = 0;
+    for (const job of this.expired) {
+      entries += rowsOf(job).length;
+      if (entries > room) {
+        break;
+      }
+      jobs.push(job);
+    }
+    return jobs;
+  }
+
+  private async store(batch: Batch): Promise<void> {
+    const { context, lease, state } = this.options;
+    const writes: RowWrite[] = [
+      ...batch.occurrences.map(({ occurrence }) => ({
+        collection: CellCollection.Progress,
+        key: progressKey(occurrence.job.id, occurrence.index),
+        value: encodeProgress(occurrence),
+      })),
+      ...batch.runners.map(([id, address]) => ({
+        collection: CellCollection.Runners,
+        key: id,
+        value: { address },
+      })),
+    ];
+    batch.occurrences.forEach(({ occurrence }) => state.dirty.delete(occurrence));
+    const sentAt = context.clock.now();
+    try {
+      const result = await context.store.write({
+        partition: CELL_PARTITION,
+        expected: [lease.expectation()],
+        writes,
+        removals: batch.removedJobs.flatMap(rowsOf),
+      });
+      if (!result.committed) {
+        this.options.onDeposed();
+        return;
+      }
+    } catch (error) {
+      batch.occurrences.forEach(({ occurrence }) => state.dirty.add(occurrence));
+      throw error;
+    }
+    context.metrics.recordLatency('progress_write_ms', context.clock.now() - sentAt);
+    this.settle(batch);
+  }
+
+  private settle(batch: Batch): void {
+    const { context, state } = this.options;
+    this.retryDelayMs = RETRY_FIRST_MS;
+    const now = context.clock.now();
+    for (const { occurrence, state: stored } of batch.occurrences) {
+      if (occurrence.storedState !== stored && isFinished(stored)) {
+        const { job } = occurrence;
+        const ageMs = Math.round(now - occurrence.dueAt);
+        context.events.write('job-ended', { job: job.id, queue: job.queue, state: stored, ageMs });
+        context.metrics.recordLatency('job_time_ms', ageMs, { queue: job.queue });
+      }
+      occurrence.storedState = stored;
+      occurrence.dirty = state.dirty.has(occurrence);
+      finishJob(occurrence.job, now);
+    }
+    for (const [vm, lastEnd, processId] of batch.ends) {
+      if (vm.processId === processId && vm.lastEnd >= lastEnd) {
+        vm.settledThrough = Math.max(vm.settledThrough, lastEnd);
+      }
+    }
+    for (const [id, address] of batch.runners) {
+      this.unregistered.delete(id);
+      this.options.onRegistered(id, address);
+    }
+    for (const job of batch.removedJobs) {
+      this.expired.delete(job);
+      state.jobs.delete(job.id);
+    }
+    this.options.onStored();
+  }
+
+  private fail(error: Error): void {
+    const { context } = this.options;
+    this.retryAt = context.clock.now() + this.retryDelayMs;
+    this.retryDelayMs = Math.min(RETRY_MAXIMUM_MS, this.retryDelayMs * RETRY_FACTOR);
+    context.events.write('progress-write-failed', {
+      error: error.message,
+      retryMs: this.retryDelayMs,
+    });
+  }
+}
+
+function finishJob(job: JobRecord, now: Instant): void {
+  const isOver =
+    job.cancelled ||
+    (job.occurrences.size === occurrenceCount(job) &&
+      [...job.occurrences.values()].every(
+        ({ storedState }) => storedState !== null && isFinished(storedState),
+      ));
+  if (isOver) {
+    job.finishedAt ??= now;
+  }
+}
+
+function rowsOf(job: JobRecord): RowReference[] {
+  return [
+    { collection: CellCollection.Jobs, key: job.id },
+    { collection: CellCollection.Cancellations, key: job.id },
+    ...[...job.occurrences.keys()].map((index) => ({
+      collection: CellCollection.Progress,
+      key: progressKey(job.id, index),
+    })),
+  ];
+}
--- /dev/null
+++ b/packages/scheduler/src/runner-desk.ts
@@ -0,0 +1,107 @@
+/**
+ * Answers the reports of runners and calls the runners of an earlier scheduler.
+ */
+import { toError } from '@figjunction/errors';
+import { applyReport } from '@figjunction/scheduling';
+import type { CellState, VmRecord } from '@figjunction/scheduling';
+import { sleep } from '@figjunction/time';
+import { RpcMethod } from '@figjunction/types';
+import type { ReportParameters, ReportResult, RunAttributes } from '@figjunction/types';
+import type { CellContext } from './cell-context.js';
+import type { CellLease } from './cell-lease.js';
+import type { ProgressWriter } from './progress-writer.js';
+
+export interface RunnerDeskOptions {
+  context: CellContext;
+  state: CellState;
+  lease: CellLease;
+  writer: ProgressWriter;
+  /** The tables have changed. */
+  onChange: () => void;
+}
+
+/** A VM's clock may be this much slow. */
+const VM_CLOCK_RATE = 0.98;
+const LAPSE_MARGIN_MS = 200;
+const ADOPT_TIMEOUT_MS = 500;
+const ADOPT_RETRY_MS = 300;
+
+/** How long after a grant the lease of a VM has surely expired. */
+export function lapseAfterMs(grantMs: number): number {
+  return grantMs / VM_CLOCK_RATE + LAPSE_MARGIN_MS;
+}
+
+export class RunnerDesk {
+  private sessions = 0;
+
+  constructor(private readonly options: RunnerDeskOptions) {}
+
+  /** A session of 0 tells the runner to send its whole list, or to come again. */
+  report(report: ReportParameters): ReportResult {
+    const { context, state, lease, writer, onChange } = this.options;
+    const refusal = { epoch: lease.epoch, session: 0, grantMs: 0, settledThrough: 0, known: [] };
+    const vm = state.vms.get(report.agentId);
+    if (!lease.isHeld()) {
+      return refusal;
+    }
+    if (vm === undefined || vm.address !== report.address) {
+      writer.register(report.agentId, report.address);
+      onChange();
+      return refusal;
+    }
+    const now = context.clock.now();
+    const sessionBefore = vm.session;
+    const openSession = (): number => {
+      this.sessions += 1;
+      return this.sessions;
+    };
+    if (!applyReport({ state, vm, report, now, openSession })) {
+      return refusal;
+    }
+    const isNew = vm.session !== sessionBefore;
+    if (isNew) {
+      this.logSession(report, vm.session);
+    }
+    vm.lapseAt = now + lapseAfterMs(context.grantMs);
+    onChange();
+    const { session, settledThrough } = vm;
+    const known = isNew ? describeRuns(vm) : [];
+    return { epoch: lease.epoch, session, grantMs: context.grantMs, settledThrough, known };
+  }
+
+  private logSession(report: ReportParameters, session: number): void {
+    const { agentId, vm, running, ended } = report;
+    this.options.context.events.write('runner-session', {
+      vm: agentId,
+      session,
+      instance: vm?.instanceId,
+      vmState: vm?.state,
+      running: running?.length,
+      ended: ended.length,
+    });
+  }
+
+  /** Tells a runner who schedules now, until it has reported or its lease has surely expired. */
+  async adopt(runnerId: string, address: string): Promise<void> {
+    const { context, state, lease } = this.options;
+    const { epoch } = lease;
+    while (state.unheard.has(runnerId) && lease.epoch === epoch) {
+      try {
+        const parameters = { epoch, address: context.address };
+        const options = { timeoutMs: ADOPT_TIMEOUT_MS, newConnection: true };
+        await context.rpc.call(address, RpcMethod.RunnerAdopt, parameters, options);
+      } catch (error) {
+        const fields = { vm: runnerId, error: toError(error).message };
+        context.events.write('runner-unreachable', fields);
+      }
+      await sleep(ADOPT_RETRY_MS);
+    }
+  }
+}
+
+function describeRuns(vm: VmRecord): RunAttributes[] {
+  return [...vm.runs.values()].map(({ task, run }) => {
+    const { fills, latencyTargetMs } = task.step.specification;
+    return { taskId: task.id, run, fills, latencyTargetMs };
+  });
+}
--- /dev/null
+++ b/packages/scheduler/src/scheduler-error.ts
@@ -0,0 +1,6 @@
+/**
+ * Errors of the scheduler of a cell.
+ */
+import { FigjunctionError } from '@figjunction/errors';
+
+export class SchedulerError extends FigjunctionError {}
--- /dev/null
+++ b/packages/scheduling/src/cell-state.ts
@@ -0,0 +1,146 @@
+/**
+ * The tables of one cell and the few operations that keep them consistent with each other.
+ */
+import type { Instant } from '@figjunction/time';
+import { JobState } from '@figjunction/types';
+import type { AgentId, JobId, QueuePolicy, TaskId } from '@figjunction/types';
+import { isFinished } from './job-table.js';
+import { RunPhase, runKey } from './records.js';
+import type { JobRecord, OccurrenceRecord, RunRecord, TaskRecord, VmRecord } from './records.js';
+
+export class CellState {
+  readonly jobs = new Map<JobId, JobRecord>();
+
+  readonly vms = new Map<AgentId, VmRecord>();
+
+  readonly queues = new Map<string, QueuePolicy>();
+
+  /** Occurrences that are due and unfinished. */
+  readonly active = new Set<OccurrenceRecord>();
+
+  /** Occurrences with changes that are not stored. */
+  readonly dirty = new Set<OccurrenceRecord>();
+
+  /** VMs of earlier schedulers that have not been heard yet; each may run tasks of inherited jobs. */
+  readonly unheard = new Map<AgentId, Instant>();
+
+  findTask(taskId: TaskId): TaskRecord | null {
+    const [jobId = '', occurrence = '', step = '', index = ''] = taskId.split('.');
+    return (
+      this.jobs.get(jobId)?.occurrences.get(Number(occurrence))?.steps[Number(step)]?.tasks[
+        Number(index)
+      ] ?? null
+    );
+  }
+
+  addVm(id: AgentId, address: string): VmRecord {
+    const vm: VmRecord = {
+      id,
+      address,
+      processId: '',
+      session: 0,
+      announcement: null,
+      runs: new Map(),
+      used: { processorMillicores: 0, memoryMegabytes: 0, accelerators: 0 },
+      fillMillicores: 0,
+      servingCount: 0,
+      reservations: new Map(),
+      orphans: new Map(),
+      lapsed: false,
+      lapseAt: 0,
+      reportedAt: 0,
+      lastEnd: 0,
+      settledThrough: 0,
+      health: { failedJobs: new Set(), succeededAt: null, cooledUntil: 0 },
+    };
+    this.vms.set(id, vm);
+    return vm;
+  }
+
+  addRun(options: {
+    task: TaskRecord;
+    vm: VmRecord;
+    run: number;
+    phase: RunPhase;
+    now: Instant;
+    ticket?: string | null;
+  }): RunRecord {
+    const { task, vm, run, phase, now, ticket = null } = options;
+    const record: RunRecord = {
+      task,
+      run,
+      vm,
+      phase,
+      orderedAt: now,
+      sendAt: now,
+      ticket,
+      percent: 0,
+      percentChangedAt: now,
+      runningSince: now,
+    };
+    task.runs.push(record);
+    task.lastRun = Math.max(task.lastRun, run);
+    task.step.waiting.delete(task);
+    vm.runs.set(runKey(task.id, run), record);
+    addUsage(record, 1);
+    const { occurrence } = task.step;
+    occurrence.startedAt ??= now;
+    return record;
+  }
+
+  /** Takes a run off its VM; a task without other runs waits again. */
+  removeRun(record: RunRecord, now: Instant): void {
+    const { task, vm } = record;
+    if (!vm.runs.delete(runKey(task.id, record.run))) {
+      return;
+    }
+    addUsage(record, -1);
+    task.runs = task.runs.filter((other) => other !== record);
+    const { step } = task;
+    if (!task.done && task.runs.length === 0 && !isFinished(step.occurrence.state)) {
+      step.waiting.add(task);
+      task.waitingSince = now;
+    }
+  }
+
+  orderStop(record: RunRecord, now: Instant): void {
+    if (record.phase !== RunPhase.Stopping) {
+      record.phase = RunPhase.Stopping;
+      record.sendAt = now;
+    }
+  }
+
+  markDirty(occurrence: OccurrenceRecord): void {
+    occurrence.dirty = true;
+    this.dirty.add(occurrence);
+  }
+
+  /** Ends an occurrence and orders all that still runs of it to stop. */
+  finishOccurrence(occurrence: OccurrenceRecord, state: JobState, now: Instant): void {
+    occurrence.state = state;
+    this.active.delete(occurrence);
+    this.markDirty(occurrence);
+    for (const step of occurrence.steps) {
+      step.waiting.clear();
+      for (const task of step.tasks) {
+        for (const run of task.runs) {
+          this.orderStop(run, now);
+        }
+      }
+    }
+  }
+}
+
+function addUsage({ task, vm }: RunRecord, sign: 1 | -1): void {
+  const { resources, fills, latencyTargetMs } = task.step.specification;
+  vm.used.memoryMegabytes += sign * resources.memoryMegabytes;
+  vm.used.accelerators += sign * resources.accelerators;
+  if (fills) {
+    vm.fillMillicores += sign * resources.processorMillicores;
+  } else {
+    vm.used.processorMillicores += sign * resources.processorMillicores;
+  }
+  if (latencyTargetMs !== null) {
+    vm.servingCount += sign;
+  }
+}
--- /dev/null
+++ b/packages/scheduling/src/index.ts
@@ -0,0 +1,12 @@
+/**
+ * Pure tables and systems of a cell: jobs, VMs, runs, placement and recovery.
+ */
+export * from './cell-state.js';
+export * from './job-table.js';
+export * from './place.js';
+export * from './preempt.js';
+export * from './progress.js';
+export * from './records.js';
+export * from './reports.js';
+export * from './stall.js';
+export * from './vm-health.js';
--- /dev/null
+++ b/packages/scheduling/src/job-table.ts
@@ -0,0 +1,156 @@
+/**
+ * Creates the records of jobs and restores their progress from stored rows.
+ */
+import type { Instant } from '@figjunction/time';
+import { JobState } from '@figjunction/types';
+import type { JobId, JobSpecification, ProgressRow } from '@figjunction/types';
+import type { JobRecord, OccurrenceRecord, StepRecord, TaskRecord } from './records.js';
+
+export interface NewJob {
+  id: JobId;
+  queue: string;
+  specification: JobSpecification;
+  submittedAt: Instant;
+  inherited: boolean;
+}
+
+export function createJob(options: NewJob): JobRecord {
+  return { ...options, occurrences: new Map(), cancelled: false, finishedAt: null };
+}
+
+/** Run numbers of this scheduler start above `runFloor`, so that they rise over those of earlier ones. */
+export function createOccurrence(
+  job: JobRecord,
+  index: number,
+  dueAt: Instant,
+  runFloor: number,
+): OccurrenceRecord {
+  const occurrence: OccurrenceRecord = {
+    job,
+    index,
+    dueAt,
+    steps: [],
+    state: JobState.Queued,
+    storedState: null,
+    dirty: false,
+    startedAt: null,
+  };
+  occurrence.steps = job.specification.steps.map((specification, stepIndex) => {
+    const step: StepRecord = {
+      index: stepIndex,
+      occurrence,
+      specification,
+      tasks: [],
+      doneCount: 0,
+      waiting: new Set(),
+      ready: false,
+      criticalPathMs: 0,
+      tickets: new Map(),
+    };
+    step.tasks = Array.from({ length: specification.taskCount }, (_, taskIndex) =>
+      createTask(step, taskIndex, dueAt, runFloor),
+    );
+    step.waiting = new Set(step.tasks);
+    return step;
+  });
+  computeCriticalPaths(occurrence.steps);
+  job.occurrences.set(index, occurrence);
+  return occurrence;
+}
+
+function createTask(
+  step: StepRecord,
+  index: number,
+  eligibleAt: Instant,
+  runFloor: number,
+): TaskRecord {
+  const { occurrence } = step;
+  return {
+    id: `${occurrence.job.id}.${occurrence.index}.${step.index}.${index}`,
+    index,
+    step,
+    done: false,
+    failures: 0,
+    checkpoint: '',
+    lastRun: runFloor,
+    runs: [],
+    eligibleAt,
+    waitingSince: eligibleAt,
+    failedOn: new Set(),
+  };
+}
+
+function computeCriticalPaths(steps: StepRecord[]): void {
+  for (const step of [...steps].reverse()) {
+    const followers = steps.filter((other) => other.specification.after.includes(step.index));
+    const rest = Math.max(0, ...followers.map((follower) => follower.criticalPathMs));
+    step.criticalPathMs = step.specification.estimateMs + rest;
+  }
+}
+
+export function encodeProgress(occurrence: OccurrenceRecord): ProgressRow {
+  const failures: Record<string, number> = {};
+  const done = occurrence.steps.map((step) => {
+    let bits = 0n;
+    for (const task of step.tasks) {
+      if (task.done) {
+        bits |= 1n << BigInt(task.index);
+      }
+      if (task.failures > 0) {
+        failures[`${step.index}.${task.index}`] = task.failures;
+      }
+    }
+    return bits.toString(16);
+  });
+  return { state: occurrence.state, done, failures };
+}
+
+export function restoreProgress(occurrence: OccurrenceRecord, row: ProgressRow): void {
+  occurrence.state = row.state;
+  occurrence.storedState = row.state;
+  for (const step of occurrence.steps) {
+    const bits = BigInt(`0x${row.done[step.index] ?? '0'}`);
+    for (const task of step.tasks) {
+      task.failures = row.failures[`${step.index}.${task.index}`] ?? 0;
+      if ((bits >> BigInt(task.index)) % 2n === 1n) {
+        task.done = true;
+        step.doneCount += 1;
+        step.waiting.delete(task);
+      }
+    }
+  }
+}
+
+export function isFinished(state: JobState): boolean {
+  return state === JobState.Completed || state === JobState.Failed || state === JobState.Cancelled;
+}
+
+/** The state that callers may see: an end is shown only once it is stored. */
+export function visibleState(job: JobRecord): JobState {
+  if (job.cancelled) {
+    return allStored(job, JobState.Completed) ? JobState.Completed : JobState.Cancelled;
+  }
+  const occurrences = [...job.occurrences.values()];
+  if (occurrences.some(({ storedState }) => storedState === JobState.Failed)) {
+    return JobState.Failed;
+  }
+  if (allStored(job, JobState.Completed)) {
+    return JobState.Completed;
+  }
+  return occurrences.some(
+    ({ startedAt, storedState }) => startedAt !== null || storedState !== null,
+  )
+    ? JobState.Running
+    : JobState.Queued;
+}
+
+export function occurrenceCount(job: JobRecord): number {
+  return Math.max(1, job.specification.occurrences);
+}
+
+function allStored(job: JobRecord, state: JobState): boolean {
+  return (
+    job.occurrences.size === occurrenceCount(job) &&
+    [...job.occurrences.values()].every(({ storedState }) => storedState === state)
+  );
+}
--- /dev/null
+++ b/packages/scheduling/src/place.ts
@@ -0,0 +1,117 @@
+/**
+ * Gives waiting tasks to VMs, in the order of their rank.
+ */
+import type { Instant } from '@figjunction/time';
+import type { CellState } from './cell-state.js';
+import { planGang } from './gang.js';
+import { startableTasks } from './progress.js';
+import { rankSteps } from './rank.js';
+import { RunPhase } from './records.js';
+import type { RunRecord, StepRecord, TaskRecord, VmRecord } from './records.js';
+import { fits, isAllowed, placementCost } from './room.js';
+
+/** Steps that are looked at in one tick; bounds the time of a tick under a flood. */
+const STEPS_MAXIMUM = 400;
+
+export interface Placement {
+  task: TaskRecord;
+  vm: VmRecord;
+}
+
+export interface PlacementResult {
+  started: RunRecord[];
+  /** Steps with startable tasks that found no room. */
+  unplaced: StepRecord[];
+}
+
+export function placeTasks(state: CellState, now: Instant): PlacementResult {
+  const result: PlacementResult = { started: [], unplaced: [] };
+  for (const { step } of rankSteps(state, now).slice(0, STEPS_MAXIMUM)) {
+    if (!isHeldBack(state, step)) {
+      placeStep(state, step, now, result);
+    }
+  }
+  return result;
+}
+
+/** VMs that have not reported to this scheduler yet may run tasks of inherited jobs. */
+function isHeldBack(state: CellState, step: StepRecord): boolean {
+  return step.occurrence.job.inherited && state.unheard.size > 0;
+}
+
+function placeStep(
+  state: CellState,
+  step: StepRecord,
+  now: Instant,
+  result: PlacementResult,
+): void {
+  const tasks = startableTasks(step, now);
+  const vms = allowedVms(state, step, now);
+  if (step.specification.gang) {
+    const plan = tasks.length === step.tasks.length ? planGang(step, vms) : null;
+    plan?.forEach((placement) => result.started.push(startRun(state, placement, now)));
+    if (plan === null && tasks.length > 0) {
+      result.unplaced.push(step);
+    }
+    return;
+  }
+  for (const task of tasks) {
+    const vm = cheapestVm(vms, task, now);
+    if (vm === null) {
+      result.unplaced.push(step);
+      return;
+    }
+    result.started.push(startRun(state, { task, vm }, now));
+  }
+}
+
+function allowedVms(state: CellState, step: StepRecord, now: Instant): VmRecord[] {
+  const queue = state.queues.get(step.occurrence.job.queue);
+  if (queue === undefined) {
+    return [];
+  }
+  return [...state.vms.values()].filter(
+    (vm) =>
+      vm.announcement?.service === queue.service &&
+      isAllowed(vm, step, now) &&
+      (queue.advice === null || hasTicket(step, vm, now)),
+  );
+}
+
+function hasTicket(step: StepRecord, vm: VmRecord, now: Instant): boolean {
+  const ticket = step.tickets.get(vm.announcement?.instanceId ?? '');
+  return ticket !== undefined && ticket.value !== '' && ticket.expiresAt > now;
+}
+
+function cheapestVm(vms: VmRecord[], task: TaskRecord, now: Instant): VmRecord | null {
+  let best: VmRecord | null = null;
+  let bestCost = Number.POSITIVE_INFINITY;
+  for (const vm of vms) {
+    if (fits(vm, task) && isAllowed(vm, task.step, now)) {
+      const cost = placementCost(vm, task);
+      if (cost < bestCost) {
+        best = vm;
+        bestCost = cost;
+      }
+    }
+  }
+  return best;
+}
+
+function startRun(state: CellState, { task, vm }: Placement, now: Instant): RunRecord {
+  vm.reservations.delete(task);
+  const { step } = task;
+  // All members of a gang carry the same run number.
+  const highest = step.specification.gang
+    ? Math.max(...step.tasks.map(({ lastRun }) => lastRun))
+    : task.lastRun;
+  const isGangMember = step.specification.gang && step.tasks.some(({ runs }) => runs.length > 0);
+  return state.addRun({
+    task,
+    vm,
+    run: isGangMember ? highest : highest + 1,
+    phase: RunPhase.Ordered,
+    now,
+    ticket: step.tickets.get(vm.announcement?.instanceId ?? '')?.value ?? null,
+  });
+}
--- /dev/null
+++ b/packages/scheduling/src/rank.ts
@@ -0,0 +1,75 @@
+/**
+ * The order in which steps with waiting tasks get room.
+ */
+import type { Instant } from '@figjunction/time';
+import type { CellState } from './cell-state.js';
+import type { OccurrenceRecord, StepRecord } from './records.js';
+
+/** Up to this many times the objective a late job is still of use. */
+const LATE_FACTOR = 3;
+
+export enum Timeliness {
+  OnTime = 0,
+  Late = 1,
+  Hopeless = 2,
+}
+
+export interface RankedStep {
+  step: StepRecord;
+  timeliness: Timeliness;
+  priority: number;
+  /** The last moment at which the step can start for the job to be on time. */
+  latestStart: Instant;
+}
+
+/** Steps with startable tasks, first the one that goes first. */
+export function rankSteps(state: CellState, now: Instant): RankedStep[] {
+  const ranked: RankedStep[] = [];
+  for (const occurrence of state.active) {
+    for (const step of occurrence.steps) {
+      if (step.ready && step.waiting.size > 0) {
+        ranked.push(rankStep(state, step, now));
+      }
+    }
+  }
+  return ranked.sort(compareRank);
+}
+
+function rankStep(state: CellState, step: StepRecord, now: Instant): RankedStep {
+  const { occurrence, specification } = step;
+  const queue = state.queues.get(occurrence.job.queue);
+  const priority = queue?.priority ?? Number.MAX_SAFE_INTEGER;
+  if (specification.longRunning) {
+    return {
+      step,
+      timeliness: Timeliness.OnTime,
+      priority: -1,
+      latestStart: step.occurrence.dueAt,
+    };
+  }
+  const objectiveMs = objectiveOf(state, occurrence);
+  const latestStart = occurrence.dueAt + objectiveMs - step.criticalPathMs;
+  const latestUseful = occurrence.dueAt + LATE_FACTOR * objectiveMs - step.criticalPathMs;
+  let timeliness = Timeliness.OnTime;
+  if (now > latestUseful) {
+    timeliness = Timeliness.Hopeless;
+  } else if (now > latestStart) {
+    timeliness = Timeliness.Late;
+  }
+  return { step, timeliness, priority, latestStart };
+}
+
+/** Time from when an occurrence is due to the end that its queue asks for. */
+export function objectiveOf(state: CellState, occurrence: OccurrenceRecord): number {
+  const queue = state.queues.get(occurrence.job.queue);
+  const criticalPathMs = Math.max(...occurrence.steps.map((step) => step.criticalPathMs));
+  return (queue?.slackFactor ?? 1) * criticalPathMs + (queue?.objectiveMs ?? 0);
+}
+
+function compareRank(left: RankedStep, right: RankedStep): number {
+  return (
+    left.timeliness - right.timeliness ||
+    left.priority - right.priority ||
+    left.latestStart - right.latestStart
+  );
+}
--- /dev/null
+++ b/packages/scheduling/src/reports.ts
@@ -0,0 +1,220 @@
+/**
+ * Applies what runners report: sessions, lives of VMs, answers to orders, running tasks and ends.
+ */
+import type { Instant } from '@figjunction/time';
+import { RunEnding, StartRefusal } from '@figjunction/types';
+import type { ReportParameters, RunningTask, RunReference } from '@figjunction/types';
+import type { CellState } from './cell-state.js';
+import { isFinished } from './job-table.js';
+import { applyEnd } from './progress.js';
+import { RunPhase, instanceKeyOf, runKey } from './records.js';
+import type { RunRecord, TaskRecord, VmRecord } from './records.js';
+import { noteFailure, noteRefusal, noteSuccess } from './vm-health.js';
+
+export interface ReportOptions {
+  state: CellState;
+  vm: VmRecord;
+  report: ReportParameters;
+  now: Instant;
+  /** Gives the number of a new session. */
+  openSession: () => number;
+}
+
+/** Returns false when the runner has to send its whole list first. */
+export function applyReport(options: ReportOptions): boolean {
+  const { state, vm, report, now } = options;
+  const continues =
+    vm.session !== 0 && report.session === vm.session && report.processId === vm.processId;
+  if (!continues && report.running === null) {
+    return false;
+  }
+  vm.reportedAt = now;
+  vm.address = report.address;
+  updateInstance(state, vm, report, now);
+  if (!continues) {
+    openSession(options);
+  }
+  applyEnds(state, vm, report, now);
+  applyAnswers(state, vm, report, now);
+  report.running?.forEach((running) => applyRunning(state, vm, running, now));
+  if (!continues) {
+    resendOrders(state, vm, report, now);
+  }
+  state.unheard.delete(vm.id);
+  return true;
+}
+
+function updateInstance(
+  state: CellState,
+  vm: VmRecord,
+  report: ReportParameters,
+  now: Instant,
+): void {
+  const before = vm.announcement;
+  vm.announcement = report.vm;
+  if (before === null || report.vm === null || instanceKeyOf(before) === instanceKeyOf(report.vm)) {
+    return;
+  }
+  // A new life of the VM runs nothing of the one before.
+  removeAllRuns(state, vm, now);
+  vm.orphans.clear();
+  vm.lastEnd = 0;
+  vm.settledThrough = 0;
+  vm.health = { failedJobs: new Set(), succeededAt: null, cooledUntil: 0 };
+}
+
+function openSession({ vm, report, openSession: nextSession }: ReportOptions): void {
+  vm.session = nextSession();
+  vm.processId = report.processId;
+  if (vm.lapsed) {
+    // The tasks may have been started elsewhere since the lease expired, so these ends no longer count.
+    vm.lastEnd = Math.max(vm.lastEnd, ...report.ended.map(({ sequence }) => sequence));
+    vm.lapsed = false;
+  }
+}
+
+function applyEnds(state: CellState, vm: VmRecord, report: ReportParameters, now: Instant): void {
+  for (const end of report.ended) {
+    if (end.sequence > vm.lastEnd) {
+      vm.lastEnd = end.sequence;
+      const task = state.findTask(end.taskId);
+      const record = vm.runs.get(runKey(end.taskId, end.run)) ?? null;
+      vm.orphans.delete(runKey(end.taskId, end.run));
+      if (task !== null) {
+        task.lastRun = Math.max(task.lastRun, end.run);
+        noteHealth(vm, task, end.ending, now);
+        applyEnd(state, { task, record, ending: end.ending, checkpoint: end.checkpoint }, now);
+      }
+    }
+  }
+  for (const reference of report.vanished) {
+    dropRun(state, vm, reference, now);
+  }
+}
+
+function noteHealth(vm: VmRecord, task: TaskRecord, ending: RunEnding, now: Instant): void {
+  if (ending === RunEnding.Done) {
+    noteSuccess(vm, now);
+  } else if (ending === RunEnding.Failed && !task.step.specification.longRunning) {
+    noteFailure(vm, task, now);
+  }
+}
+
+function dropRun(
+  state: CellState,
+  vm: VmRecord,
+  { taskId, run }: RunReference,
+  now: Instant,
+): void {
+  const record = vm.runs.get(runKey(taskId, run));
+  vm.orphans.delete(runKey(taskId, run));
+  if (record !== undefined) {
+    state.removeRun(record, now);
+  }
+}
+
+export function applyAnswers(
+  state: CellState,
+  vm: VmRecord,
+  { answers }: Pick<ReportParameters, 'answers'>,
+  now: Instant,
+): void {
+  for (const answer of answers) {
+    const record = vm.runs.get(runKey(answer.taskId, answer.run));
+    if (record !== undefined && answer.refusal === null) {
+      confirm(record, now);
+    } else if (record !== undefined && answer.refusal !== null) {
+      if (answer.refusal === StartRefusal.InvalidTicket) {
+        record.task.step.tickets.delete(vm.announcement?.instanceId ?? '');
+      }
+      noteRefusal(vm, answer.refusal, now);
+      state.removeRun(record, now);
+    }
+  }
+}
+
+function confirm(record: RunRecord, now: Instant): void {
+  if (record.phase === RunPhase.Ordered) {
+    record.phase = RunPhase.Running;
+    record.runningSince = now;
+    record.percentChangedAt = now;
+  }
+}
+
+function applyRunning(state: CellState, vm: VmRecord, running: RunningTask, now: Instant): void {
+  const record = vm.runs.get(runKey(running.taskId, running.run)) ?? adopt(state, vm, running, now);
+  if (record === null) {
+    return;
+  }
+  confirm(record, now);
+  if (running.percent !== record.percent) {
+    record.percent = running.percent;
+    record.percentChangedAt = now;
+  }
+  if (running.checkpoint !== '') {
+    record.task.checkpoint = running.checkpoint;
+  }
+}
+
+/** Takes over a run that an earlier scheduler started, or has it stopped when it must not go on. */
+function adopt(
+  state: CellState,
+  vm: VmRecord,
+  { taskId, run }: RunningTask,
+  now: Instant,
+): RunRecord | null {
+  const task = state.findTask(taskId);
+  if (task === null || !isAdoptable(task)) {
+    if (!vm.orphans.has(runKey(taskId, run))) {
+      vm.orphans.set(runKey(taskId, run), { taskId, run, sendAt: now });
+    }
+    return null;
+  }
+  return state.addRun({ task, vm, run, phase: RunPhase.Running, now });
+}
+
+function isAdoptable(task: TaskRecord): boolean {
+  const { occurrence, specification } = task.step;
+  const isFree = task.runs.length === 0 || specification.duplicatesAllowed;
+  return !task.done && !occurrence.job.cancelled && !isFinished(occurrence.state) && isFree;
+}
+
+/** After a new session: what is not listed is gone; unanswered orders go out again. */
+function resendOrders(
+  state: CellState,
+  vm: VmRecord,
+  report: ReportParameters,
+  now: Instant,
+): void {
+  const listed = new Set((report.running ?? []).map(({ taskId, run }) => runKey(taskId, run)));
+  for (const [key, record] of vm.runs) {
+    if (record.phase === RunPhase.Ordered) {
+      record.sendAt = now;
+    } else if (!listed.has(key)) {
+      state.removeRun(record, now);
+    }
+  }
+}
+
+export function removeAllRuns(state: CellState, vm: VmRecord, now: Instant): void {
+  for (const record of [...vm.runs.values()]) {
+    state.removeRun(record, now);
+  }
+  vm.reservations.clear();
+}
+
+/** Takes the runs off VMs whose lease has surely expired. Returns those VMs. */
+export function lapseVms(state: CellState, now: Instant): VmRecord[] {
+  const lapsed = [...state.vms.values()].filter((vm) => vm.session !== 0 && vm.lapseAt <= now);
+  for (const vm of lapsed) {
+    vm.session = 0;
+    vm.lapsed = true;
+    removeAllRuns(state, vm, now);
+  }
+  for (const [id, lapseAt] of state.unheard) {
+    if (lapseAt <= now) {
+      state.unheard.delete(id);
+    }
+  }
+  return lapsed;
+}
--- /dev/null
+++ b/packages/scheduling/src/room.ts
@@ -0,0 +1,105 @@
+/**
+ * Whether a VM may take a task, and how well it fits.
+ */
+import type { Instant } from '@figjunction/time';
+import { VmState } from '@figjunction/types';
+import type { Resources } from '@figjunction/types';
+import type { StepRecord, TaskRecord, VmRecord } from './records.js';
+import { mayTakeRuns } from './vm-health.js';
+
+/** Costs of a placement, in thousandths of the VM that would stay free. */
+const REMOTE_DATA_COST = 600;
+const FAILED_THERE_COST = 5_000;
+const UNPROVEN_COST = 300;
+const DISTURBANCE_COST = 2_000;
+const THOUSANDTHS = 1_000;
+
+/** What is free on a VM for a task, less what is kept for others. */
+export function freeRoom(vm: VmRecord, task: TaskRecord | null): Resources {
+  const capacity = vm.announcement?.capacity;
+  if (capacity === undefined) {
+    return { processorMillicores: 0, memoryMegabytes: 0, accelerators: 0 };
+  }
+  const free = {
+    processorMillicores: capacity.processorMillicores - vm.used.processorMillicores,
+    memoryMegabytes: capacity.memoryMegabytes - vm.used.memoryMegabytes,
+    accelerators: capacity.accelerators - vm.used.accelerators,
+  };
+  for (const reserved of vm.reservations.keys()) {
+    if (reserved !== task) {
+      const { resources } = reserved.step.specification;
+      free.processorMillicores -= resources.processorMillicores;
+      free.memoryMegabytes -= resources.memoryMegabytes;
+      free.accelerators -= resources.accelerators;
+    }
+  }
+  return free;
+}
+
+/** Everything but room: state, labels, limits for each VM, tickets. */
+export function isAllowed(vm: VmRecord, step: StepRecord, now: Instant): boolean {
+  const { announcement } = vm;
+  const { specification } = step;
+  if (vm.session === 0 || announcement === null || announcement.state !== VmState.Ready) {
+    return false;
+  }
+  if (!mayTakeRuns(vm, now)) {
+    return false;
+  }
+  if (
+    specification.requiredLabel !== null &&
+    !announcement.labels.includes(specification.requiredLabel)
+  ) {
+    return false;
+  }
+  const { tasksPerVmMaximum } = specification;
+  return tasksPerVmMaximum === null || countRuns(vm, step) < tasksPerVmMaximum;
+}
+
+function countRuns(vm: VmRecord, step: StepRecord): number {
+  let count = 0;
+  for (const { task } of vm.runs.values()) {
+    if (task.step === step) {
+      count += 1;
+    }
+  }
+  return count;
+}
+
+export function fits(vm: VmRecord, task: TaskRecord): boolean {
+  const { resources, fills } = task.step.specification;
+  const free = freeRoom(vm, task);
+  const processorNeed = fills ? vm.fillMillicores : 0;
+  return (
+    free.memoryMegabytes >= resources.memoryMegabytes &&
+    free.accelerators >= resources.accelerators &&
+    free.processorMillicores >= resources.processorMillicores + processorNeed
+  );
+}
+
+/** Lower is better. Packs tightly, so that large tasks keep finding room. */
+export function placementCost(vm: VmRecord, task: TaskRecord): number {
+  const { specification } = task.step;
+  const capacity = vm.announcement?.capacity.processorMillicores ?? 1;
+  const free = freeRoom(vm, task).processorMillicores;
+  let cost = ((free - vm.fillMillicores) / capacity) * THOUSANDTHS;
+  if (specification.fills) {
+    // Work that fills wants the most unused processor time, away from tasks that serve.
+    cost = -cost + (vm.servingCount > 0 ? DISTURBANCE_COST : 0);
+  } else if (specification.latencyTargetMs !== null) {
+    cost += (vm.fillMillicores / capacity) * DISTURBANCE_COST;
+  }
+  if (
+    specification.preferredRack !== null &&
+    specification.preferredRack !== vm.announcement?.rack
+  ) {
+    cost += REMOTE_DATA_COST;
+  }
+  if (task.failedOn.has(vm.id)) {
+    cost += FAILED_THERE_COST;
+  }
+  if (task.failures > 0 && vm.health.succeededAt === null) {
+    cost += UNPROVEN_COST;
+  }
+  return cost;
+}
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -2,12 +2,14 @@
  * The table service and the object store of the platform: interfaces, clients, write batching.
  */
 export * from './backoff.js';
+export * from './feed-store.js';
 export * from './http-object-store.js';
 export * from './http-table-service.js';
 export * from './object-store.js';
 export type { HttpPlatformOptions } from './platform-client.js';
 export { PlatformError } from './platform-error.js';
 export * from './retry-budget.js';
+export * from './store-clock.js';
 export * from './table-service.js';
 export * from './write-batcher.js';
 export { OVERTAKEN_VERSION } from './write-item.js';
--- a/packages/time/src/index.ts
+++ b/packages/time/src/index.ts
@@ -5,4 +5,5 @@
 export * from './deadline.js';
 export * from './random-source.js';
 export * from './tick-loop.js';
+export * from './wake-loop.js';
 export * from './single-flight.js';
--- /dev/null
+++ b/packages/types/src/cell/index.ts
@@ -0,0 +1,6 @@
+/**
+ * Shapes of a cell: jobs of steps, what operators configure, and the messages of its processes.
+ */
+export * from './cell-messages.js';
+export * from './fleet-configuration.js';
+export * from './job-specification.js';
--- /dev/null
+++ b/packages/types/src/cell/job-specification.ts
@@ -0,0 +1,89 @@
+/**
+ * Batch jobs made of steps, as the scheduler of a cell keeps them.
+ */
+import type { TaskId } from '../identifiers.js';
+import type { Resources } from '../resources.js';
+
+export interface StepSpecification {
+  taskCount: number;
+  /** What one task needs. */
+  resources: Resources;
+  /** A rough estimate of the run time of one task. */
+  estimateMs: number;
+  /** Indexes of earlier steps whose tasks must all be done first. */
+  after: number[];
+  checkpoints: boolean;
+  /** All tasks run together or not at all. */
+  gang: boolean;
+  /** The tasks run slower when they are spread over racks. */
+  sameRack: boolean;
+  requiredLabel: string | null;
+  /** The rack that holds the input data. */
+  preferredRack: string | null;
+  tasksPerVmMaximum: number | null;
+  /** Copies of a task may run in parallel. */
+  duplicatesAllowed: boolean;
+  /** Runs until the job is cancelled. */
+  longRunning: boolean;
+  image: string | null;
+  /** Bound on the tail latency of a task that serves requests of its own. */
+  latencyTargetMs: number | null;
+  /** Uses only processor time that the other tasks leave. */
+  fills: boolean;
+  /** How many tasks of a long-running step may be away at once by the scheduler's own acts. */
+  unavailableMaximum: number | null;
+}
+
+export interface JobSpecification {
+  payload: string;
+  steps: StepSpecification[];
+  /** How often the steps run; 0 for a job without a schedule. */
+  occurrences: number;
+  /** Wall-clock time of the first occurrence. */
+  firstDueWallMs: number;
+  intervalMs: number;
+}
+
+/** The stored row of an accepted job. */
+export interface JobRow {
+  queue: string;
+  specification: JobSpecification;
+  /** Time of acceptance on the store's clock. */
+  submittedAtStoreMs: number;
+}
+
+/** The stored progress of one occurrence of a job. */
+export interface ProgressRow {
+  state: JobState;
+  /** For each step, the indexes of done tasks as a hexadecimal bit set. */
+  done: string[];
+  /** Failed runs by "step.index"; tasks without failures are left out. */
+  failures: Record<string, number>;
+}
+
+export enum JobState {
+  Queued = 'queued',
+  Running = 'running',
+  Completed = 'completed',
+  Failed = 'failed',
+  Cancelled = 'cancelled',
+}
+
+/** How a run on a VM ended. */
+export enum RunEnding {
+  Done = 'done',
+  Failed = 'failed',
+  Stopped = 'stopped',
+  /** The lease of the VM expired. */
+  Lapsed = 'lapsed',
+  /** Another member of its gang ended. */
+  GangBroken = 'gang-broken',
+  /** The other members of its gang did not arrive in time. */
+  GangIncomplete = 'gang-incomplete',
+}
+
+/** Names one run of a task; the numbers of a task rise with each start. */
+export interface RunReference {
+  taskId: TaskId;
+  run: number;
+}
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -2,6 +2,7 @@
  * Enums, identifiers, table rows and message shapes shared by all packages.
  */
 export * from './agent-slice.js';
+export * from './cell/index.js';
 export * from './decision-record.js';
 export * from './enums.js';
 export * from './headers.js';
--- a/packages/types/src/messages.ts
+++ b/packages/types/src/messages.ts
@@ -10,6 +10,16 @@
   TaskType,
 } from './enums.js';
 import type { AgentSlice } from './agent-slice.js';
+import type {
+  AdoptParameters,
+  JobStatesParameters,
+  JobStatesResult,
+  OrdersParameters,
+  OrdersResult,
+  PendingCountsResult,
+  ReportParameters,
+  ReportResult,
+} from './cell/cell-messages.js';
 import type { DecisionRecord } from './decision-record.js';
 import type { HeartbeatParameters, HeartbeatResult, HeldTask } from './heartbeat-messages.js';
 import type {
@@ -44,6 +54,11 @@
   EntryDigest = 'entry.digest',
   EntryNotify = 'entry.notify',
   ExplainGet = 'explain.get',
+  RunnerReport = 'runner.report',
+  RunnerOrders = 'runner.orders',
+  RunnerAdopt = 'runner.adopt',
+  JobStates = 'job.states',
+  PendingCounts = 'queue.pending',
 }
 
 export interface LeaseRenewParameters {
@@ -239,4 +254,9 @@
   [RpcMethod.EntryDigest]: { parameters: EntryDigestParameters; result: EntryDigestResult };
   [RpcMethod.EntryNotify]: { parameters: EntryNotifyParameters; result: Record<string, never> };
   [RpcMethod.ExplainGet]: { parameters: ExplainGetParameters; result: ExplainGetResult };
+  [RpcMethod.RunnerReport]: { parameters: ReportParameters; result: ReportResult };
+  [RpcMethod.RunnerOrders]: { parameters: OrdersParameters; result: OrdersResult };
+  [RpcMethod.RunnerAdopt]: { parameters: AdoptParameters; result: Record<string, never> };
+  [RpcMethod.JobStates]: { parameters: JobStatesParameters; result: JobStatesResult };
+  [RpcMethod.PendingCounts]: { parameters: Record<string, never>; result: PendingCountsResult };
 }
