Void ends from before an expired lease, keep serving and filling work apart

Ruled out: loss of rows at the take-over (all jobs were loaded). Change: lapse detection in the runner; a list only of a known VM; a pace is changed at most each 600 ms; jobs without any run are not held back; tasks that serve and other regular tasks are packed apart from work that fills; steps are ranked by value per remaining work.

--- a/packages/runner/src/fill-pacer.ts
+++ b/packages/runner/src/fill-pacer.ts
@@ -4,6 +4,7 @@
  */
 import { toError } from '@figjunction/errors';
 import type { EventLog } from '@figjunction/logger';
+import type { Clock, Instant } from '@figjunction/time';
 import type { RunEntry, RunTable } from './run-table.js';
 import type { VmCall, VmHost } from './vm-host.js';
 
@@ -15,11 +16,16 @@
 const FULL_PACE = 100;
 /** A pace below this is a stop of the work. */
 const LOWEST_PACE = 10;
+/** Readings cover the last half second, so a change of pace shows in them only after that time. */
+const ADJUSTMENT_PAUSE_MS = 600;
 
 export class FillPacer {
+  private adjustedAt: Instant = Number.NEGATIVE_INFINITY;
+
   constructor(
     private readonly host: VmHost,
     private readonly events: EventLog,
+    private readonly clock: Clock,
   ) {}
 
   isNeeded(runs: RunTable): boolean {
@@ -29,6 +35,11 @@
 
   /** Chooses a pace from the readings that were just listed. */
   adjust(runs: RunTable, call: VmCall): void {
+    const now = this.clock.now();
+    if (now - this.adjustedAt < ADJUSTMENT_PAUSE_MS) {
+      return;
+    }
+    this.adjustedAt = now;
     const entries = [...runs.entries.values()];
     const load = Math.max(0, ...entries.filter(isServing).map(shareOfTarget));
     for (const entry of entries.filter(isFill)) {
--- a/packages/runner/src/reporter.ts
+++ b/packages/runner/src/reporter.ts
@@ -162,14 +162,13 @@
   private describe(vmSession: VmSession | null): ReportParameters {
     const { runnerId, address, processId } = this.options;
     const isListed = vmSession !== null && vmSession.listedEpoch === this.epoch;
-    const canList = isListed || vmSession === null;
     return {
       agentId: runnerId,
       address,
       processId,
       session: this.session,
       vm: vmSession?.announcement ?? null,
-      running: canList ? (vmSession?.runs.list() ?? []) : null,
+      running: isListed ? vmSession.runs.list() : null,
       ended: isListed
         ? vmSession.runs.unsettled.filter(({ sequence }) => sequence > this.receivedEnd)
         : [],
--- a/packages/runner/src/run-table.ts
+++ b/packages/runner/src/run-table.ts
@@ -27,6 +27,9 @@
   /** Listed ends that the scheduler has not settled yet. */
   unsettled: EndedRun[] = [];
 
+  /** Ends up to this one came before the lease of the VM expired and do not count. */
+  private voidThrough = 0;
+
   private lastEnd = 0;
 
   private readonly attributes = new Map<string, RunAttributes>();
@@ -61,7 +64,7 @@
     const fresh = ended.filter(({ sequence }) => sequence > this.lastEnd);
     ended.forEach((end) => this.remove(keyOf(end)));
     this.lastEnd = Math.max(this.lastEnd, ...ended.map(({ sequence }) => sequence));
-    this.unsettled = ended;
+    this.unsettled = ended.filter(({ sequence }) => sequence > this.voidThrough);
     const vanished: RunReference[] = [];
     for (const [key, entry] of this.entries) {
       if (!listed.has(key) && entry.confirmedAt < askedAt) {
@@ -72,6 +75,14 @@
     return { ended: fresh, vanished };
   }
 
+  /** Drops the ends up to a sequence. Returns their runs, which have to start again. */
+  discardEnds(through: number): RunReference[] {
+    const discarded = this.unsettled.filter(({ sequence }) => sequence <= through);
+    this.voidThrough = Math.max(this.voidThrough, through);
+    this.unsettled = this.unsettled.filter(({ sequence }) => sequence > through);
+    return discarded.map(({ taskId, run }) => ({ taskId, run }));
+  }
+
   /** True while the run is on the VM or its end is listed. */
   isListed(reference: RunReference): boolean {
     const key = keyOf(reference);
--- a/packages/runner/src/runner.ts
+++ b/packages/runner/src/runner.ts
@@ -5,7 +5,7 @@
 import { toError } from '@figjunction/errors';
 import type { RpcClient, RpcHandlers } from '@figjunction/rpc';
 import type { OwnerDirectory, OwnerView } from '@figjunction/scheduler';
-import type { Clock } from '@figjunction/time';
+import type { Clock, Instant } from '@figjunction/time';
 import { RpcMethod, StartRefusal } from '@figjunction/types';
 import type { OrdersParameters, OrdersResult, VmAnnouncement } from '@figjunction/types';
 import { OrderDesk } from './order-desk.js';
@@ -23,9 +23,14 @@
   /** Where the scheduler reaches this process. */
   address: string;
   processId: string;
+  /** How long the scheduler lets the lease of the VM run after a report. */
+  grantMs: number;
   takeOver: (view: OwnerView, reason: string) => Promise<void>;
 }
 
+/** The VM's clock may be a little slow, so that a lease lasts longer on this process's clock. */
+const LEASE_LENGTHENING = 1.05;
+
 export class Runner {
   private readonly reporter: Reporter;
 
@@ -33,7 +38,10 @@
 
   private session: VmSession | null = null;
 
+  private readonly inheritedLeaseUntil: Instant;
+
   constructor(private readonly options: RunnerOptions) {
+    this.inheritedLeaseUntil = options.clock.now() + LEASE_LENGTHENING * options.grantMs;
     this.reporter = new Reporter({ ...options, session: () => this.session });
     this.desk = new OrderDesk({
       ...options,
@@ -108,6 +116,7 @@
       clock,
       events,
       announcement,
+      inheritedLeaseUntil: this.inheritedLeaseUntil,
       epoch: () => this.reporter.epoch,
       onChange: () => this.reporter.wake(),
     });
--- a/packages/runner/src/vm-session.ts
+++ b/packages/runner/src/vm-session.ts
@@ -7,6 +7,8 @@
 import type { Clock, Instant } from '@figjunction/time';
 import type { RunReference, VmAnnouncement } from '@figjunction/types';
 import { FillPacer } from './fill-pacer.js';
+import { LapseDetector } from './lapse-detector.js';
+import type { LapseVerdict } from './lapse-detector.js';
 import { RunTable } from './run-table.js';
 import { VmClock } from './vm-clock.js';
 import { HoldRefusal } from './vm-host.js';
@@ -19,6 +21,8 @@
   announcement: VmAnnouncement;
   /** Epoch of the scheduler that this process follows; 0 while none is known. */
   epoch: () => number;
+  /** Until when an earlier process may have extended the lease of the VM, on this process's clock. */
+  inheritedLeaseUntil: Instant;
   /** New ends or vanished runs have to be reported. */
   onChange: () => void;
 }
@@ -48,6 +52,8 @@
 
   private readonly pacer: FillPacer;
 
+  private readonly lapses: LapseDetector;
+
   private leaseUntilVmMs: number | null = null;
 
   private stopped = false;
@@ -61,7 +67,8 @@
   constructor(private readonly options: VmSessionOptions) {
     this.announcement = options.announcement;
     this.vmClock = new VmClock(options.clock);
-    this.pacer = new FillPacer(options.host, options.events);
+    this.pacer = new FillPacer(options.host, options.events, options.clock);
+    this.lapses = new LapseDetector(options.clock, options.inheritedLeaseUntil);
   }
 
   /** The VM's clock now, at least; null before its first answer. */
@@ -144,6 +151,7 @@
     const { host, clock, announcement, epoch } = this.options;
     const askedAt = clock.now();
     const askedEpoch = epoch();
+    const ask = this.lapses.noteCall(this.leaseUntilVmMs);
     const result = await host.hold({
       instanceId: announcement.instanceId,
       epoch: askedEpoch,
@@ -156,11 +164,16 @@
       return false;
     }
     this.noteRecovery();
-    return this.applyList(result, askedAt, askedEpoch);
+    const verdict = this.lapses.judge(ask, result);
+    return verdict.isCertain && this.applyList(result, verdict, { askedAt, askedEpoch });
   }
 
-  private applyList(result: HoldResult, askedAt: Instant, askedEpoch: number): boolean {
-    const { clock, announcement, epoch } = this.options;
+  private applyList(
+    result: HoldResult,
+    { voidThrough }: LapseVerdict,
+    { askedAt, askedEpoch }: { askedAt: Instant; askedEpoch: number },
+  ): boolean {
+    const { clock, announcement, epoch, events } = this.options;
     if (result.bornWallMs !== announcement.bornWallMs) {
       return false;
     }
@@ -168,6 +181,12 @@
     const now = clock.now();
     const { ended, vanished } = this.runs.apply(result.running, result.ended, askedAt, now);
     this.vanished.push(...vanished);
+    if (voidThrough > this.settledThrough) {
+      const discarded = this.runs.discardEnds(voidThrough);
+      this.vanished.push(...discarded);
+      this.settledThrough = voidThrough;
+      events.write('lease-expired', { instance: announcement.instanceId, voidThrough, discarded });
+    }
     const isFirst = this.listedEpoch !== askedEpoch;
     this.listedEpoch = Math.max(this.listedEpoch, askedEpoch);
     this.pacer.adjust(this.runs, { instanceId: announcement.instanceId, epoch: epoch() });
--- a/packages/scheduler/src/cell-lease.ts
+++ b/packages/scheduler/src/cell-lease.ts
@@ -28,6 +28,9 @@
   Deposed = 'deposed',
 }
 
+const ownerReference = { collection: CellCollection.Cells, key: OWNER_KEY };
+const leaseReference = { collection: CellCollection.Cells, key: LEASE_KEY };
+
 const DEFAULT_LEASE_MS = 3_000;
 const DEFAULT_RENEWAL_MS = 750;
 /** Kept between the end of the holder's own right and the end that the row shows. */
@@ -119,7 +122,7 @@
 
   /** Ends the lease, so that another process can take over at once. */
   async release(): Promise<void> {
-    const epoch = this.epoch;
+    const { epoch } = this;
     const expected = [this.expectation()];
     this.epoch = 0;
     this.leasedUntilStoreMs = 0;
@@ -192,6 +195,3 @@
     return Math.abs(step) > SUSPENSION_STEP_MS;
   }
 }
-
-const ownerReference = { collection: CellCollection.Cells, key: OWNER_KEY };
-const leaseReference = { collection: CellCollection.Cells, key: LEASE_KEY };
--- a/packages/scheduler/src/job-intake.ts
+++ b/packages/scheduler/src/job-intake.ts
@@ -1,7 +1,6 @@
 /**
  * Brings accepted and cancelled jobs from the store into the tables of the cell.
  */
-import type { CellState } from '@figjunction/scheduling';
 import {
   createJob,
   createOccurrence,
@@ -10,7 +9,7 @@
   restoreProgress,
   updateReadySteps,
 } from '@figjunction/scheduling';
-import type { JobRecord, OccurrenceRecord } from '@figjunction/scheduling';
+import type { CellState, JobRecord, OccurrenceRecord } from '@figjunction/scheduling';
 import type { FeedRow } from '@figjunction/store';
 import type { Instant } from '@figjunction/time';
 import { JobState } from '@figjunction/types';
@@ -141,7 +140,7 @@
       restoreProgress(occurrence, row);
     }
     if (!isFinished(occurrence.state)) {
-      state.active.add(occurrence);
+      state.activate(occurrence);
       updateReadySteps(occurrence, now);
     }
   }
--- a/packages/scheduling/src/cell-state.ts
+++ b/packages/scheduling/src/cell-state.ts
@@ -15,6 +15,9 @@
 
   readonly queues = new Map<string, QueuePolicy>();
 
+  /** Mean work of the occurrences of a queue, and how many it is taken over. */
+  readonly meanWork = new Map<string, { mean: number; count: number }>();
+
   /** Occurrences that are due and unfinished. */
   readonly active = new Set<OccurrenceRecord>();
 
@@ -88,6 +91,14 @@
     return record;
   }
 
+  activate(occurrence: OccurrenceRecord): void {
+    this.active.add(occurrence);
+    const { queue } = occurrence.job;
+    const { mean, count } = this.meanWork.get(queue) ?? { mean: 0, count: 0 };
+    const next = mean + (occurrence.work - mean) / (count + 1);
+    this.meanWork.set(queue, { mean: next, count: count + 1 });
+  }
+
   /** Takes a run off its VM; a task without other runs waits again. */
   removeRun(record: RunRecord, now: Instant): void {
     const { task, vm } = record;
--- a/packages/scheduling/src/job-table.ts
+++ b/packages/scheduling/src/job-table.ts
@@ -6,6 +6,14 @@
 import type { JobId, JobSpecification, ProgressRow } from '@figjunction/types';
 import type { JobRecord, OccurrenceRecord, StepRecord, TaskRecord } from './records.js';
 
+/** One character for each task of a step in a stored row. */
+const DONE_MARK = '1';
+const OPEN_MARK = '0';
+
+const MILLICORES_PER_CORE = 1_000;
+/** What an accelerator counts for in sums of work. */
+const CORES_PER_ACCELERATOR = 8;
+
 export interface NewJob {
   id: JobId;
   queue: string;
@@ -34,6 +42,8 @@
     storedState: null,
     dirty: false,
     startedAt: null,
+    work: 0,
+    remainingWork: 0,
   };
   occurrence.steps = job.specification.steps.map((specification, stepIndex) => {
     const step: StepRecord = {
@@ -54,6 +64,11 @@
     return step;
   });
   computeCriticalPaths(occurrence.steps);
+  occurrence.work = occurrence.steps.reduce(
+    (sum, step) => sum + step.tasks.length * taskWork(step),
+    0,
+  );
+  occurrence.remainingWork = occurrence.work;
   job.occurrences.set(index, occurrence);
   return occurrence;
 }
@@ -80,6 +95,15 @@
   };
 }
 
+/** Core-milliseconds of one task by its estimate. */
+export function taskWork({ specification }: StepRecord): number {
+  const { resources, estimateMs } = specification;
+  const cores =
+    resources.processorMillicores / MILLICORES_PER_CORE +
+    resources.accelerators * CORES_PER_ACCELERATOR;
+  return cores * estimateMs;
+}
+
 function computeCriticalPaths(steps: StepRecord[]): void {
   for (const step of [...steps].reverse()) {
     const followers = steps.filter((other) => other.specification.after.includes(step.index));
@@ -90,18 +114,14 @@
 
 export function encodeProgress(occurrence: OccurrenceRecord): ProgressRow {
   const failures: Record<string, number> = {};
-  const done = occurrence.steps.map((step) => {
-    let bits = 0n;
-    for (const task of step.tasks) {
-      if (task.done) {
-        bits |= 1n << BigInt(task.index);
-      }
-      if (task.failures > 0) {
-        failures[`${step.index}.${task.index}`] = task.failures;
-      }
+  const done = occurrence.steps.map((step) =>
+    step.tasks.map((task) => (task.done ? DONE_MARK : OPEN_MARK)).join(''),
+  );
+  for (const task of occurrence.steps.flatMap(({ tasks }) => tasks)) {
+    if (task.failures > 0) {
+      failures[`${task.step.index}.${task.index}`] = task.failures;
     }
-    return bits.toString(16);
-  });
+  }
   return { state: occurrence.state, done, failures };
 }
 
@@ -109,11 +129,12 @@
   occurrence.state = row.state;
   occurrence.storedState = row.state;
   for (const step of occurrence.steps) {
-    const bits = BigInt(`0x${row.done[step.index] ?? '0'}`);
+    const marks = row.done[step.index] ?? '';
     for (const task of step.tasks) {
       task.failures = row.failures[`${step.index}.${task.index}`] ?? 0;
-      if ((bits >> BigInt(task.index)) % 2n === 1n) {
+      if (marks[task.index] === DONE_MARK) {
         task.done = true;
+        occurrence.remainingWork -= taskWork(step);
         step.doneCount += 1;
         step.waiting.delete(task);
       }
--- a/packages/scheduling/src/progress.ts
+++ b/packages/scheduling/src/progress.ts
@@ -4,7 +4,7 @@
 import type { Instant } from '@figjunction/time';
 import { JobState, RunEnding } from '@figjunction/types';
 import type { CellState } from './cell-state.js';
-import { isFinished } from './job-table.js';
+import { isFinished, taskWork } from './job-table.js';
 import type { OccurrenceRecord, RunRecord, StepRecord, TaskRecord } from './records.js';
 
 /** Delay before a long-running task that failed starts again, per failure, and its bound. */
@@ -84,6 +84,7 @@
   }
   task.done = true;
   task.step.doneCount += 1;
+  task.step.occurrence.remainingWork -= taskWork(task.step);
   task.step.waiting.delete(task);
   if (!task.step.specification.gang) {
     task.runs.forEach((run) => state.orderStop(run, now));
--- a/packages/scheduling/src/rank.ts
+++ b/packages/scheduling/src/rank.ts
@@ -18,10 +18,15 @@
   step: StepRecord;
   timeliness: Timeliness;
   priority: number;
-  /** The last moment at which the step can start for the job to be on time. */
-  latestStart: Instant;
+  /** Value of the job for each core-millisecond of its remaining work. */
+  density: number;
 }
 
+/** A job is valued by a fixed share and by its size against the mean of its queue, up to a bound. */
+const FIXED_VALUE = 0.3;
+const VALUE_BY_SIZE = 0.7;
+const VALUE_MAXIMUM = 4;
+
 /** Steps with startable tasks, first the one that goes first. */
 export function rankSteps(state: CellState, now: Instant): RankedStep[] {
   const ranked: RankedStep[] = [];
@@ -40,12 +45,7 @@
   const queue = state.queues.get(occurrence.job.queue);
   const priority = queue?.priority ?? Number.MAX_SAFE_INTEGER;
   if (specification.longRunning) {
-    return {
-      step,
-      timeliness: Timeliness.OnTime,
-      priority: -1,
-      latestStart: step.occurrence.dueAt,
-    };
+    return { step, timeliness: Timeliness.OnTime, priority: -1, density: 0 };
   }
   const objectiveMs = objectiveOf(state, occurrence);
   const latestStart = occurrence.dueAt + objectiveMs - step.criticalPathMs;
@@ -56,11 +56,18 @@
   } else if (now > latestStart) {
     timeliness = Timeliness.Late;
   }
-  return { step, timeliness, priority, latestStart };
+  return { step, timeliness, priority, density: densityOf(state, occurrence) };
+}
+
+/** Small and nearly finished jobs come first: they bring the most for the room they take. */
+function densityOf(state: CellState, { job, work, remainingWork }: OccurrenceRecord): number {
+  const mean = state.meanWork.get(job.queue)?.mean ?? work;
+  const value = FIXED_VALUE + VALUE_BY_SIZE * (mean === 0 ? 1 : work / mean);
+  return Math.min(VALUE_MAXIMUM, value) / Math.max(1, remainingWork);
 }
 
 /** Time from when an occurrence is due to the end that its queue asks for. */
-export function objectiveOf(state: CellState, occurrence: OccurrenceRecord): number {
+function objectiveOf(state: CellState, occurrence: OccurrenceRecord): number {
   const queue = state.queues.get(occurrence.job.queue);
   const criticalPathMs = Math.max(...occurrence.steps.map((step) => step.criticalPathMs));
   return (queue?.slackFactor ?? 1) * criticalPathMs + (queue?.objectiveMs ?? 0);
@@ -70,6 +77,6 @@
   return (
     left.timeliness - right.timeliness ||
     left.priority - right.priority ||
-    left.latestStart - right.latestStart
+    right.density - left.density
   );
 }
--- a/packages/scheduling/src/records.ts
+++ b/packages/scheduling/src/records.ts
@@ -88,6 +88,9 @@
   /** Has changes that are not stored yet. */
   dirty: boolean;
   startedAt: Instant | null;
+  /** Core-milliseconds of all tasks, and of those that are not done, by their estimates. */
+  work: number;
+  remainingWork: number;
 }
 
 export interface JobRecord {
--- a/packages/scheduling/src/reports.ts
+++ b/packages/scheduling/src/reports.ts
@@ -26,6 +26,7 @@
   const continues =
     vm.session !== 0 && report.session === vm.session && report.processId === vm.processId;
   if (!continues && report.running === null) {
+    dropDepartedVm(options);
     return false;
   }
   vm.reportedAt = now;
@@ -44,6 +45,17 @@
   return true;
 }
 
+/** A runner that has known its VM and knows none now has seen it leave, which ends all its runs. */
+function dropDepartedVm({ state, vm, report, now }: ReportOptions): void {
+  if (report.vm === null && vm.session !== 0 && report.processId === vm.processId) {
+    vm.session = 0;
+    vm.announcement = null;
+    vm.lastEnd = 0;
+    vm.settledThrough = 0;
+    removeAllRuns(state, vm, now);
+  }
+}
+
 function updateInstance(
   state: CellState,
   vm: VmRecord,
--- a/packages/scheduling/src/room.ts
+++ b/packages/scheduling/src/room.ts
@@ -69,7 +69,8 @@
 export function fits(vm: VmRecord, task: TaskRecord): boolean {
   const { resources, fills } = task.step.specification;
   const free = freeRoom(vm, task);
-  const processorNeed = fills ? vm.fillMillicores : 0;
+  // Work that fills shares the unused processor time; a job without any run is not held back by others.
+  const processorNeed = fills && isAtWork(task) ? vm.fillMillicores : 0;
   return (
     free.memoryMegabytes >= resources.memoryMegabytes &&
     free.accelerators >= resources.accelerators &&
@@ -77,17 +78,24 @@
   );
 }
 
+function isAtWork({ step }: TaskRecord): boolean {
+  return step.occurrence.steps.some(({ tasks }) => tasks.some(({ runs }) => runs.length > 0));
+}
+
 /** Lower is better. Packs tightly, so that large tasks keep finding room. */
 export function placementCost(vm: VmRecord, task: TaskRecord): number {
   const { specification } = task.step;
   const capacity = vm.announcement?.capacity.processorMillicores ?? 1;
   const free = freeRoom(vm, task).processorMillicores;
-  let cost = ((free - vm.fillMillicores) / capacity) * THOUSANDTHS;
+  const unused = ((free - vm.fillMillicores) / capacity) * THOUSANDTHS;
+  const serves = vm.servingCount > 0;
+  let cost = (free / capacity) * THOUSANDTHS;
   if (specification.fills) {
     // Work that fills wants the most unused processor time, away from tasks that serve.
-    cost = -cost + (vm.servingCount > 0 ? DISTURBANCE_COST : 0);
-  } else if (specification.latencyTargetMs !== null) {
-    cost += (vm.fillMillicores / capacity) * DISTURBANCE_COST;
+    cost = (serves ? DISTURBANCE_COST : 0) - unused;
+  } else if (!serves) {
+    // VMs without tasks that serve are kept for work that fills.
+    cost += DISTURBANCE_COST + (vm.fillMillicores / capacity) * THOUSANDTHS;
   }
   if (
     specification.preferredRack !== null &&
--- a/packages/types/src/cell/job-specification.ts
+++ b/packages/types/src/cell/job-specification.ts
@@ -55,7 +55,7 @@
 /** The stored progress of one occurrence of a job. */
 export interface ProgressRow {
   state: JobState;
-  /** For each step, the indexes of done tasks as a hexadecimal bit set. */
+  /** For each step a text with one character for each task: 1 when it is done, else 0. */
   done: string[];
   /** Failed runs by "step.index"; tasks without failures are left out. */
   failures: Record<string, number>;
