Log the ends of runs and a summary of the cell

Cause: the log did not show how long runs took nor how the VMs were used, so a late job could not be traced. Change: one bounded line for each end of a run and a summary each second.

--- a/packages/scheduler/src/cell-run.ts
+++ b/packages/scheduler/src/cell-run.ts
@@ -21,6 +21,7 @@
 import type { LoadedCell } from './cell-loader.js';
 import { CellCollection } from './cell-tables.js';
 import { CollectionWatch } from './collection-watch.js';
+import { summarize } from './cell-summary.js';
 import { JobIntake } from './job-intake.js';
 import { OrderSender } from './order-sender.js';
 import { ProgressWriter } from './progress-writer.js';
@@ -35,6 +36,7 @@
 }
 
 const HOUSEKEEPING_MS = 200;
+const SUMMARY_MS = 1_000;
 
 export class CellRun {
   readonly state = new CellState();
@@ -55,6 +57,8 @@
 
   private housekeepingAt: Instant = 0;
 
+  private summaryAt: Instant = 0;
+
   constructor(private readonly options: CellRunOptions) {
     const { context, lease, loaded, onDeposed } = options;
     const { state } = this;
@@ -201,6 +205,10 @@
       this.housekeepingAt = now + HOUSEKEEPING_MS;
       this.keepHouse(now);
     }
+    if (now >= this.summaryAt) {
+      this.summaryAt = now + SUMMARY_MS;
+      context.events.write('cell-summary', summarize(this.state));
+    }
     const { started, unplaced } = placeTasks(this.state, now);
     started.forEach((run) => this.logStart(run, now));
     preemptFor(this.state, unplaced, now).forEach((run) => this.logStop(run, 'preempted'));
--- a/packages/scheduler/src/runner-desk.ts
+++ b/packages/scheduler/src/runner-desk.ts
@@ -3,8 +3,9 @@
  */
 import { toError } from '@figjunction/errors';
 import { applyReport } from '@figjunction/scheduling';
-import type { CellState, VmRecord } from '@figjunction/scheduling';
+import type { CellState, TaskEnd, VmRecord } from '@figjunction/scheduling';
 import { sleep } from '@figjunction/time';
+import type { Instant } from '@figjunction/time';
 import { RpcMethod } from '@figjunction/types';
 import type { ReportParameters, ReportResult, RunAttributes } from '@figjunction/types';
 import type { CellContext } from './cell-context.js';
@@ -55,9 +56,11 @@
       this.sessions += 1;
       return this.sessions;
     };
-    if (!applyReport({ state, vm, report, now, openSession })) {
+    const { accepted, ended } = applyReport({ state, vm, report, now, openSession });
+    if (!accepted) {
       return refusal;
     }
+    ended.forEach((end) => this.logEnd(report.agentId, end, now));
     const isNew = vm.session !== sessionBefore;
     if (isNew) {
       this.logSession(report, vm.session);
@@ -81,6 +84,22 @@
     });
   }
 
+  private logEnd(vm: string, { task, record, run, ending }: TaskEnd, now: Instant): void {
+    const { events, metrics } = this.options.context;
+    const { occurrence, specification } = task.step;
+    const tookMs = record === null ? undefined : Math.round(now - record.runningSince);
+    metrics.count('runs_ended_total', { queue: occurrence.job.queue, ending });
+    events.write('run-ended', {
+      task: task.id,
+      run,
+      vm,
+      ending,
+      tookMs,
+      estimateMs: specification.estimateMs,
+      failures: task.failures,
+    });
+  }
+
   /** Tells a runner who schedules now, until it has reported or its lease has surely expired. */
   async adopt(runnerId: string, address: string): Promise<void> {
     const { context, state, lease } = this.options;
--- a/packages/scheduling/src/progress.ts
+++ b/packages/scheduling/src/progress.ts
@@ -15,6 +15,7 @@
   task: TaskRecord;
   /** The run as it is known here; null for one of an earlier scheduler. */
   record: RunRecord | null;
+  run: number;
   ending: RunEnding;
   checkpoint: string;
 }
--- a/packages/scheduling/src/reports.ts
+++ b/packages/scheduling/src/reports.ts
@@ -7,6 +7,7 @@
 import type { CellState } from './cell-state.js';
 import { isFinished } from './job-table.js';
 import { applyEnd } from './progress.js';
+import type { TaskEnd } from './progress.js';
 import { RunPhase, instanceKeyOf, runKey } from './records.js';
 import type { RunRecord, TaskRecord, VmRecord } from './records.js';
 import { noteFailure, noteRefusal, noteSuccess } from './vm-health.js';
@@ -20,14 +21,20 @@
   openSession: () => number;
 }
 
-/** Returns false when the runner has to send its whole list first. */
-export function applyReport(options: ReportOptions): boolean {
+export interface ReportOutcome {
+  /** False when the runner has to send its whole list first. */
+  accepted: boolean;
+  /** Ends that were new. */
+  ended: TaskEnd[];
+}
+
+export function applyReport(options: ReportOptions): ReportOutcome {
   const { state, vm, report, now } = options;
   const continues =
     vm.session !== 0 && report.session === vm.session && report.processId === vm.processId;
   if (!continues && report.running === null) {
     dropDepartedVm(options);
-    return false;
+    return { accepted: false, ended: [] };
   }
   vm.reportedAt = now;
   vm.address = report.address;
@@ -35,14 +42,14 @@
   if (!continues) {
     openSession(options);
   }
-  applyEnds(state, vm, report, now);
+  const ended = applyEnds(state, vm, report, now);
   applyAnswers(state, vm, report, now);
   report.running?.forEach((running) => applyRunning(state, vm, running, now));
   if (!continues) {
     resendOrders(state, vm, report, now);
   }
   state.unheard.delete(vm.id);
-  return true;
+  return { accepted: true, ended };
 }
 
 /** A runner that has known its VM and knows none now has seen it leave, which ends all its runs. */
@@ -85,23 +92,30 @@
   }
 }
 
-function applyEnds(state: CellState, vm: VmRecord, report: ReportParameters, now: Instant): void {
-  for (const end of report.ended) {
-    if (end.sequence > vm.lastEnd) {
-      vm.lastEnd = end.sequence;
-      const task = state.findTask(end.taskId);
-      const record = vm.runs.get(runKey(end.taskId, end.run)) ?? null;
-      vm.orphans.delete(runKey(end.taskId, end.run));
+function applyEnds(
+  state: CellState,
+  vm: VmRecord,
+  report: ReportParameters,
+  now: Instant,
+): TaskEnd[] {
+  const applied: TaskEnd[] = [];
+  for (const { sequence, taskId, run, ending, checkpoint } of report.ended) {
+    if (sequence > vm.lastEnd) {
+      vm.lastEnd = sequence;
+      const task = state.findTask(taskId);
+      const record = vm.runs.get(runKey(taskId, run)) ?? null;
+      vm.orphans.delete(runKey(taskId, run));
       if (task !== null) {
-        task.lastRun = Math.max(task.lastRun, end.run);
-        noteHealth(vm, task, end.ending, now);
-        applyEnd(state, { task, record, ending: end.ending, checkpoint: end.checkpoint }, now);
+        task.lastRun = Math.max(task.lastRun, run);
+        noteHealth(vm, task, ending, now);
+        const end: TaskEnd = { task, record, run, ending, checkpoint };
+        applyEnd(state, end, now);
+        applied.push(end);
       }
     }
   }
-  for (const reference of report.vanished) {
-    dropRun(state, vm, reference, now);
-  }
+  report.vanished.forEach((reference) => dropRun(state, vm, reference, now));
+  return applied;
 }
 
 function noteHealth(vm: VmRecord, task: TaskRecord, ending: RunEnding, now: Instant): void {
