Let work that fills use what serving tasks leave

Change: filling work may use 0.4 of what serving tasks ask for, avoids VMs on which it is slowed, and its pace follows the latency proportionally.

--- a/packages/runner/src/fill-pacer.ts
+++ b/packages/runner/src/fill-pacer.ts
@@ -11,7 +11,8 @@
 /** Shares of the latency target. */
 const SLOW_DOWN_SHARE = 0.85;
 const SPEED_UP_SHARE = 0.6;
-const SLOW_DOWN_FACTOR = 0.5;
+const AIMED_SHARE = 0.65;
+const SLOW_DOWN_FACTOR_MINIMUM = 0.2;
 const SPEED_UP_PERCENT = 20;
 const FULL_PACE = 100;
 /** A pace below this is a stop of the work. */
@@ -65,7 +66,8 @@
 
 function nextPace(percent: number, load: number): number {
   if (load > SLOW_DOWN_SHARE) {
-    const slower = Math.floor(percent * SLOW_DOWN_FACTOR);
+    const factor = Math.max(SLOW_DOWN_FACTOR_MINIMUM, AIMED_SHARE / load);
+    const slower = Math.floor(percent * factor);
     return slower < LOWEST_PACE ? 0 : slower;
   }
   return load < SPEED_UP_SHARE ? Math.min(FULL_PACE, percent + SPEED_UP_PERCENT) : percent;
--- a/packages/scheduling/src/cell-state.ts
+++ b/packages/scheduling/src/cell-state.ts
@@ -47,6 +47,7 @@
       used: { processorMillicores: 0, memoryMegabytes: 0, accelerators: 0 },
       fillMillicores: 0,
       servingCount: 0,
+      servingMillicores: 0,
       reservations: new Map(),
       orphans: new Map(),
       lapsed: false,
@@ -79,6 +80,7 @@
       ticket,
       percent: 0,
       percentChangedAt: now,
+      reading: 0,
       runningSince: now,
     };
     task.runs.push(record);
@@ -153,5 +155,6 @@
   }
   if (latencyTargetMs !== null) {
     vm.servingCount += sign;
+    vm.servingMillicores += sign * resources.processorMillicores;
   }
 }
--- a/packages/scheduling/src/records.ts
+++ b/packages/scheduling/src/records.ts
@@ -34,6 +34,8 @@
   /** Progress as last reported, 0 to 100. */
   percent: number;
   percentChangedAt: Instant;
+  /** Processor use in millicores, or tail latency in milliseconds for a task that serves. */
+  reading: number;
   /** First time at which progress was seen at work. */
   runningSince: Instant;
 }
@@ -133,8 +135,9 @@
   used: Resources;
   /** Processor demand of tasks that fill. */
   fillMillicores: number;
-  /** Number of serving tasks on it. */
+  /** Number of serving tasks on it, and the processor time that they ask for. */
   servingCount: number;
+  servingMillicores: number;
   /** Room that is being freed for a task, with the time until which it is kept. */
   reservations: Map<TaskRecord, Instant>;
   /** Runs there that belong to no task that may run; they are told to stop. */
--- a/packages/scheduling/src/reports.ts
+++ b/packages/scheduling/src/reports.ts
@@ -177,6 +177,7 @@
     record.percent = running.percent;
     record.percentChangedAt = now;
   }
+  record.reading = running.reading;
   if (running.checkpoint !== '') {
     record.task.checkpoint = running.checkpoint;
   }
--- a/packages/scheduling/src/room.ts
+++ b/packages/scheduling/src/room.ts
@@ -4,6 +4,7 @@
 import type { Instant } from '@figjunction/time';
 import { VmState } from '@figjunction/types';
 import type { Resources } from '@figjunction/types';
+import { RunPhase } from './records.js';
 import type { StepRecord, TaskRecord, VmRecord } from './records.js';
 import { mayTakeRuns } from './vm-health.js';
 
@@ -12,7 +13,11 @@
 const FAILED_THERE_COST = 5_000;
 const UNPROVEN_COST = 300;
 const DISTURBANCE_COST = 2_000;
+const SLOWED_FILL_COST = 3_000;
+const SERVED_VM_COST = 500;
 const THOUSANDTHS = 1_000;
+/** Share of the processor time that serving tasks ask for and use. */
+const SERVING_USE_SHARE = 0.6;
 
 /** What is free on a VM for a task, less what is kept for others. */
 export function freeRoom(vm: VmRecord, task: TaskRecord | null): Resources {
@@ -69,13 +74,36 @@
 export function fits(vm: VmRecord, task: TaskRecord): boolean {
   const { resources, fills } = task.step.specification;
   const free = freeRoom(vm, task);
-  // Work that fills shares the unused processor time; a job without any run is not held back by others.
-  const processorNeed = fills && isAtWork(task) ? vm.fillMillicores : 0;
-  return (
-    free.memoryMegabytes >= resources.memoryMegabytes &&
-    free.accelerators >= resources.accelerators &&
-    free.processorMillicores >= resources.processorMillicores + processorNeed
-  );
+  if (
+    free.memoryMegabytes < resources.memoryMegabytes ||
+    free.accelerators < resources.accelerators
+  ) {
+    return false;
+  }
+  // Work that fills shares what is left over; a job without any run is not held back by others.
+  return fills
+    ? !isAtWork(task) || unusedMillicores(vm, free) >= resources.processorMillicores
+    : free.processorMillicores >= resources.processorMillicores;
+}
+
+/** Processor time that is expected to be left over for more work that fills. */
+function unusedMillicores(vm: VmRecord, free: Resources): number {
+  const idle = (1 - SERVING_USE_SHARE) * vm.servingMillicores;
+  return free.processorMillicores + idle - vm.fillMillicores;
+}
+
+/** Share of its speed at which the work that fills runs on a VM; 1 when none runs. */
+function fillSpeed(vm: VmRecord): number {
+  let asked = 0;
+  let used = 0;
+  for (const { task, phase, reading } of vm.runs.values()) {
+    const { fills, resources } = task.step.specification;
+    if (fills && phase === RunPhase.Running && reading > 0) {
+      asked += resources.processorMillicores;
+      used += reading;
+    }
+  }
+  return asked === 0 ? 1 : Math.min(1, used / asked);
 }
 
 function isAtWork({ step }: TaskRecord): boolean {
@@ -86,13 +114,14 @@
 export function placementCost(vm: VmRecord, task: TaskRecord): number {
   const { specification } = task.step;
   const capacity = vm.announcement?.capacity.processorMillicores ?? 1;
-  const free = freeRoom(vm, task).processorMillicores;
-  const unused = ((free - vm.fillMillicores) / capacity) * THOUSANDTHS;
+  const room = freeRoom(vm, task);
+  const free = room.processorMillicores;
   const serves = vm.servingCount > 0;
   let cost = (free / capacity) * THOUSANDTHS;
   if (specification.fills) {
-    // Work that fills wants the most unused processor time, away from tasks that serve.
-    cost = (serves ? DISTURBANCE_COST : 0) - unused;
+    // Work that fills wants the most unused processor time, where it is not slowed down.
+    const unused = (unusedMillicores(vm, room) / capacity) * THOUSANDTHS;
+    cost = (1 - fillSpeed(vm)) * SLOWED_FILL_COST + (serves ? SERVED_VM_COST : 0) - unused;
   } else if (!serves) {
     // VMs without tasks that serve are kept for work that fills.
     cost += DISTURBANCE_COST + (vm.fillMillicores / capacity) * THOUSANDTHS;
