--- a/packages/gateway/src/job-submission.ts
+++ b/packages/gateway/src/job-submission.ts
@@ -5,7 +5,7 @@
 import { CELL_PARTITION, CellCollection } from '@figjunction/scheduler';
 import { sleep } from '@figjunction/time';
 import type { Instant } from '@figjunction/time';
-import type { JobId, JobRow, JobSpecification } from '@figjunction/types';
+import type { JobId, JobRow, JobSpecification, QueuePolicy } from '@figjunction/types';
 import type { GatewayContext } from './gateway-context.js';
 
 export enum SubmitOutcome {
@@ -18,7 +18,7 @@
 
 export interface Submission {
   jobId: JobId;
-  queue: string;
+  queue: QueuePolicy;
   specification: JobSpecification;
   /** When the caller stops waiting. */
   deadline: Instant;
@@ -44,7 +44,7 @@
     const tookMs = Math.round(clock.now() - arrivedAt);
     metrics.count('submissions_total', { outcome });
     metrics.recordLatency('submit_ms', tookMs);
-    events.write('job-submitted', { job: jobId, queue, outcome, tookMs });
+    events.write('job-submitted', { job: jobId, queue: queue.name, outcome, tookMs });
     return outcome;
   }
 
@@ -69,7 +69,7 @@
   private async writeOnce({ jobId, queue, specification }: Submission): Promise<void> {
     const { store, storeClock } = this.context;
     const row: JobRow = {
-      queue,
+      policy: queue,
       specification,
       submittedAtStoreMs: Math.floor(storeClock.earliest()),
     };
--- a/packages/runner/src/lapse-detector.ts
+++ b/packages/runner/src/lapse-detector.ts
@@ -6,12 +6,6 @@
 import { RunEnding } from '@figjunction/types';
 import type { HoldResult } from './vm-host.js';
 
-export interface HoldCall {
-  askedAt: Instant;
-  /** End of the lease on the VM's clock before this call; null before the first extension. */
-  leaseBefore: number | null;
-}
-
 export interface LapseVerdict {
   /** False while it cannot be told whether the ends in the list count. */
   isCertain: boolean;
@@ -19,9 +13,9 @@
   voidThrough: number;
 }
 
-export class LapseDetector {
-  private extendedUntilVmMs: number | null = null;
+const NOTHING_VOID: LapseVerdict = { isCertain: true, voidThrough: 0 };
 
+export class LapseDetector {
   private hasJudged = false;
 
   constructor(
@@ -29,26 +23,11 @@
     private readonly inheritedLeaseUntil: Instant,
   ) {}
 
-  /** Notes a call that extends the lease. */
-  noteCall(leaseUntilVmMs: number | null): HoldCall {
-    const call = { askedAt: this.clock.now(), leaseBefore: this.extendedUntilVmMs };
-    if (leaseUntilVmMs !== null) {
-      this.extendedUntilVmMs = Math.max(this.extendedUntilVmMs ?? 0, leaseUntilVmMs);
+  /** Judges the first list of a VM whose lease an earlier process of this runner may have extended. */
+  judge(result: HoldResult): LapseVerdict {
+    if (this.hasJudged) {
+      return NOTHING_VOID;
     }
-    return call;
-  }
-
-  judge(call: HoldCall, result: HoldResult): LapseVerdict {
-    if (!this.hasJudged) {
-      return this.judgeFirst(result);
-    }
-    const earliestAtCall = result.vmClockMs - (this.clock.now() - call.askedAt);
-    const hasLapsed = call.leaseBefore !== null && earliestAtCall > call.leaseBefore;
-    return { isCertain: true, voidThrough: hasLapsed ? lastEnd(result) : 0 };
-  }
-
-  /** The lists of a VM whose lease an earlier process of this runner has extended. */
-  private judgeFirst(result: HoldResult): LapseVerdict {
     const lapsed = result.ended.filter(({ ending }) => ending === RunEnding.Lapsed);
     const isAlive = result.running.length > 0;
     if (isAlive || lapsed.length > 0 || result.ended.length === 0) {
@@ -62,6 +41,6 @@
   }
 }
 
-function lastEnd({ ended }: HoldResult): number {
+export function lastEnd({ ended }: HoldResult): number {
   return Math.max(0, ...ended.map(({ sequence }) => sequence));
 }
--- a/packages/runner/src/reporter.ts
+++ b/packages/runner/src/reporter.ts
@@ -31,8 +31,12 @@
   Unanswered = 'unanswered',
   /** The process at its address does not schedule. */
   OtherProcess = 'other-process',
+  /** It answers, but gives no session. */
+  Refused = 'refused',
 }
 
+const REFUSAL_PATIENCE_MS = 600;
+
 const REPORT_INTERVAL_MS = 500;
 const REPORT_TIMEOUT_MS = 1_000;
 const RETRY_MS = 120;
@@ -60,6 +64,8 @@
 
   private useNewConnection = false;
 
+  private refusedSince: Instant | null = null;
+
   constructor(private readonly options: ReporterOptions) {}
 
   /** True while orders of the session may be carried out. */
@@ -133,6 +139,10 @@
 
   private async exchange(address: string): Promise<number> {
     const vmSession = this.options.session();
+    if (vmSession?.hasLapsed() === true) {
+      await vmSession.recoverFromLapse();
+      this.session = 0;
+    }
     const sentAt = this.options.clock.now();
     const vmMs = vmSession?.earliestVmMs() ?? null;
     const report = this.describe(vmSession);
@@ -150,8 +160,9 @@
     }
     if (result.session === 0) {
       this.session = 0;
-      return RETRY_MS;
+      return this.waitForSession();
     }
+    this.refusedSince = null;
     this.accept(result, report, vmSession, sentAt);
     if (vmMs !== null) {
       vmSession?.grantUntil(vmMs + result.grantMs);
@@ -159,6 +170,16 @@
     return REPORT_INTERVAL_MS;
   }
 
+  /** A scheduler that gives no session for long may have lost its lease without knowing a successor. */
+  private async waitForSession(): Promise<number> {
+    const now = this.options.clock.now();
+    this.refusedSince ??= now;
+    if (now - this.refusedSince < REFUSAL_PATIENCE_MS) {
+      return RETRY_MS;
+    }
+    return this.findOwnerSafely(Silence.Refused);
+  }
+
   private describe(vmSession: VmSession | null): ReportParameters {
     const { runnerId, address, processId } = this.options;
     const isListed = vmSession !== null && vmSession.listedEpoch === this.epoch;
--- a/packages/runner/src/vm-session.ts
+++ b/packages/runner/src/vm-session.ts
@@ -7,7 +7,7 @@
 import type { Clock, Instant } from '@figjunction/time';
 import type { RunReference, VmAnnouncement } from '@figjunction/types';
 import { FillPacer } from './fill-pacer.js';
-import { LapseDetector } from './lapse-detector.js';
+import { LapseDetector, lastEnd } from './lapse-detector.js';
 import type { LapseVerdict } from './lapse-detector.js';
 import { RunTable } from './run-table.js';
 import { VmClock } from './vm-clock.js';
@@ -56,6 +56,8 @@
 
   private leaseUntilVmMs: number | null = null;
 
+  private isExpired = false;
+
   private stopped = false;
 
   private wakeUp = new AbortController();
@@ -81,6 +83,23 @@
     this.leaseUntilVmMs = Math.max(this.leaseUntilVmMs ?? 0, Math.floor(vmMs));
   }
 
+  /** True when the lease has surely expired since it was last extended. */
+  hasLapsed(): boolean {
+    const vmMs = this.vmClock.earliest();
+    return vmMs !== null && this.leaseUntilVmMs !== null && vmMs > this.leaseUntilVmMs;
+  }
+
+  /**
+   * Closes the time before an expiry: nothing is extended or started until a list tells which ends came
+   * before it.
+   */
+  async recoverFromLapse(): Promise<void> {
+    this.isExpired = true;
+    this.leaseUntilVmMs = null;
+    await this.hold(0);
+    this.isExpired = false;
+  }
+
   get lease(): number | null {
     return this.leaseUntilVmMs;
   }
@@ -151,7 +170,6 @@
     const { host, clock, announcement, epoch } = this.options;
     const askedAt = clock.now();
     const askedEpoch = epoch();
-    const ask = this.lapses.noteCall(this.leaseUntilVmMs);
     const result = await host.hold({
       instanceId: announcement.instanceId,
       epoch: askedEpoch,
@@ -164,7 +182,7 @@
       return false;
     }
     this.noteRecovery();
-    const verdict = this.lapses.judge(ask, result);
+    const verdict = this.lapses.judge(result);
     return verdict.isCertain && this.applyList(result, verdict, { askedAt, askedEpoch });
   }
 
@@ -173,7 +191,7 @@
     { voidThrough }: LapseVerdict,
     { askedAt, askedEpoch }: { askedAt: Instant; askedEpoch: number },
   ): boolean {
-    const { clock, announcement, epoch, events } = this.options;
+    const { clock, announcement, epoch } = this.options;
     if (result.bornWallMs !== announcement.bornWallMs) {
       return false;
     }
@@ -181,12 +199,7 @@
     const now = clock.now();
     const { ended, vanished } = this.runs.apply(result.running, result.ended, askedAt, now);
     this.vanished.push(...vanished);
-    if (voidThrough > this.settledThrough) {
-      const discarded = this.runs.discardEnds(voidThrough);
-      this.vanished.push(...discarded);
-      this.settledThrough = voidThrough;
-      events.write('lease-expired', { instance: announcement.instanceId, voidThrough, discarded });
-    }
+    this.voidEnds(Math.max(voidThrough, this.isExpired ? lastEnd(result) : 0));
     const isFirst = this.listedEpoch !== askedEpoch;
     this.listedEpoch = Math.max(this.listedEpoch, askedEpoch);
     this.pacer.adjust(this.runs, { instanceId: announcement.instanceId, epoch: epoch() });
@@ -196,6 +209,16 @@
     return ended.length > 0;
   }
 
+  private voidEnds(through: number): void {
+    if (through > this.settledThrough) {
+      const discarded = this.runs.discardEnds(through);
+      this.vanished.push(...discarded);
+      this.settledThrough = through;
+      const { instanceId } = this.announcement;
+      this.options.events.write('ends-void', { instance: instanceId, through, discarded });
+    }
+  }
+
   private async handleRefusal(refusal: HoldRefusal, askedEpoch: number): Promise<void> {
     const fields = { instance: this.announcement.instanceId, refusal, epoch: askedEpoch };
     this.options.events.write('hold-refused', fields);
--- a/packages/scheduler/src/advice-desk.ts
+++ b/packages/scheduler/src/advice-desk.ts
@@ -27,7 +27,7 @@
       return;
     }
     for (const { steps, job } of this.state.active) {
-      const advice = this.state.queues.get(job.queue)?.advice ?? null;
+      const { advice } = this.state.policyOf(job);
       const step = steps.find(({ ready, waiting }) => ready && waiting.size > 0);
       if (advice !== null && step !== undefined) {
         const instanceIds = this.unknownInstances(step, now);
@@ -40,7 +40,7 @@
   }
 
   private unknownInstances(step: StepRecord, now: Instant): string[] {
-    const service = this.state.queues.get(step.occurrence.job.queue)?.service;
+    const { service } = this.state.policyOf(step.occurrence.job);
     return [...this.state.vms.values()]
       .filter((vm) => vm.session !== 0 && vm.announcement?.service === service)
       .map((vm) => vm.announcement?.instanceId ?? '')
--- a/packages/scheduler/src/cell-run.ts
+++ b/packages/scheduler/src/cell-run.ts
@@ -3,7 +3,6 @@
  */
 import {
   CellState,
-  lapseVms,
   placeTasks,
   preemptFor,
   stopStalledRuns,
@@ -31,7 +30,7 @@
   context: CellContext;
   lease: CellLease;
   loaded: LoadedCell;
-  configuration: FleetConfiguration | null;
+  configuration: FleetConfiguration;
   onDeposed: () => void;
 }
 
@@ -102,12 +101,11 @@
     this.watches.forEach((watch) => watch.stop());
   }
 
-  configure(configuration: FleetConfiguration | null): void {
-    if (configuration !== null) {
-      this.state.queues.clear();
-      configuration.queues.forEach((queue) => this.state.queues.set(queue.name, queue));
-      this.loop.wake();
-    }
+  /** Jobs of queues that are no longer configured go on under the policy they were accepted with. */
+  configure(configuration: FleetConfiguration): void {
+    this.state.queues.clear();
+    configuration.queues.forEach((queue) => this.state.queues.set(queue.name, queue));
+    this.loop.wake();
   }
 
   jobStates(jobIds: string[]): (JobState | null)[] {
@@ -123,7 +121,8 @@
       const isPending =
         job.finishedAt === null && !job.cancelled && visibleState(job) === JobState.Queued;
       if (isPending) {
-        counts[job.queue] = (counts[job.queue] ?? 0) + 1;
+        const { name } = job.policy;
+        counts[name] = (counts[name] ?? 0) + 1;
       }
     }
     return counts;
@@ -197,9 +196,7 @@
     if (!lease.isHeld()) {
       return;
     }
-    lapseVms(this.state, now).forEach((vm) => {
-      context.events.write('vm-lapsed', { vm: vm.id, silentMs: Math.round(now - vm.reportedAt) });
-    });
+    this.desk.lapse(now);
     this.intake.activateDue(now);
     if (now >= this.housekeepingAt) {
       this.housekeepingAt = now + HOUSEKEEPING_MS;
--- a/packages/scheduler/src/cell-scheduler.ts
+++ b/packages/scheduler/src/cell-scheduler.ts
@@ -2,7 +2,7 @@
  * A process that can schedule the cell: takes the cell over when nobody owns it, keeps the lease, and
  * gives the cell up when it stops or another process has taken over.
  */
-import { toError } from '@figjunction/errors';
+import { ErrorCode, toError } from '@figjunction/errors';
 import type { RpcHandlers } from '@figjunction/rpc';
 import { sleep } from '@figjunction/time';
 import { RpcMethod } from '@figjunction/types';
@@ -12,6 +12,7 @@
 import { loadCell } from './cell-loader.js';
 import { CellRun } from './cell-run.js';
 import type { OwnerDirectory, OwnerView } from './owner-directory.js';
+import { SchedulerError } from './scheduler-error.js';
 
 export interface CellSchedulerOptions {
   context: CellContext;
@@ -121,6 +122,11 @@
       try {
         const loaded = await loadCell(context);
         const { lease, configuration } = this;
+        if (configuration === null) {
+          throw new SchedulerError('no configuration is known yet', {
+            code: ErrorCode.Unavailable,
+          });
+        }
         const onDeposed = (): void => this.lose();
         this.run = new CellRun({ context, lease, loaded, configuration, onDeposed });
         this.run.start();
--- a/packages/scheduler/src/cell-summary.ts
+++ b/packages/scheduler/src/cell-summary.ts
@@ -34,7 +34,13 @@
   };
 }
 
-function summarizeVm({ id, announcement, used, fillMillicores, servingCount }: VmRecord): VmSummary {
+function summarizeVm({
+  id,
+  announcement,
+  used,
+  fillMillicores,
+  servingCount,
+}: VmRecord): VmSummary {
   return {
     vm: id,
     capacityMillicores: announcement?.capacity.processorMillicores ?? 0,
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -8,4 +8,3 @@
 export * from './collection-watch.js';
 export * from './operator-feed.js';
 export * from './owner-directory.js';
-export * from './scheduler-error.js';
--- a/packages/scheduler/src/job-intake.ts
+++ b/packages/scheduler/src/job-intake.ts
@@ -59,8 +59,8 @@
       if (value !== null && !state.jobs.has(key)) {
         const ageMs = Math.max(0, context.storeClock.earliest() - value.submittedAtStoreMs);
         const submittedAt = now - ageMs;
-        const { queue, specification } = value;
-        const job = createJob({ id: key, queue, specification, submittedAt, inherited });
+        const { policy, specification } = value;
+        const job = createJob({ id: key, policy, specification, submittedAt, inherited });
         state.jobs.set(key, job);
         this.addOccurrences(job, now);
         if (this.cancelledAhead.delete(key)) {
@@ -70,7 +70,7 @@
           const steps = specification.steps.length;
           context.events.write('job-admitted', {
             job: key,
-            queue,
+            queue: policy.name,
             steps,
             ageMs: Math.round(ageMs),
           });
@@ -101,7 +101,7 @@
     const { state, context } = this.options;
     job.cancelled = true;
     this.scheduled.delete(job);
-    context.events.write('job-cancelled', { job: job.id, queue: job.queue });
+    context.events.write('job-cancelled', { job: job.id, queue: job.policy.name });
     for (const occurrence of job.occurrences.values()) {
       if (!isFinished(occurrence.state)) {
         state.finishOccurrence(occurrence, JobState.Cancelled, now);
--- a/packages/scheduler/src/progress-writer.ts
+++ b/packages/scheduler/src/progress-writer.ts
@@ -147,8 +147,13 @@
       if (occurrence.storedState !== stored && isFinished(stored)) {
         const { job } = occurrence;
         const ageMs = Math.round(now - occurrence.dueAt);
-        context.events.write('job-ended', { job: job.id, queue: job.queue, state: stored, ageMs });
-        context.metrics.recordLatency('job_time_ms', ageMs, { queue: job.queue });
+        context.events.write('job-ended', {
+          job: job.id,
+          queue: job.policy.name,
+          state: stored,
+          ageMs,
+        });
+        context.metrics.recordLatency('job_time_ms', ageMs, { queue: job.policy.name });
       }
       occurrence.storedState = stored;
       occurrence.dirty = state.dirty.has(occurrence);
--- a/packages/scheduler/src/runner-desk.ts
+++ b/packages/scheduler/src/runner-desk.ts
@@ -2,7 +2,7 @@
  * Answers the reports of runners and calls the runners of an earlier scheduler.
  */
 import { toError } from '@figjunction/errors';
-import { applyReport } from '@figjunction/scheduling';
+import { applyReport, lapseVms } from '@figjunction/scheduling';
 import type { CellState, TaskEnd, VmRecord } from '@figjunction/scheduling';
 import { sleep } from '@figjunction/time';
 import type { Instant } from '@figjunction/time';
@@ -51,6 +51,7 @@
       return refusal;
     }
     const now = context.clock.now();
+    this.lapse(now);
     const sessionBefore = vm.session;
     const openSession = (): number => {
       this.sessions += 1;
@@ -72,6 +73,14 @@
     return { epoch: lease.epoch, session, grantMs: context.grantMs, settledThrough, known };
   }
 
+  /** Takes the runs off VMs whose lease has surely expired. */
+  lapse(now: Instant): void {
+    for (const vm of lapseVms(this.options.state, now)) {
+      const silentMs = Math.round(now - vm.reportedAt);
+      this.options.context.events.write('vm-lapsed', { vm: vm.id, silentMs });
+    }
+  }
+
   private logSession(report: ReportParameters, session: number): void {
     const { agentId, vm, running, ended } = report;
     this.options.context.events.write('runner-session', {
@@ -88,7 +97,7 @@
     const { events, metrics } = this.options.context;
     const { occurrence, specification } = task.step;
     const tookMs = record === null ? undefined : Math.round(now - record.runningSince);
-    metrics.count('runs_ended_total', { queue: occurrence.job.queue, ending });
+    metrics.count('runs_ended_total', { queue: occurrence.job.policy.name, ending });
     events.write('run-ended', {
       task: task.id,
       run,
--- a/packages/scheduling/src/cell-state.ts
+++ b/packages/scheduling/src/cell-state.ts
@@ -36,6 +36,11 @@
     );
   }
 
+  /** The policy in force for the queue of a job. */
+  policyOf({ policy }: JobRecord): QueuePolicy {
+    return this.queues.get(policy.name) ?? policy;
+  }
+
   addVm(id: AgentId, address: string): VmRecord {
     const vm: VmRecord = {
       id,
@@ -95,7 +100,7 @@
 
   activate(occurrence: OccurrenceRecord): void {
     this.active.add(occurrence);
-    const { queue } = occurrence.job;
+    const queue = occurrence.job.policy.name;
     const { mean, count } = this.meanWork.get(queue) ?? { mean: 0, count: 0 };
     const next = mean + (occurrence.work - mean) / (count + 1);
     this.meanWork.set(queue, { mean: next, count: count + 1 });
--- a/packages/scheduling/src/job-table.ts
+++ b/packages/scheduling/src/job-table.ts
@@ -3,7 +3,7 @@
  */
 import type { Instant } from '@figjunction/time';
 import { JobState } from '@figjunction/types';
-import type { JobId, JobSpecification, ProgressRow } from '@figjunction/types';
+import type { JobId, JobSpecification, ProgressRow, QueuePolicy } from '@figjunction/types';
 import type { JobRecord, OccurrenceRecord, StepRecord, TaskRecord } from './records.js';
 
 /** One character for each task of a step in a stored row. */
@@ -16,7 +16,7 @@
 
 export interface NewJob {
   id: JobId;
-  queue: string;
+  policy: QueuePolicy;
   specification: JobSpecification;
   submittedAt: Instant;
   inherited: boolean;
--- a/packages/scheduling/src/place.ts
+++ b/packages/scheduling/src/place.ts
@@ -66,10 +66,7 @@
 }
 
 function allowedVms(state: CellState, step: StepRecord, now: Instant): VmRecord[] {
-  const queue = state.queues.get(step.occurrence.job.queue);
-  if (queue === undefined) {
-    return [];
-  }
+  const queue = state.policyOf(step.occurrence.job);
   return [...state.vms.values()].filter(
     (vm) =>
       vm.announcement?.service === queue.service &&
--- a/packages/scheduling/src/preempt.ts
+++ b/packages/scheduling/src/preempt.ts
@@ -43,10 +43,10 @@
 }
 
 function freeRoomFor(state: CellState, task: TaskRecord, now: Instant): RunRecord[] {
-  const queue = state.queues.get(task.step.occurrence.job.queue);
+  const { service } = state.policyOf(task.step.occurrence.job);
   let best: { vm: VmRecord; victims: RunRecord[]; loss: number } | null = null;
   for (const vm of state.vms.values()) {
-    if (vm.announcement?.service === queue?.service && isAllowed(vm, task.step, now)) {
+    if (vm.announcement?.service === service && isAllowed(vm, task.step, now)) {
       const victims = chooseVictims(vm, task);
       if (victims !== null) {
         const loss = victims.reduce((sum, victim) => sum + lossOf(victim), 0);
--- a/packages/scheduling/src/progress.ts
+++ b/packages/scheduling/src/progress.ts
@@ -111,7 +111,7 @@
     task.failedOn.add(record.vm.id);
   }
   state.markDirty(occurrence);
-  const attempts = state.queues.get(occurrence.job.queue)?.attemptsMaximum ?? 1;
+  const attempts = state.policyOf(occurrence.job).attemptsMaximum;
   if (task.failures >= attempts) {
     state.finishOccurrence(occurrence, JobState.Failed, now);
   }
--- a/packages/scheduling/src/rank.ts
+++ b/packages/scheduling/src/rank.ts
@@ -42,8 +42,7 @@
 
 function rankStep(state: CellState, step: StepRecord, now: Instant): RankedStep {
   const { occurrence, specification } = step;
-  const queue = state.queues.get(occurrence.job.queue);
-  const priority = queue?.priority ?? Number.MAX_SAFE_INTEGER;
+  const { priority } = state.policyOf(occurrence.job);
   if (specification.longRunning) {
     return { step, timeliness: Timeliness.OnTime, priority: -1, density: 0 };
   }
@@ -61,16 +60,16 @@
 
 /** Small and nearly finished jobs come first: they bring the most for the room they take. */
 function densityOf(state: CellState, { job, work, remainingWork }: OccurrenceRecord): number {
-  const mean = state.meanWork.get(job.queue)?.mean ?? work;
+  const mean = state.meanWork.get(job.policy.name)?.mean ?? work;
   const value = FIXED_VALUE + VALUE_BY_SIZE * (mean === 0 ? 1 : work / mean);
   return Math.min(VALUE_MAXIMUM, value) / Math.max(1, remainingWork);
 }
 
 /** Time from when an occurrence is due to the end that its queue asks for. */
 function objectiveOf(state: CellState, occurrence: OccurrenceRecord): number {
-  const queue = state.queues.get(occurrence.job.queue);
+  const { slackFactor, objectiveMs } = state.policyOf(occurrence.job);
   const criticalPathMs = Math.max(...occurrence.steps.map((step) => step.criticalPathMs));
-  return (queue?.slackFactor ?? 1) * criticalPathMs + (queue?.objectiveMs ?? 0);
+  return slackFactor * criticalPathMs + objectiveMs;
 }
 
 function compareRank(left: RankedStep, right: RankedStep): number {
--- a/packages/scheduling/src/records.ts
+++ b/packages/scheduling/src/records.ts
@@ -8,6 +8,7 @@
   JobId,
   JobSpecification,
   JobState,
+  QueuePolicy,
   Resources,
   StepSpecification,
   TaskId,
@@ -97,7 +98,8 @@
 
 export interface JobRecord {
   id: JobId;
-  queue: string;
+  /** The queue as it was configured when the job was accepted. */
+  policy: QueuePolicy;
   specification: JobSpecification;
   submittedAt: Instant;
   occurrences: Map<number, OccurrenceRecord>;
--- a/packages/types/src/cell/job-specification.ts
+++ b/packages/types/src/cell/job-specification.ts
@@ -3,6 +3,7 @@
  */
 import type { TaskId } from '../identifiers.js';
 import type { Resources } from '../resources.js';
+import type { QueuePolicy } from './fleet-configuration.js';
 
 export interface StepSpecification {
   taskCount: number;
@@ -46,7 +47,8 @@
 
 /** The stored row of an accepted job. */
 export interface JobRow {
-  queue: string;
+  /** The queue as it was configured when the job was accepted. */
+  policy: QueuePolicy;
   specification: JobSpecification;
   /** Time of acceptance on the store's clock. */
   submittedAtStoreMs: number;
