Give fills an allowance beside serving tasks, count a failed run once

Ruled out: lack of room (waiting tasks 0 while the large jobs were late). Change: the runner adapts an allowance of processor time for fills and reports it; the scheduler places fills within it, prefers VMs without serving tasks and moves slowed fills there; failed runs are stored by number.

--- a/packages/runner/src/fill-pacer.ts
+++ b/packages/runner/src/fill-pacer.ts
@@ -1,6 +1,6 @@
 /**
  * Slows tasks that fill while a task that serves on the same VM is near its latency target, and lets them
- * speed up again in small steps. All tasks that fill on a VM work at one pace.
+ * speed up again in small steps. All tasks that fill on a VM share one allowance of processor time.
  */
 import { toError } from '@figjunction/errors';
 import type { EventLog } from '@figjunction/logger';
@@ -12,19 +12,22 @@
 const SLOW_DOWN_SHARE = 0.8;
 const SPEED_UP_SHARE = 0.6;
 const AIMED_SHARE = 0.6;
-/** The strongest change of the pace in one step. */
+/** The strongest change of the allowance in one step. */
 const SLOW_DOWN_FACTOR_MINIMUM = 0.2;
-const SPEED_UP_PERCENT = 10;
+const SPEED_UP_STEP_MILLICORES = 500;
+const SPEED_UP_FACTOR = 1.15;
+const FIRST_ALLOWANCE_MILLICORES = 2_000;
 const FULL_PACE = 100;
 /** A pace below this is a stop of the work. */
-const LOWEST_PACE = 4;
+const LOWEST_PACE = 3;
 /** Readings cover the last half second, so a change of pace shows in them only after that time. */
 const ADJUSTMENT_PAUSE_MS = 600;
 
 export class FillPacer {
-  private adjustedAt: Instant = Number.NEGATIVE_INFINITY;
+  /** Processor time that filling work may use; null while no task serves. */
+  allowanceMillicores: number | null = null;
 
-  private percent = FULL_PACE;
+  private adjustedAt: Instant = Number.NEGATIVE_INFINITY;
 
   constructor(
     private readonly host: VmHost,
@@ -33,37 +36,41 @@
   ) {}
 
   isNeeded(runs: RunTable): boolean {
-    const entries = [...runs.entries.values()];
-    return entries.some(isFill) && entries.some(isServing);
+    return [...runs.entries.values()].some(isServing);
   }
 
-  /** Chooses a pace from the readings that were just listed, and applies it also to new tasks. */
+  /** Chooses an allowance from the readings that were just listed, and shares it among the tasks. */
   adjust(runs: RunTable, call: VmCall): void {
     const entries = [...runs.entries.values()];
-    const load = Math.max(0, ...entries.filter(isServing).map(shareOfTarget));
+    const serving = entries.filter(isServing);
+    const fills = entries.filter(isFill);
+    const asked = fills.reduce((sum, { attributes }) => sum + millicoresOf(attributes), 0);
     const now = this.clock.now();
-    if (now - this.adjustedAt >= ADJUSTMENT_PAUSE_MS) {
+    if (serving.length === 0) {
+      this.allowanceMillicores = null;
+    } else if (now - this.adjustedAt >= ADJUSTMENT_PAUSE_MS) {
       this.adjustedAt = now;
-      this.changePace(nextPace(this.percent, load), load);
+      this.changeAllowance(Math.max(...serving.map(shareOfTarget)), asked);
     }
-    for (const entry of entries) {
-      if (isFill(entry) && entry.pacePercent !== this.percent) {
-        this.setPace(entry, call);
+    const percent = paceFor(this.allowanceMillicores, asked);
+    for (const entry of fills) {
+      if (entry.pacePercent !== percent) {
+        this.setPace(entry, percent, call);
       }
     }
   }
 
-  private changePace(percent: number, load: number): void {
-    if (percent !== this.percent) {
+  private changeAllowance(load: number, asked: number): void {
+    const before = this.allowanceMillicores ?? FIRST_ALLOWANCE_MILLICORES;
+    const after = Math.floor(nextAllowance(before, load, asked));
+    this.allowanceMillicores = after;
+    if (after < before) {
       const shareOfLatencyTarget = Math.round(load * 100) / 100;
-      const { percent: before } = this;
-      this.events.write('pace-changed', { percent, before, shareOfLatencyTarget });
-      this.percent = percent;
+      this.events.write('fill-slowed', { after, before, asked, shareOfLatencyTarget });
     }
   }
 
-  private setPace(entry: RunEntry, call: VmCall): void {
-    const { percent } = this;
+  private setPace(entry: RunEntry, percent: number, call: VmCall): void {
     const { taskId, run, pacePercent: before } = entry;
     entry.pacePercent = percent;
     this.host.pace({ ...call, taskId, run, percent }).catch((error: unknown) => {
@@ -73,13 +80,27 @@
   }
 }
 
-function nextPace(percent: number, load: number): number {
+function nextAllowance(allowance: number, load: number, asked: number): number {
   if (load > SLOW_DOWN_SHARE) {
     const factor = Math.max(SLOW_DOWN_FACTOR_MINIMUM, AIMED_SHARE / load);
-    const slower = Math.floor(percent * factor);
-    return slower < LOWEST_PACE ? 0 : slower;
+    return asked === 0 ? allowance * factor : Math.min(allowance, asked) * factor;
+  }
+  // More than a step above what is asked for says nothing about what the serving tasks bear.
+  const bound = asked + FIRST_ALLOWANCE_MILLICORES;
+  const raised = Math.min(bound, allowance * SPEED_UP_FACTOR + SPEED_UP_STEP_MILLICORES);
+  return load < SPEED_UP_SHARE ? Math.max(allowance, raised) : allowance;
+}
+
+function paceFor(allowance: number | null, asked: number): number {
+  if (allowance === null || asked <= allowance) {
+    return FULL_PACE;
   }
-  return load < SPEED_UP_SHARE ? Math.min(FULL_PACE, percent + SPEED_UP_PERCENT) : percent;
+  const percent = Math.floor((FULL_PACE * allowance) / asked);
+  return percent < LOWEST_PACE ? 0 : percent;
+}
+
+function millicoresOf(attributes: RunEntry['attributes']): number {
+  return attributes?.processorMillicores ?? 0;
 }
 
 function isFill({ attributes }: RunEntry): boolean {
--- a/packages/runner/src/reporter.ts
+++ b/packages/runner/src/reporter.ts
@@ -194,6 +194,7 @@
         ? vmSession.runs.unsettled.filter(({ sequence }) => sequence > this.receivedEnd)
         : [],
       answers: this.answers,
+      fillAllowanceMillicores: vmSession?.fillAllowance ?? null,
       vanished: isListed ? vmSession.vanished : [],
     };
   }
--- a/packages/runner/src/run-table.ts
+++ b/packages/runner/src/run-table.ts
@@ -7,7 +7,7 @@
 export interface RunEntry extends RunningTask {
   /** When its start was confirmed or it was first listed. */
   confirmedAt: Instant;
-  attributes: Pick<RunAttributes, 'fills' | 'latencyTargetMs'> | null;
+  attributes: RunAttributes | null;
   /** The pace that was last asked for. */
   pacePercent: number;
 }
--- a/packages/runner/src/vm-session.ts
+++ b/packages/runner/src/vm-session.ts
@@ -73,6 +73,10 @@
     this.lapses = new LapseDetector(options.clock, options.inheritedLeaseUntil);
   }
 
+  get fillAllowance(): number | null {
+    return this.pacer.allowanceMillicores;
+  }
+
   /** The VM's clock now, at least; null before its first answer. */
   earliestVmMs(): number | null {
     return this.vmClock.earliest();
--- a/packages/scheduler/src/cell-run.ts
+++ b/packages/scheduler/src/cell-run.ts
@@ -5,6 +5,7 @@
   CellState,
   placeTasks,
   preemptFor,
+  relocateSlowRuns,
   stopStalledRuns,
   visibleState,
 } from '@figjunction/scheduling';
@@ -217,6 +218,7 @@
   private keepHouse(now: Instant): void {
     const { context } = this.options;
     stopStalledRuns(this.state, now).forEach((run) => this.logStop(run, 'stalled'));
+    relocateSlowRuns(this.state, now).forEach((run) => this.logStop(run, 'slowed-down'));
     for (const job of this.state.jobs.values()) {
       if (job.finishedAt !== null && now - job.finishedAt > context.statusMs) {
         this.writer.remove(job);
--- a/packages/scheduler/src/order-sender.ts
+++ b/packages/scheduler/src/order-sender.ts
@@ -100,7 +100,8 @@
 }
 
 function describeStart({ task, run, ticket }: RunRecord): StartOrder {
-  const { fills, latencyTargetMs } = task.step.specification;
-  const { checkpoint } = task;
-  return { taskId: task.id, run, checkpoint, ticket, fills, latencyTargetMs };
+  const { fills, latencyTargetMs, resources } = task.step.specification;
+  const { processorMillicores } = resources;
+  const attributes = { fills, latencyTargetMs, processorMillicores };
+  return { taskId: task.id, run, checkpoint: task.checkpoint, ticket, ...attributes };
 }
--- a/packages/scheduler/src/runner-desk.ts
+++ b/packages/scheduler/src/runner-desk.ts
@@ -105,7 +105,7 @@
       ending,
       tookMs,
       estimateMs: specification.estimateMs,
-      failures: task.failures,
+      failures: task.failedRuns.length,
     });
   }
 
@@ -129,7 +129,8 @@
 
 function describeRuns(vm: VmRecord): RunAttributes[] {
   return [...vm.runs.values()].map(({ task, run }) => {
-    const { fills, latencyTargetMs } = task.step.specification;
-    return { taskId: task.id, run, fills, latencyTargetMs };
+    const { fills, latencyTargetMs, resources } = task.step.specification;
+    const { processorMillicores } = resources;
+    return { taskId: task.id, run, fills, latencyTargetMs, processorMillicores };
   });
 }
--- a/packages/scheduling/src/cell-state.ts
+++ b/packages/scheduling/src/cell-state.ts
@@ -53,6 +53,7 @@
       fillMillicores: 0,
       servingCount: 0,
       servingMillicores: 0,
+      fillAllowanceMillicores: null,
       reservations: new Map(),
       orphans: new Map(),
       lapsed: false,
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -7,6 +7,7 @@
 export * from './preempt.js';
 export * from './progress.js';
 export * from './records.js';
+export * from './relocate.js';
 export * from './reports.js';
 export * from './stall.js';
 export * from './vm-health.js';
--- a/packages/scheduling/src/job-table.ts
+++ b/packages/scheduling/src/job-table.ts
@@ -85,7 +85,7 @@
     index,
     step,
     done: false,
-    failures: 0,
+    failedRuns: [],
     checkpoint: '',
     lastRun: runFloor,
     runs: [],
@@ -113,13 +113,13 @@
 }
 
 export function encodeProgress(occurrence: OccurrenceRecord): ProgressRow {
-  const failures: Record<string, number> = {};
+  const failures: Record<string, number[]> = {};
   const done = occurrence.steps.map((step) =>
     step.tasks.map((task) => (task.done ? DONE_MARK : OPEN_MARK)).join(''),
   );
   for (const task of occurrence.steps.flatMap(({ tasks }) => tasks)) {
-    if (task.failures > 0) {
-      failures[`${task.step.index}.${task.index}`] = task.failures;
+    if (task.failedRuns.length > 0) {
+      failures[`${task.step.index}.${task.index}`] = task.failedRuns;
     }
   }
   return { state: occurrence.state, done, failures };
@@ -131,7 +131,7 @@
   for (const step of occurrence.steps) {
     const marks = row.done[step.index] ?? '';
     for (const task of step.tasks) {
-      task.failures = row.failures[`${step.index}.${task.index}`] ?? 0;
+      task.failedRuns = row.failures[`${step.index}.${task.index}`] ?? [];
       if (marks[task.index] === DONE_MARK) {
         task.done = true;
         occurrence.remainingWork -= taskWork(step);
--- a/packages/scheduling/src/progress.ts
+++ b/packages/scheduling/src/progress.ts
@@ -73,8 +73,8 @@
 
 function delayRestart(task: TaskRecord, ending: RunEnding, now: Instant): void {
   if (ending === RunEnding.Failed || ending === RunEnding.Done) {
-    task.failures += 1;
-    const delay = Math.min(RESTART_DELAY_MAXIMUM_MS, RESTART_DELAY_MS * task.failures);
+    task.failedRuns.push(task.lastRun);
+    const delay = Math.min(RESTART_DELAY_MAXIMUM_MS, RESTART_DELAY_MS * task.failedRuns.length);
     task.eligibleAt = now + delay;
   }
 }
@@ -101,18 +101,19 @@
   updateReadySteps(occurrence, now);
 }
 
-function countFailure(state: CellState, { task, record }: TaskEnd, now: Instant): void {
+/** The same end may be reported again, to this scheduler or the next one, and counts once. */
+function countFailure(state: CellState, { task, record, run }: TaskEnd, now: Instant): void {
   const { occurrence, specification } = task.step;
-  const counted = specification.gang ? task.step.tasks : [task];
-  for (const member of counted) {
-    member.failures += 1;
+  if (task.failedRuns.includes(run)) {
+    return;
   }
+  const members = specification.gang ? task.step.tasks : [task];
+  members.forEach(({ failedRuns }) => failedRuns.push(run));
   if (record !== null) {
     task.failedOn.add(record.vm.id);
   }
   state.markDirty(occurrence);
-  const attempts = state.policyOf(occurrence.job).attemptsMaximum;
-  if (task.failures >= attempts) {
+  if (task.failedRuns.length >= state.policyOf(occurrence.job).attemptsMaximum) {
     state.finishOccurrence(occurrence, JobState.Failed, now);
   }
 }
--- a/packages/scheduling/src/records.ts
+++ b/packages/scheduling/src/records.ts
@@ -37,7 +37,7 @@
   percentChangedAt: Instant;
   /** Processor use in millicores, or tail latency in milliseconds for a task that serves. */
   reading: number;
-  /** First time at which progress was seen at work. */
+  /** When its start was confirmed. */
   runningSince: Instant;
 }
 
@@ -46,7 +46,8 @@
   index: number;
   step: StepRecord;
   done: boolean;
-  failures: number;
+  /** Numbers of the runs that failed. An end may be reported again to the next scheduler. */
+  failedRuns: number[];
   checkpoint: string;
   /** The highest run number given so far. */
   lastRun: number;
@@ -140,6 +141,8 @@
   /** Number of serving tasks on it, and the processor time that they ask for. */
   servingCount: number;
   servingMillicores: number;
+  /** Processor time that filling work may use beside serving tasks; null without a bound. */
+  fillAllowanceMillicores: number | null;
   /** Room that is being freed for a task, with the time until which it is kept. */
   reservations: Map<TaskRecord, Instant>;
   /** Runs there that belong to no task that may run; they are told to stop. */
--- a/packages/scheduling/src/reports.ts
+++ b/packages/scheduling/src/reports.ts
@@ -38,6 +38,7 @@
   }
   vm.reportedAt = now;
   vm.address = report.address;
+  vm.fillAllowanceMillicores = report.fillAllowanceMillicores;
   updateInstance(state, vm, report, now);
   if (!continues) {
     openSession(options);
--- a/packages/scheduling/src/room.ts
+++ b/packages/scheduling/src/room.ts
@@ -4,7 +4,6 @@
 import type { Instant } from '@figjunction/time';
 import { VmState } from '@figjunction/types';
 import type { Resources } from '@figjunction/types';
-import { RunPhase } from './records.js';
 import type { StepRecord, TaskRecord, VmRecord } from './records.js';
 import { mayTakeRuns } from './vm-health.js';
 
@@ -13,8 +12,6 @@
 const FAILED_THERE_COST = 5_000;
 const UNPROVEN_COST = 300;
 const DISTURBANCE_COST = 2_000;
-const SLOWED_FILL_COST = 3_000;
-const SERVED_VM_COST = 500;
 const THOUSANDTHS = 1_000;
 /** Share of the processor time that serving tasks ask for and use. */
 const SERVING_USE_SHARE = 0.6;
@@ -80,32 +77,26 @@
   ) {
     return false;
   }
-  // Work that fills shares what is left over; a job without any run is not held back by others.
   return fills
-    ? !isAtWork(task) || unusedMillicores(vm, free) >= resources.processorMillicores
+    ? fitsAsFill(vm, task, free)
     : free.processorMillicores >= resources.processorMillicores;
 }
 
+/** Work that fills shares what is left over; a job without any run is not held back by others. */
+function fitsAsFill(vm: VmRecord, task: TaskRecord, free: Resources): boolean {
+  const need = task.step.specification.resources.processorMillicores;
+  if (vm.servingCount > 0 && vm.fillAllowanceMillicores !== null) {
+    return vm.fillMillicores + need <= vm.fillAllowanceMillicores;
+  }
+  return !isAtWork(task) || unusedMillicores(vm, free) >= need;
+}
+
 /** Processor time that is expected to be left over for more work that fills. */
-function unusedMillicores(vm: VmRecord, free: Resources): number {
+export function unusedMillicores(vm: VmRecord, free: Resources): number {
   const idle = (1 - SERVING_USE_SHARE) * vm.servingMillicores;
   return free.processorMillicores + idle - vm.fillMillicores;
 }
 
-/** Share of its speed at which the work that fills runs on a VM; 1 when none runs. */
-function fillSpeed(vm: VmRecord): number {
-  let asked = 0;
-  let used = 0;
-  for (const { task, phase, reading } of vm.runs.values()) {
-    const { fills, resources } = task.step.specification;
-    if (fills && phase === RunPhase.Running && reading > 0) {
-      asked += resources.processorMillicores;
-      used += reading;
-    }
-  }
-  return asked === 0 ? 1 : Math.min(1, used / asked);
-}
-
 function isAtWork({ step }: TaskRecord): boolean {
   return step.occurrence.steps.some(({ tasks }) => tasks.some(({ runs }) => runs.length > 0));
 }
@@ -119,9 +110,9 @@
   const serves = vm.servingCount > 0;
   let cost = (free / capacity) * THOUSANDTHS;
   if (specification.fills) {
-    // Work that fills wants the most unused processor time, where it is not slowed down.
+    // Work that fills wants the most unused processor time, away from tasks that serve.
     const unused = (unusedMillicores(vm, room) / capacity) * THOUSANDTHS;
-    cost = (1 - fillSpeed(vm)) * SLOWED_FILL_COST + (serves ? SERVED_VM_COST : 0) - unused;
+    cost = (serves ? DISTURBANCE_COST : 0) - unused;
   } else if (!serves) {
     // VMs without tasks that serve are kept for work that fills.
     cost += DISTURBANCE_COST + (vm.fillMillicores / capacity) * THOUSANDTHS;
@@ -135,7 +126,7 @@
   if (task.failedOn.has(vm.id)) {
     cost += FAILED_THERE_COST;
   }
-  if (task.failures > 0 && vm.health.succeededAt === null) {
+  if (task.failedRuns.length > 0 && vm.health.succeededAt === null) {
     cost += UNPROVEN_COST;
   }
   return cost;
--- a/packages/types/src/cell/cell-messages.ts
+++ b/packages/types/src/cell/cell-messages.ts
@@ -56,6 +56,8 @@
   running: RunningTask[] | null;
   ended: EndedRun[];
   answers: RunAnswer[];
+  /** Processor time that filling work may use beside serving tasks; null without a bound. */
+  fillAllowanceMillicores: number | null;
   /** Runs that have left the VM without an entry in its list of ends. */
   vanished: RunReference[];
 }
@@ -75,6 +77,7 @@
 export interface RunAttributes extends RunReference {
   fills: boolean;
   latencyTargetMs: number | null;
+  processorMillicores: number;
 }
 
 export interface StartOrder extends RunAttributes {
--- a/packages/types/src/cell/job-specification.ts
+++ b/packages/types/src/cell/job-specification.ts
@@ -59,8 +59,8 @@
   state: JobState;
   /** For each step a text with one character for each task: 1 when it is done, else 0. */
   done: string[];
-  /** Failed runs by "step.index"; tasks without failures are left out. */
-  failures: Record<string, number>;
+  /** Numbers of the failed runs by "step.index"; tasks without failures are left out. */
+  failures: Record<string, number[]>;
 }
 
 export enum JobState {
