Learn how much the images of filling work disturb serving tasks

Change: the scheduler estimates a pressure for each image by least squares with a prior, places light work beside serving tasks and heavy work away from them; the runner turns the distance to the target into a bearable pressure.

--- a/packages/runner/src/fill-pacer.ts
+++ b/packages/runner/src/fill-pacer.ts
@@ -1,6 +1,7 @@
 /**
- * Slows tasks that fill while a task that serves on the same VM is near its latency target, and lets them
- * speed up again in small steps. All tasks that fill on a VM share one allowance of processor time.
+ * Slows tasks that fill while a task that serves on the same VM is near its latency target. The latency is
+ * taken to be the serving task's own times the exponential of the pressure of all filling tasks, so the
+ * distance to the target tells how much more pressure is bearable.
  */
 import { toError } from '@figjunction/errors';
 import type { EventLog } from '@figjunction/logger';
@@ -8,27 +9,28 @@
 import type { RunEntry, RunTable } from './run-table.js';
 import type { VmCall, VmHost } from './vm-host.js';
 
-/** Shares of the latency target. */
-const SLOW_DOWN_SHARE = 0.8;
-const SPEED_UP_SHARE = 0.6;
-const AIMED_SHARE = 0.6;
-/** The strongest change of the allowance in one step. */
-const SLOW_DOWN_FACTOR_MINIMUM = 0.2;
-const SPEED_UP_STEP_MILLICORES = 500;
-const SPEED_UP_FACTOR = 1.15;
-const FIRST_ALLOWANCE_MILLICORES = 2_000;
+/** Share of the latency target that is aimed at. */
+const AIMED_SHARE = 0.7;
+/** The allowance rises slowly, because the load of the serving tasks swings within seconds. */
+const RISE_MAXIMUM = 0.2;
+const ALLOWANCE_MAXIMUM = 3;
 const FULL_PACE = 100;
 /** A pace below this is a stop of the work. */
 const LOWEST_PACE = 3;
 /** Readings cover the last half second, so a change of pace shows in them only after that time. */
 const ADJUSTMENT_PAUSE_MS = 600;
+/** Over its target for this long, all filling work counts as disturbing, whatever was learnt. */
+const DISTRUST_AFTER_MS = 1_200;
+const DISTRUSTED_PRESSURE = 0.15;
 
 export class FillPacer {
-  /** Processor time that filling work may use; null while no task serves. */
-  allowanceMillicores: number | null = null;
+  /** Pressure that filling work may put on the serving tasks; null while no task serves. */
+  allowance: number | null = null;
 
   private adjustedAt: Instant = Number.NEGATIVE_INFINITY;
 
+  private overTargetSince: Instant | null = null;
+
   constructor(
     private readonly host: VmHost,
     private readonly events: EventLog,
@@ -44,29 +46,57 @@
     const entries = [...runs.entries.values()];
     const serving = entries.filter(isServing);
     const fills = entries.filter(isFill);
-    const asked = fills.reduce((sum, { attributes }) => sum + millicoresOf(attributes), 0);
     const now = this.clock.now();
     if (serving.length === 0) {
-      this.allowanceMillicores = null;
+      this.allowance = null;
+      this.overTargetSince = null;
     } else if (now - this.adjustedAt >= ADJUSTMENT_PAUSE_MS) {
       this.adjustedAt = now;
-      this.changeAllowance(Math.max(...serving.map(shareOfTarget)), asked);
+      this.changeAllowance(Math.max(...serving.map(shareOfTarget)), fills, now);
     }
-    const percent = paceFor(this.allowanceMillicores, asked);
-    for (const entry of fills) {
-      if (entry.pacePercent !== percent) {
-        this.setPace(entry, percent, call);
-      }
+    this.share(fills, call);
+  }
+
+  private changeAllowance(share: number, fills: RunEntry[], now: Instant): void {
+    this.overTargetSince = share > 1 ? (this.overTargetSince ?? now) : null;
+    if (share <= 0) {
+      // A task that has just started has no reading yet.
+      this.allowance ??= 0;
+      return;
+    }
+    const pressure = fills.reduce((sum, entry) => sum + this.currentPressure(entry), 0);
+    const bearable = pressure + Math.log(AIMED_SHARE / share);
+    const before = this.allowance ?? 0;
+    this.allowance = Math.max(0, Math.min(bearable, before + RISE_MAXIMUM, ALLOWANCE_MAXIMUM));
+    if (bearable < before && fills.length > 0) {
+      const fields = { before, after: this.allowance, pressure, shareOfLatencyTarget: share };
+      this.events.write('fill-slowed', fields);
     }
   }
 
-  private changeAllowance(load: number, asked: number): void {
-    const before = this.allowanceMillicores ?? FIRST_ALLOWANCE_MILLICORES;
-    const after = Math.floor(nextAllowance(before, load, asked));
-    this.allowanceMillicores = after;
-    if (after < before) {
-      const shareOfLatencyTarget = Math.round(load * 100) / 100;
-      this.events.write('fill-slowed', { after, before, asked, shareOfLatencyTarget });
+  private currentPressure(entry: RunEntry): number {
+    return (this.pressureOf(entry) * entry.pacePercent) / FULL_PACE;
+  }
+
+  private pressureOf({ attributes }: RunEntry): number {
+    const learnt = attributes?.pressure ?? 0;
+    const isDistrusted =
+      this.overTargetSince !== null && this.clock.now() - this.overTargetSince >= DISTRUST_AFTER_MS;
+    return isDistrusted ? Math.max(learnt, DISTRUSTED_PRESSURE) : learnt;
+  }
+
+  /** Slows the tasks with the highest pressure first. */
+  private share(fills: RunEntry[], call: VmCall): void {
+    let left = this.allowance ?? Number.POSITIVE_INFINITY;
+    const lightestFirst = [...fills].sort((a, b) => this.pressureOf(a) - this.pressureOf(b));
+    for (const entry of lightestFirst) {
+      const pressure = this.pressureOf(entry);
+      const percent = pressure <= left ? FULL_PACE : Math.floor((FULL_PACE * left) / pressure);
+      left = Math.max(0, left - pressure);
+      const pace = percent < LOWEST_PACE ? 0 : percent;
+      if (entry.pacePercent !== pace) {
+        this.setPace(entry, pace, call);
+      }
     }
   }
 
@@ -80,29 +110,6 @@
   }
 }
 
-function nextAllowance(allowance: number, load: number, asked: number): number {
-  if (load > SLOW_DOWN_SHARE) {
-    const factor = Math.max(SLOW_DOWN_FACTOR_MINIMUM, AIMED_SHARE / load);
-    return asked === 0 ? allowance * factor : Math.min(allowance, asked) * factor;
-  }
-  // More than a step above what is asked for says nothing about what the serving tasks bear.
-  const bound = asked + FIRST_ALLOWANCE_MILLICORES;
-  const raised = Math.min(bound, allowance * SPEED_UP_FACTOR + SPEED_UP_STEP_MILLICORES);
-  return load < SPEED_UP_SHARE ? Math.max(allowance, raised) : allowance;
-}
-
-function paceFor(allowance: number | null, asked: number): number {
-  if (allowance === null || asked <= allowance) {
-    return FULL_PACE;
-  }
-  const percent = Math.floor((FULL_PACE * allowance) / asked);
-  return percent < LOWEST_PACE ? 0 : percent;
-}
-
-function millicoresOf(attributes: RunEntry['attributes']): number {
-  return attributes?.processorMillicores ?? 0;
-}
-
 function isFill({ attributes }: RunEntry): boolean {
   return attributes?.fills === true;
 }
--- a/packages/runner/src/reporter.ts
+++ b/packages/runner/src/reporter.ts
@@ -194,7 +194,7 @@
         ? vmSession.runs.unsettled.filter(({ sequence }) => sequence > this.receivedEnd)
         : [],
       answers: this.answers,
-      fillAllowanceMillicores: vmSession?.fillAllowance ?? null,
+      pressureAllowance: vmSession?.pressureAllowance ?? null,
       vanished: isListed ? vmSession.vanished : [],
     };
   }
--- a/packages/runner/src/vm-session.ts
+++ b/packages/runner/src/vm-session.ts
@@ -73,8 +73,8 @@
     this.lapses = new LapseDetector(options.clock, options.inheritedLeaseUntil);
   }
 
-  get fillAllowance(): number | null {
-    return this.pacer.allowanceMillicores;
+  get pressureAllowance(): number | null {
+    return this.pacer.allowance;
   }
 
   /** The VM's clock now, at least; null before its first answer. */
--- a/packages/scheduler/src/cell-summary.ts
+++ b/packages/scheduler/src/cell-summary.ts
@@ -8,6 +8,8 @@
   waitingTasks: number;
   runs: number;
   vms: VmSummary[];
+  /** Learnt pressure of images on serving tasks. */
+  pressures: Record<string, number>;
 }
 
 export interface VmSummary {
@@ -16,6 +18,7 @@
   usedMillicores: number;
   fillMillicores: number;
   serving: number;
+  pressureAllowance: number | null;
 }
 
 export function summarize(state: CellState): CellSummary {
@@ -31,21 +34,17 @@
     waitingTasks,
     runs: vms.reduce((sum, vm) => sum + vm.runs.size, 0),
     vms: vms.map(summarizeVm),
+    pressures: state.interference.describe(),
   };
 }
 
-function summarizeVm({
-  id,
-  announcement,
-  used,
-  fillMillicores,
-  servingCount,
-}: VmRecord): VmSummary {
+function summarizeVm(vm: VmRecord): VmSummary {
   return {
-    vm: id,
-    capacityMillicores: announcement?.capacity.processorMillicores ?? 0,
-    usedMillicores: used.processorMillicores,
-    fillMillicores,
-    serving: servingCount,
+    vm: vm.id,
+    capacityMillicores: vm.announcement?.capacity.processorMillicores ?? 0,
+    usedMillicores: vm.used.processorMillicores,
+    fillMillicores: vm.fillMillicores,
+    serving: vm.servingCount,
+    pressureAllowance: vm.pressureAllowance,
   };
 }
--- a/packages/scheduler/src/order-sender.ts
+++ b/packages/scheduler/src/order-sender.ts
@@ -56,7 +56,7 @@
       instanceId: vm.announcement?.instanceId ?? '',
       settledThrough: vm.settledThrough,
       payloads: payloadsOf(starts),
-      starts: starts.map(describeStart),
+      starts: starts.map((run) => describeStart(this.options.state, run)),
       stops,
     }).catch((error: unknown) => this.fail(vm, items, toError(error)));
   }
@@ -99,9 +99,8 @@
   );
 }
 
-function describeStart({ task, run, ticket }: RunRecord): StartOrder {
-  const { fills, latencyTargetMs, resources } = task.step.specification;
-  const { processorMillicores } = resources;
-  const attributes = { fills, latencyTargetMs, processorMillicores };
+function describeStart(state: CellState, { task, run, ticket }: RunRecord): StartOrder {
+  const { fills, latencyTargetMs } = task.step.specification;
+  const attributes = { fills, latencyTargetMs, pressure: state.pressureOf(task.step) };
   return { taskId: task.id, run, checkpoint: task.checkpoint, ticket, ...attributes };
 }
--- a/packages/scheduler/src/runner-desk.ts
+++ b/packages/scheduler/src/runner-desk.ts
@@ -69,7 +69,7 @@
     vm.lapseAt = now + lapseAfterMs(context.grantMs);
     onChange();
     const { session, settledThrough } = vm;
-    const known = isNew ? describeRuns(vm) : [];
+    const known = isNew ? describeRuns(state, vm) : [];
     return { epoch: lease.epoch, session, grantMs: context.grantMs, settledThrough, known };
   }
 
@@ -127,10 +127,9 @@
   }
 }
 
-function describeRuns(vm: VmRecord): RunAttributes[] {
+function describeRuns(state: CellState, vm: VmRecord): RunAttributes[] {
   return [...vm.runs.values()].map(({ task, run }) => {
-    const { fills, latencyTargetMs, resources } = task.step.specification;
-    const { processorMillicores } = resources;
-    return { taskId: task.id, run, fills, latencyTargetMs, processorMillicores };
+    const { fills, latencyTargetMs } = task.step.specification;
+    return { taskId: task.id, run, fills, latencyTargetMs, pressure: state.pressureOf(task.step) };
   });
 }
--- a/packages/scheduling/src/cell-state.ts
+++ b/packages/scheduling/src/cell-state.ts
@@ -4,9 +4,19 @@
 import type { Instant } from '@figjunction/time';
 import { JobState } from '@figjunction/types';
 import type { AgentId, JobId, QueuePolicy, TaskId } from '@figjunction/types';
+import { InterferenceModel } from './interference.js';
 import { isFinished } from './job-table.js';
 import { RunPhase, runKey } from './records.js';
-import type { JobRecord, OccurrenceRecord, RunRecord, TaskRecord, VmRecord } from './records.js';
+import type {
+  JobRecord,
+  OccurrenceRecord,
+  RunRecord,
+  StepRecord,
+  TaskRecord,
+  VmRecord,
+} from './records.js';
+
+const MILLICORES_PER_CORE = 1_000;
 
 export class CellState {
   readonly jobs = new Map<JobId, JobRecord>();
@@ -15,6 +25,8 @@
 
   readonly queues = new Map<string, QueuePolicy>();
 
+  readonly interference = new InterferenceModel();
+
   /** Mean work of the occurrences of a queue, and how many it is taken over. */
   readonly meanWork = new Map<string, { mean: number; count: number }>();
 
@@ -41,6 +53,22 @@
     return this.queues.get(policy.name) ?? policy;
   }
 
+  /** Pressure that a filling task puts on serving tasks at full speed. */
+  pressureOf({ specification }: StepRecord): number {
+    const { fills, image, resources } = specification;
+    const cores = resources.processorMillicores / MILLICORES_PER_CORE;
+    return fills ? this.interference.pressureOf(image) * cores : 0;
+  }
+
+  /** Pressure of all filling tasks on a VM. */
+  pressureOn(vm: VmRecord): number {
+    let pressure = 0;
+    for (const { task } of vm.runs.values()) {
+      pressure += this.pressureOf(task.step);
+    }
+    return pressure;
+  }
+
   addVm(id: AgentId, address: string): VmRecord {
     const vm: VmRecord = {
       id,
@@ -53,7 +81,7 @@
       fillMillicores: 0,
       servingCount: 0,
       servingMillicores: 0,
-      fillAllowanceMillicores: null,
+      pressureAllowance: null,
       reservations: new Map(),
       orphans: new Map(),
       lapsed: false,
--- a/packages/scheduling/src/gang.ts
+++ b/packages/scheduling/src/gang.ts
@@ -1,16 +1,18 @@
 /**
  * Finds room for all members of a gang at once.
  */
+import type { CellState } from './cell-state.js';
 import type { Placement } from './place.js';
 import type { StepRecord, VmRecord } from './records.js';
 import { freeRoom, placementCost } from './room.js';
 
 /** Null when not all members fit. Prefers one rack when the members run slower across racks. */
-export function planGang(step: StepRecord, vms: VmRecord[]): Placement[] | null {
+export function planGang(state: CellState, step: StepRecord, vms: VmRecord[]): Placement[] | null {
   if (step.specification.sameRack) {
     const racks = new Set(vms.map((vm) => vm.announcement?.rack ?? null));
     for (const rack of racks) {
       const plan = planOn(
+        state,
         step,
         vms.filter((vm) => (vm.announcement?.rack ?? null) === rack),
       );
@@ -19,16 +21,16 @@
       }
     }
   }
-  return planOn(step, vms);
+  return planOn(state, step, vms);
 }
 
-function planOn(step: StepRecord, vms: VmRecord[]): Placement[] | null {
+function planOn(state: CellState, step: StepRecord, vms: VmRecord[]): Placement[] | null {
   const [first] = step.tasks;
   if (first === undefined) {
     return null;
   }
   const slots = [...vms]
-    .sort((left, right) => placementCost(left, first) - placementCost(right, first))
+    .sort((left, right) => placementCost(state, left, first) - placementCost(state, right, first))
     .flatMap((vm) => Array.from({ length: membersThatFit(step, vm) }, () => vm));
   if (slots.length < step.tasks.length) {
     return null;
--- a/packages/scheduling/src/place.ts
+++ b/packages/scheduling/src/place.ts
@@ -48,7 +48,7 @@
   const tasks = startableTasks(step, now);
   const vms = allowedVms(state, step, now);
   if (step.specification.gang) {
-    const plan = tasks.length === step.tasks.length ? planGang(step, vms) : null;
+    const plan = tasks.length === step.tasks.length ? planGang(state, step, vms) : null;
     plan?.forEach((placement) => result.started.push(startRun(state, placement, now)));
     if (plan === null && tasks.length > 0) {
       result.unplaced.push(step);
@@ -56,7 +56,7 @@
     return;
   }
   for (const task of tasks) {
-    const vm = cheapestVm(vms, task, now);
+    const vm = cheapestVm(state, vms, task, now);
     if (vm === null) {
       result.unplaced.push(step);
       return;
@@ -80,12 +80,17 @@
   return ticket !== undefined && ticket.value !== '' && ticket.expiresAt > now;
 }
 
-function cheapestVm(vms: VmRecord[], task: TaskRecord, now: Instant): VmRecord | null {
+function cheapestVm(
+  state: CellState,
+  vms: VmRecord[],
+  task: TaskRecord,
+  now: Instant,
+): VmRecord | null {
   let best: VmRecord | null = null;
   let bestCost = Number.POSITIVE_INFINITY;
   for (const vm of vms) {
-    if (fits(vm, task) && isAllowed(vm, task.step, now)) {
-      const cost = placementCost(vm, task);
+    if (fits(state, vm, task) && isAllowed(vm, task.step, now)) {
+      const cost = placementCost(state, vm, task);
       if (cost < bestCost) {
         best = vm;
         bestCost = cost;
--- a/packages/scheduling/src/records.ts
+++ b/packages/scheduling/src/records.ts
@@ -141,8 +141,8 @@
   /** Number of serving tasks on it, and the processor time that they ask for. */
   servingCount: number;
   servingMillicores: number;
-  /** Processor time that filling work may use beside serving tasks; null without a bound. */
-  fillAllowanceMillicores: number | null;
+  /** Pressure that filling work may put on the serving tasks; null without serving tasks. */
+  pressureAllowance: number | null;
   /** Room that is being freed for a task, with the time until which it is kept. */
   reservations: Map<TaskRecord, Instant>;
   /** Runs there that belong to no task that may run; they are told to stop. */
--- a/packages/scheduling/src/relocate.ts
+++ b/packages/scheduling/src/relocate.ts
@@ -6,7 +6,7 @@
 import type { CellState } from './cell-state.js';
 import { RunPhase } from './records.js';
 import type { RunRecord, VmRecord } from './records.js';
-import { freeRoom, isAllowed, unusedMillicores } from './room.js';
+import { freeRoom, isAllowed, isBearable, unusedMillicores } from './room.js';
 
 /** A run is slow when it gets less than this share of what it asks for. */
 const SLOW_SHARE = 0.5;
@@ -20,9 +20,7 @@
 export function relocateSlowRuns(state: CellState, now: Instant): RunRecord[] {
   const room = new Map<VmRecord, number>();
   for (const vm of state.vms.values()) {
-    if (vm.servingCount === 0) {
-      room.set(vm, unusedMillicores(vm, freeRoom(vm, null)));
-    }
+    room.set(vm, unusedMillicores(vm, freeRoom(vm, null)));
   }
   const moved: RunRecord[] = [];
   for (const run of slowRuns(state, now)) {
@@ -63,7 +61,7 @@
 
 function findTarget(
   state: CellState,
-  { task }: RunRecord,
+  { task, vm: current }: RunRecord,
   room: Map<VmRecord, number>,
   now: Instant,
 ): VmRecord | null {
@@ -71,6 +69,8 @@
   const { resources } = task.step.specification;
   for (const [vm, unused] of room) {
     const fits =
+      (vm.servingCount === 0 || isBearable(state, vm, task)) &&
+      vm !== current &&
       unused >= resources.processorMillicores &&
       freeRoom(vm, null).memoryMegabytes >= resources.memoryMegabytes;
     if (fits && vm.announcement?.service === service && isAllowed(vm, task.step, now)) {
--- a/packages/scheduling/src/reports.ts
+++ b/packages/scheduling/src/reports.ts
@@ -38,14 +38,17 @@
   }
   vm.reportedAt = now;
   vm.address = report.address;
-  vm.fillAllowanceMillicores = report.fillAllowanceMillicores;
+  vm.pressureAllowance = report.pressureAllowance;
   updateInstance(state, vm, report, now);
   if (!continues) {
     openSession(options);
   }
   const ended = applyEnds(state, vm, report, now);
   applyAnswers(state, vm, report, now);
-  report.running?.forEach((running) => applyRunning(state, vm, running, now));
+  if (report.running !== null) {
+    report.running.forEach((running) => applyRunning(state, vm, running, now));
+    state.interference.observe(vm, report.running, now);
+  }
   if (!continues) {
     resendOrders(state, vm, report, now);
   }
--- a/packages/scheduling/src/room.ts
+++ b/packages/scheduling/src/room.ts
@@ -4,6 +4,7 @@
 import type { Instant } from '@figjunction/time';
 import { VmState } from '@figjunction/types';
 import type { Resources } from '@figjunction/types';
+import type { CellState } from './cell-state.js';
 import type { StepRecord, TaskRecord, VmRecord } from './records.js';
 import { mayTakeRuns } from './vm-health.js';
 
@@ -12,7 +13,10 @@
 const FAILED_THERE_COST = 5_000;
 const UNPROVEN_COST = 300;
 const DISTURBANCE_COST = 2_000;
+const UNDISTURBED_VM_COST = 400;
 const THOUSANDTHS = 1_000;
+/** Pressure that a VM bears before its runner has reported any. */
+const FIRST_ALLOWANCE = 0.3;
 /** Share of the processor time that serving tasks ask for and use. */
 const SERVING_USE_SHARE = 0.6;
 
@@ -68,7 +72,7 @@
   return count;
 }
 
-export function fits(vm: VmRecord, task: TaskRecord): boolean {
+export function fits(state: CellState, vm: VmRecord, task: TaskRecord): boolean {
   const { resources, fills } = task.step.specification;
   const free = freeRoom(vm, task);
   if (
@@ -78,17 +82,23 @@
     return false;
   }
   return fills
-    ? fitsAsFill(vm, task, free)
+    ? fitsAsFill(state, vm, task, free)
     : free.processorMillicores >= resources.processorMillicores;
 }
 
 /** Work that fills shares what is left over; a job without any run is not held back by others. */
-function fitsAsFill(vm: VmRecord, task: TaskRecord, free: Resources): boolean {
-  const need = task.step.specification.resources.processorMillicores;
-  if (vm.servingCount > 0 && vm.fillAllowanceMillicores !== null) {
-    return vm.fillMillicores + need <= vm.fillAllowanceMillicores;
+function fitsAsFill(state: CellState, vm: VmRecord, task: TaskRecord, free: Resources): boolean {
+  const { processorMillicores } = task.step.specification.resources;
+  if (vm.servingCount > 0 && !isBearable(state, vm, task)) {
+    return false;
   }
-  return !isAtWork(task) || unusedMillicores(vm, free) >= need;
+  return unusedMillicores(vm, free) >= processorMillicores || !isAtWork(task);
+}
+
+/** Whether the serving tasks of a VM bear the pressure of one more task that fills. */
+export function isBearable(state: CellState, vm: VmRecord, task: TaskRecord): boolean {
+  const allowance = vm.pressureAllowance ?? FIRST_ALLOWANCE;
+  return state.pressureOn(vm) + state.pressureOf(task.step) <= allowance;
 }
 
 /** Processor time that is expected to be left over for more work that fills. */
@@ -102,7 +112,7 @@
 }
 
 /** Lower is better. Packs tightly, so that large tasks keep finding room. */
-export function placementCost(vm: VmRecord, task: TaskRecord): number {
+export function placementCost(state: CellState, vm: VmRecord, task: TaskRecord): number {
   const { specification } = task.step;
   const capacity = vm.announcement?.capacity.processorMillicores ?? 1;
   const room = freeRoom(vm, task);
@@ -110,12 +120,13 @@
   const serves = vm.servingCount > 0;
   let cost = (free / capacity) * THOUSANDTHS;
   if (specification.fills) {
-    // Work that fills wants the most unused processor time, away from tasks that serve.
+    // Work that disturbs goes to VMs without serving tasks, which are left to it by all other work.
     const unused = (unusedMillicores(vm, room) / capacity) * THOUSANDTHS;
-    cost = (serves ? DISTURBANCE_COST : 0) - unused;
+    const pressure = state.pressureOf(task.step) * DISTURBANCE_COST;
+    cost = (serves ? pressure : UNDISTURBED_VM_COST) - unused;
   } else if (!serves) {
     // VMs without tasks that serve are kept for work that fills.
-    cost += DISTURBANCE_COST + (vm.fillMillicores / capacity) * THOUSANDTHS;
+    cost += DISTURBANCE_COST + state.pressureOn(vm) * DISTURBANCE_COST;
   }
   if (
     specification.preferredRack !== null &&
--- a/packages/types/src/cell/cell-messages.ts
+++ b/packages/types/src/cell/cell-messages.ts
@@ -56,8 +56,8 @@
   running: RunningTask[] | null;
   ended: EndedRun[];
   answers: RunAnswer[];
-  /** Processor time that filling work may use beside serving tasks; null without a bound. */
-  fillAllowanceMillicores: number | null;
+  /** Pressure that filling work may put on the serving tasks; null without serving tasks. */
+  pressureAllowance: number | null;
   /** Runs that have left the VM without an entry in its list of ends. */
   vanished: RunReference[];
 }
@@ -77,7 +77,8 @@
 export interface RunAttributes extends RunReference {
   fills: boolean;
   latencyTargetMs: number | null;
-  processorMillicores: number;
+  /** Rise of the logarithm of the latency beside it that a filling task causes at full speed. */
+  pressure: number;
 }
 
 export interface StartOrder extends RunAttributes {
