--- /dev/null
+++ b/packages/runner/src/fill-pacer.test.ts
@@ -0,0 +1,67 @@
+/**
+ * Guards against filling work that keeps a serving task over its latency target, and against slowing work
+ * that does not disturb.
+ */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { EventLog, createLogger } from '@figjunction/logger';
+import { ManualClock } from '@figjunction/time';
+import { FakeVmHost } from './fake-vm-host.js';
+import { FillPacer } from './fill-pacer.js';
+import { RunTable } from './run-table.js';
+
+const CALL = { instanceId: 'instance-1', epoch: 1 };
+const TARGET_MS = 100;
+
+function createPacer() {
+  const host = new FakeVmHost();
+  const clock = new ManualClock(1_000);
+  const logger = createLogger({ name: 'test', level: 'silent' });
+  const pacer = new FillPacer(host, new EventLog({ logger, now: () => 0 }), clock);
+  const runs = new RunTable();
+  const serving = { taskId: 's.0.0.0', run: 1, fills: false, latencyTargetMs: TARGET_MS };
+  runs.describe({ ...serving, pressure: 0 });
+  for (const [taskId, pressure] of Object.entries({ 'light.0.0.0': 0.01, 'heavy.0.0.0': 1 })) {
+    runs.describe({ taskId, run: 1, fills: true, latencyTargetMs: null, pressure });
+  }
+  const look = (latencyMs: number): Record<string, number> => {
+    const running = ['s.0.0.0', 'light.0.0.0', 'heavy.0.0.0'].map((taskId) => ({
+      taskId,
+      run: 1,
+      checkpoint: '',
+      percent: 0,
+      reading: taskId === 's.0.0.0' ? latencyMs : 1_000,
+    }));
+    clock.advance(700);
+    runs.apply(running, [], clock.now(), clock.now());
+    pacer.adjust(runs, CALL);
+    const paces = [...runs.entries.values()].map((entry) => [entry.taskId, entry.pacePercent]);
+    return Object.fromEntries(paces) as Record<string, number>;
+  };
+  return { look, pacer };
+}
+
+test('slows the work that disturbs and lets light work run on', () => {
+  const { look } = createPacer();
+  const paces = look(TARGET_MS * 1.5);
+  assert.ok((paces['heavy.0.0.0'] ?? 100) < 50);
+  assert.equal(look(TARGET_MS * 0.6)['light.0.0.0'], 100);
+});
+
+test('stops all filling work while a serving task stays over its target', () => {
+  const { look } = createPacer();
+  look(TARGET_MS * 2);
+  look(TARGET_MS * 2);
+  const paces = look(TARGET_MS * 2);
+  assert.equal(paces['light.0.0.0'], 0);
+  assert.equal(paces['heavy.0.0.0'], 0);
+});
+
+test('speeds up in steps once there is distance to the target', () => {
+  const { look, pacer } = createPacer();
+  look(TARGET_MS * 2);
+  const first = look(TARGET_MS * 0.2)['heavy.0.0.0'] ?? 0;
+  const second = look(TARGET_MS * 0.2)['heavy.0.0.0'] ?? 0;
+  assert.ok(first < second && second < 100);
+  assert.ok((pacer.allowance ?? 0) < 1);
+});
--- /dev/null
+++ b/packages/runner/src/order-desk.test.ts
@@ -0,0 +1,102 @@
+/**
+ * Guards against a start that is reported as failed although its run began, or may still begin.
+ */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { EventLog, createLogger } from '@figjunction/logger';
+import { SystemClock, sleep } from '@figjunction/time';
+import { StartRefusal, VmState } from '@figjunction/types';
+import type { OrdersParameters, RunAnswer } from '@figjunction/types';
+import { FakeAnswer, FakeVmHost } from './fake-vm-host.js';
+import { OrderDesk } from './order-desk.js';
+import { VmSession } from './vm-session.js';
+
+const ORDERS: OrdersParameters = {
+  epoch: 1,
+  session: 1,
+  instanceId: 'instance-1',
+  settledThrough: 0,
+  payloads: { a: 'print' },
+  starts: [
+    {
+      taskId: 'a.0.0.0',
+      run: 1,
+      checkpoint: '',
+      ticket: null,
+      fills: false,
+      latencyTargetMs: null,
+      pressure: 0,
+    },
+  ],
+  stops: [],
+};
+
+async function createDesk() {
+  const host = new FakeVmHost();
+  const clock = new SystemClock();
+  const logger = createLogger({ name: 'test', level: 'silent' });
+  const events = new EventLog({ logger, now: () => clock.now() });
+  const late: RunAnswer[] = [];
+  const session = new VmSession({
+    host,
+    clock,
+    events,
+    announcement: {
+      instanceId: 'instance-1',
+      bornWallMs: 1_000,
+      service: 'printing',
+      dataCentre: 'istanbul',
+      state: VmState.Ready,
+      capacity: { processorMillicores: 4_000, memoryMegabytes: 1_000, accelerators: 0 },
+      labels: [],
+      rack: null,
+      remainingMs: null,
+    },
+    epoch: () => 1,
+    inheritedLeaseUntil: 0,
+    onChange: () => {},
+  });
+  await session.lookNow();
+  session.grantUntil(20_000);
+  const desk = new OrderDesk({ host, clock, events, onLateAnswer: (item) => late.push(item) });
+  const until = async (isReached: () => boolean): Promise<void> => {
+    while (!isReached()) {
+      await sleep(10);
+    }
+  };
+  return { host, session, desk, late, until };
+}
+
+test('answers a start that the VM has confirmed', async () => {
+  const { desk, session, host } = await createDesk();
+  assert.deepEqual(await desk.carryOut(ORDERS, session), [
+    { taskId: 'a.0.0.0', run: 1, refusal: null },
+  ]);
+  assert.equal(host.starts[0]?.payload, 'print');
+  assert.equal(host.starts[0]?.leaseUntilVmMs, 20_000);
+});
+
+test('makes a start impossible by a stop before it reports that no answer came', async () => {
+  const { desk, session, host, late, until } = await createDesk();
+  host.startAnswer = FakeAnswer.Dropped;
+  assert.deepEqual(await desk.carryOut(ORDERS, session), []);
+  await until(() => late.length > 0);
+  assert.deepEqual(late, [{ taskId: 'a.0.0.0', run: 1, refusal: StartRefusal.Unanswered }]);
+  assert.equal(host.stops.length, 1);
+});
+
+test('leaves an unanswered start that did run to the list of ends', async () => {
+  const { desk, session, host, late, until } = await createDesk();
+  host.startAnswer = FakeAnswer.Lost;
+  await desk.carryOut(ORDERS, session);
+  await until(() => session.runs.unsettled.length > 0);
+  await sleep(50);
+  assert.deepEqual(late, []);
+});
+
+test('starts nothing without a lease', async () => {
+  const { desk, session, host } = await createDesk();
+  await session.recoverFromLapse();
+  assert.equal((await desk.carryOut(ORDERS, session))[0]?.refusal, StartRefusal.NoSession);
+  assert.equal(host.starts.length, 0);
+});
--- /dev/null
+++ b/packages/scheduling/src/cell-fixture.ts
@@ -0,0 +1,134 @@
+/**
+ * Builds cells for tests of the systems: VMs that have reported, jobs that are active.
+ */
+import { VmState } from '@figjunction/types';
+import type {
+  JobSpecification,
+  QueuePolicy,
+  ReportParameters,
+  StepSpecification,
+  VmAnnouncement,
+} from '@figjunction/types';
+import { CellState } from './cell-state.js';
+import { createJob, createOccurrence } from './job-table.js';
+import { updateReadySteps } from './progress.js';
+import { applyReport } from './reports.js';
+import type { JobRecord, VmRecord } from './records.js';
+
+export const POLICY: QueuePolicy = {
+  name: 'labels',
+  host: 'labels.example',
+  pathPrefix: '/labels/',
+  service: 'printing',
+  priority: 1,
+  attemptsMaximum: 2,
+  slackFactor: 2,
+  objectiveMs: 500,
+  advice: null,
+};
+
+export function createStep(changes: Partial<StepSpecification> = {}): StepSpecification {
+  return {
+    taskCount: 1,
+    resources: { processorMillicores: 1_000, memoryMegabytes: 100, accelerators: 0 },
+    estimateMs: 1_000,
+    after: [],
+    checkpoints: false,
+    gang: false,
+    sameRack: false,
+    requiredLabel: null,
+    preferredRack: null,
+    tasksPerVmMaximum: null,
+    duplicatesAllowed: false,
+    longRunning: false,
+    image: null,
+    latencyTargetMs: null,
+    fills: false,
+    unavailableMaximum: null,
+    ...changes,
+  };
+}
+
+export interface AddedJob {
+  id?: string;
+  steps: StepSpecification[];
+  inherited?: boolean;
+  policy?: QueuePolicy;
+}
+
+export function addJob(state: CellState, options: AddedJob): JobRecord {
+  const { id = '00000000000000aa', steps, inherited = false, policy = POLICY } = options;
+  const specification: JobSpecification = {
+    payload: 'print',
+    steps,
+    occurrences: 0,
+    firstDueWallMs: 0,
+    intervalMs: 0,
+  };
+  const job = createJob({ id, policy, specification, submittedAt: 0, inherited });
+  state.jobs.set(id, job);
+  const occurrence = createOccurrence(job, 0, 0, 0);
+  state.activate(occurrence);
+  updateReadySteps(occurrence, 0);
+  return job;
+}
+
+export function createAnnouncement(changes: Partial<VmAnnouncement> = {}): VmAnnouncement {
+  return {
+    instanceId: 'instance-1',
+    bornWallMs: 1_000,
+    service: 'printing',
+    dataCentre: 'istanbul',
+    state: VmState.Ready,
+    capacity: { processorMillicores: 4_000, memoryMegabytes: 1_000, accelerators: 0 },
+    labels: ['a', 'r1'],
+    rack: 'r1',
+    remainingMs: null,
+    ...changes,
+  };
+}
+
+export function createReport(changes: Partial<ReportParameters> = {}): ReportParameters {
+  return {
+    agentId: 'vm-1',
+    address: 'http://127.0.0.1:1',
+    processId: 'process-1',
+    session: 0,
+    vm: createAnnouncement(),
+    running: [],
+    ended: [],
+    answers: [],
+    pressureAllowance: null,
+    vanished: [],
+    ...changes,
+  };
+}
+
+/** Adds a VM whose runner has opened session 1. */
+export function addVm(
+  state: CellState,
+  id = 'vm-1',
+  changes: Partial<VmAnnouncement> = {},
+): VmRecord {
+  const vm = state.addVm(id, 'http://127.0.0.1:1');
+  const announcement = createAnnouncement({ instanceId: `instance-of-${id}`, ...changes });
+  send(state, vm, { agentId: id, vm: announcement });
+  vm.lapseAt = Number.POSITIVE_INFINITY;
+  return vm;
+}
+
+/** Applies a report; a new session gets the number after the current one. */
+export function send(
+  state: CellState,
+  vm: VmRecord,
+  changes: Partial<ReportParameters>,
+  now = 0,
+): boolean {
+  const report = createReport({ agentId: vm.id, vm: vm.announcement, ...changes });
+  const openSession = (): number => vm.session + 1;
+  return applyReport({ state, vm, report, now, openSession }).accepted;
+}
+
+export function createState(): CellState {
+  return new CellState();
+}
--- /dev/null
+++ b/packages/scheduling/src/place.test.ts
@@ -0,0 +1,158 @@
+/**
+ * Guards against placements that a VM cannot carry or may not run, and against starts out of order.
+ */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import { RunEnding, VmState } from '@figjunction/types';
+import { addJob, addVm, createState, createStep, send } from './cell-fixture.js';
+import type { CellState } from './cell-state.js';
+import { placeTasks } from './place.js';
+import { preemptFor } from './preempt.js';
+import { RunPhase } from './records.js';
+import type { RunRecord } from './records.js';
+
+function started(state: CellState, now = 0): RunRecord[] {
+  return placeTasks(state, now).started;
+}
+
+test('never gives a VM more than its processors and memory carry', () => {
+  const step = fc.record({
+    taskCount: fc.integer({ min: 1, max: 12 }),
+    processorMillicores: fc.integer({ min: 100, max: 4_000 }),
+    memoryMegabytes: fc.integer({ min: 10, max: 900 }),
+  });
+  fc.assert(
+    fc.property(fc.array(step, { minLength: 1, maxLength: 8 }), (steps) => {
+      const state = createState();
+      const vms = ['vm-1', 'vm-2', 'vm-3'].map((id) => addVm(state, id));
+      steps.forEach(({ taskCount, ...size }, index) => {
+        const resources = { ...size, accelerators: 0 };
+        addJob(state, { id: `job${index}`, steps: [createStep({ taskCount, resources })] });
+      });
+      placeTasks(state, 0);
+      for (const vm of vms) {
+        assert.ok(vm.used.processorMillicores <= 4_000);
+        assert.ok(vm.used.memoryMegabytes <= 1_000);
+      }
+    }),
+    { seed: 7 },
+  );
+});
+
+test('starts a step only after all tasks of the steps before it are done', () => {
+  const state = createState();
+  const vm = addVm(state);
+  addJob(state, { steps: [createStep({ taskCount: 2 }), createStep({ after: [0] })] });
+  const [first, second] = started(state);
+  assert.equal(started(state).length, 0);
+  const end = { ending: RunEnding.Done, checkpoint: '' };
+  send(state, vm, {
+    session: 1,
+    ended: [{ sequence: 1, taskId: first?.task.id ?? '', run: 1, ...end }],
+  });
+  assert.equal(started(state).length, 0);
+  send(state, vm, {
+    session: 1,
+    ended: [{ sequence: 2, taskId: second?.task.id ?? '', run: 1, ...end }],
+  });
+  assert.deepEqual(
+    started(state).map(({ task }) => task.id),
+    ['00000000000000aa.0.1.0'],
+  );
+});
+
+const refused: { name: string; prepare: (state: CellState) => void }[] = [
+  {
+    name: 'a draining VM',
+    prepare: (state) => {
+      addVm(state, 'vm-1', { state: VmState.Draining });
+      addJob(state, { steps: [createStep()] });
+    },
+  },
+  {
+    name: 'a VM of another service',
+    prepare: (state) => {
+      addVm(state, 'vm-1', { service: 'planning' });
+      addJob(state, { steps: [createStep()] });
+    },
+  },
+  {
+    name: 'a VM without the required label',
+    prepare: (state) => {
+      addVm(state);
+      addJob(state, { steps: [createStep({ requiredLabel: 'b' })] });
+    },
+  },
+  {
+    name: 'a VM that another scheduler may have filled, for a job that it may have started',
+    prepare: (state) => {
+      addVm(state);
+      state.unheard.set('vm-2', 5_000);
+      addJob(state, { steps: [createStep()], inherited: true });
+    },
+  },
+];
+for (const { name, prepare } of refused) {
+  test(`starts nothing on ${name}`, () => {
+    const state = createState();
+    prepare(state);
+    assert.equal(started(state).length, 0);
+  });
+}
+
+test('keeps to the number of tasks of a step on one VM', () => {
+  const state = createState();
+  addVm(state, 'vm-1');
+  addVm(state, 'vm-2');
+  addJob(state, { steps: [createStep({ taskCount: 6, tasksPerVmMaximum: 2 })] });
+  assert.equal(started(state).length, 4);
+});
+
+test('starts a gang whole, under one run number, or not at all', () => {
+  const state = createState();
+  addVm(state, 'vm-1');
+  const job = addJob(state, { steps: [createStep({ taskCount: 6, gang: true })] });
+  assert.equal(started(state).length, 0);
+  addVm(state, 'vm-2');
+  const gang = job.occurrences.get(0)?.steps[0]?.tasks ?? [];
+  (gang[0] ?? { lastRun: 0 }).lastRun = 4;
+  assert.deepEqual([...new Set(started(state).map(({ run }) => run))], [5]);
+  assert.ok(gang.every(({ runs }) => runs.length === 1));
+});
+
+test('asks for a ticket where the queue has advice', () => {
+  const state = createState();
+  addVm(state, 'vm-1');
+  const advice = { decideMs: 1, eachVmMs: 1, validMs: 1_000 };
+  const policy = { ...addJob(createState(), { steps: [createStep()] }).policy, advice };
+  const job = addJob(state, { steps: [createStep({ taskCount: 2 })], policy });
+  assert.equal(started(state).length, 0);
+  const step = job.occurrences.get(0)?.steps[0];
+  step?.tickets.set('instance-of-vm-1', { value: 'ticket-1', expiresAt: 100 });
+  assert.equal(started(state, 101).length, 0);
+  assert.deepEqual(
+    started(state, 99).map(({ ticket }) => ticket),
+    ['ticket-1', 'ticket-1'],
+  );
+});
+
+test('stops batch work for a long-running task that finds no room, and keeps the room for it', () => {
+  const state = createState();
+  const vm = addVm(state);
+  addJob(state, { id: 'batch', steps: [createStep({ taskCount: 4 })] });
+  started(state).forEach((run) => {
+    run.phase = RunPhase.Running;
+  });
+  addJob(state, { id: 'watch', steps: [createStep({ longRunning: true })] });
+  const { unplaced } = placeTasks(state, 1_000);
+  const [victim] = preemptFor(state, unplaced, 1_000);
+  assert.equal(victim?.task.step.occurrence.job.id, 'batch');
+  state.removeRun(victim as RunRecord, 1_100);
+  const placed = started(state, 1_100);
+  assert.deepEqual(
+    placed.map(({ task }) => task.step.occurrence.job.id),
+    ['watch'],
+  );
+  assert.equal(vm.used.processorMillicores, 4_000);
+});
--- /dev/null
+++ b/packages/scheduling/src/reports.test.ts
@@ -0,0 +1,145 @@
+/**
+ * Guards against tasks that run twice, ends that count twice or not at all, and runs that are forgotten,
+ * when runners, VMs and schedulers come and go.
+ */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { JobState, RunEnding, StartRefusal } from '@figjunction/types';
+import {
+  addJob,
+  addVm,
+  createAnnouncement,
+  createState,
+  createStep,
+  send,
+} from './cell-fixture.js';
+import { createOccurrence, encodeProgress, restoreProgress } from './job-table.js';
+import { placeTasks } from './place.js';
+import { RunPhase } from './records.js';
+import type { OccurrenceRecord, RunRecord } from './records.js';
+import { lapseVms } from './reports.js';
+
+const TASK = '00000000000000aa.0.0.0';
+
+function startOne(steps = [createStep()]) {
+  const state = createState();
+  const vm = addVm(state);
+  const job = addJob(state, { steps });
+  const run = placeTasks(state, 0).started[0] as RunRecord;
+  return { state, vm, run, occurrence: job.occurrences.get(0) as OccurrenceRecord };
+}
+
+function end(sequence: number, run: number, ending: RunEnding) {
+  return { sequence, taskId: TASK, run, ending, checkpoint: '' };
+}
+
+test('counts a failed run once, also when the next scheduler hears of it again', () => {
+  const { state, vm, occurrence } = startOne();
+  send(state, vm, { session: 1, ended: [end(1, 1, RunEnding.Failed)] });
+  const stored = encodeProgress(occurrence);
+
+  const next = createState();
+  const nextVm = next.addVm('vm-1', vm.address);
+  const nextJob = addJob(next, { steps: [createStep()], inherited: true });
+  const nextOccurrence = nextJob.occurrences.get(0) as OccurrenceRecord;
+  restoreProgress(nextOccurrence, stored);
+  send(next, nextVm, { ended: [end(1, 1, RunEnding.Failed)], vm: vm.announcement });
+  assert.notEqual(nextOccurrence.state, JobState.Failed);
+  send(next, nextVm, { session: 1, ended: [end(2, 1_001, RunEnding.Failed)] });
+  assert.equal(nextOccurrence.state, JobState.Failed);
+});
+
+test('opens no session for a runner that does not know yet what runs', () => {
+  const { state, vm } = startOne();
+  assert.equal(send(state, vm, { processId: 'process-2', running: null }), false);
+  assert.equal(vm.runs.size, 1);
+});
+
+test('forgets the runs of a VM that has left', () => {
+  const { state, vm } = startOne();
+  send(state, vm, { session: 1, vm: null, running: null, processId: 'process-1' });
+  send(state, vm, { session: 0, vm: null, running: null, processId: 'process-1' });
+  assert.equal(vm.runs.size, 0);
+  assert.equal(placeTasks(state, 0).started.length, 0);
+});
+
+test('starts a task elsewhere only after the lease of its VM has surely expired', () => {
+  const { state, vm } = startOne();
+  addVm(state, 'vm-2');
+  vm.lapseAt = 1_000;
+  lapseVms(state, 999);
+  assert.equal(placeTasks(state, 999).started.length, 0);
+  lapseVms(state, 1_000);
+  const [second] = placeTasks(state, 1_000).started;
+  assert.deepEqual([second?.vm.id, second?.run], ['vm-2', 2]);
+});
+
+test('ignores ends from before an expired lease', () => {
+  const { state, vm, occurrence } = startOne();
+  vm.lapseAt = 1_000;
+  lapseVms(state, 1_000);
+  send(state, vm, { session: 1, ended: [end(1, 1, RunEnding.Done)] }, 1_100);
+  assert.equal(occurrence.steps[0]?.doneCount, 0);
+  assert.equal(vm.lastEnd, 1);
+});
+
+test('frees the runs of an earlier life of the VM', () => {
+  const { state, vm } = startOne();
+  const reborn = createAnnouncement({ instanceId: 'instance-of-vm-1', bornWallMs: 2_000 });
+  send(state, vm, { session: 1, vm: reborn });
+  assert.equal(vm.runs.size, 0);
+  assert.equal(placeTasks(state, 0).started[0]?.run, 2);
+});
+
+test('adopts a run of an earlier scheduler instead of starting it again', () => {
+  const state = createState();
+  const vm = state.addVm('vm-1', 'http://127.0.0.1:1');
+  addJob(state, { steps: [createStep()], inherited: true });
+  const running = [{ taskId: TASK, run: 3, checkpoint: 'c', percent: 50, reading: 0 }];
+  send(state, vm, { running, vm: createAnnouncement() });
+  assert.equal(placeTasks(state, 0).started.length, 0);
+  assert.equal(vm.runs.size, 1);
+});
+
+test('has a run stopped that belongs to no unfinished task', () => {
+  const state = createState();
+  const vm = addVm(state);
+  const running = [{ taskId: 'unknown.0.0.0', run: 1, checkpoint: '', percent: 0, reading: 0 }];
+  send(state, vm, { session: 1, running });
+  assert.deepEqual([...vm.orphans.keys()], ['unknown.0.0.0#1']);
+  const ended = [{ ...end(1, 1, RunEnding.Stopped), taskId: 'unknown.0.0.0' }];
+  send(state, vm, { session: 1, ended });
+  assert.equal(vm.orphans.size, 0);
+});
+
+test('sends unanswered orders again to a new process of the runner, and drops what it does not list', () => {
+  const { state, vm, run } = startOne([createStep({ taskCount: 2 })]);
+  run.phase = RunPhase.Running;
+  const [, ordered] = [...vm.runs.values()];
+  (ordered as RunRecord).sendAt = 9_000;
+  send(state, vm, { processId: 'process-2', running: [] }, 500);
+  assert.deepEqual([...vm.runs.values()], [ordered]);
+  assert.equal(ordered?.sendAt, 500);
+});
+
+test('starts a refused task again under a higher run number', () => {
+  const { state, vm } = startOne();
+  const answers = [{ taskId: TASK, run: 1, refusal: StartRefusal.NoRoom }];
+  send(state, vm, { session: 1, answers });
+  assert.equal(placeTasks(state, 0).started.length, 0);
+  assert.equal(placeTasks(state, 1_000).started[0]?.run, 2);
+});
+
+test('restores stored progress', () => {
+  const { state, vm, occurrence } = startOne([createStep({ taskCount: 3 })]);
+  send(state, vm, { session: 1, ended: [end(1, 1, RunEnding.Done)] });
+  const row = encodeProgress(occurrence);
+  assert.deepEqual(row.done, ['100']);
+  const copy = createOccurrence(occurrence.job, 0, 0, 0);
+  restoreProgress(copy, row);
+  assert.deepEqual(
+    copy.steps[0]?.tasks.map(({ done }) => done),
+    [true, false, false],
+  );
+  assert.equal(copy.remainingWork, (occurrence.work * 2) / 3);
+});
