--- /dev/null
+++ b/packages/scheduler/src/collection-watch.test.ts
@@ -0,0 +1,64 @@
+/**
+ * Guards against changes that are missed when the history of the store is gone or the store is away.
+ */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { EventLog, createLogger } from '@figjunction/logger';
+import { ManualClock, sleep } from '@figjunction/time';
+import { CELL_PARTITION, CellCollection } from './cell-tables.js';
+import { CollectionWatch } from './collection-watch.js';
+import { MemoryFeedStore, StoreFault } from './memory-feed-store.js';
+
+const collection = CellCollection.Jobs;
+
+async function watchWhile(
+  prepare: (store: MemoryFeedStore) => Promise<void>,
+): Promise<Set<string>> {
+  const store = new MemoryFeedStore(new ManualClock());
+  const logger = createLogger({ name: 'test', level: 'silent' });
+  const events = new EventLog({ logger, now: () => 0 });
+  const seen = new Set<string>();
+  const watch = new CollectionWatch({
+    context: { store, events },
+    collection,
+    afterVersion: 0,
+    onRows: (rows) => {
+      rows.forEach(({ key }) => seen.add(key));
+      watch.stop();
+    },
+  });
+  await prepare(store);
+  const running = watch.run();
+  await sleep(20);
+  store.fault = StoreFault.None;
+  await running;
+  return seen;
+}
+
+async function addJob(store: MemoryFeedStore): Promise<void> {
+  const writes = [{ collection, key: 'job-1', value: {} }];
+  await store.write({ partition: CELL_PARTITION, writes });
+}
+
+const cases: { name: string; prepare: (store: MemoryFeedStore) => Promise<void> }[] = [
+  { name: 'of a store that answers', prepare: addJob },
+  {
+    name: 'after the history is gone',
+    prepare: async (store) => {
+      await addJob(store);
+      store.oldestVersion = 1;
+    },
+  },
+  {
+    name: 'after an outage',
+    prepare: async (store) => {
+      await addJob(store);
+      store.fault = StoreFault.Refuses;
+    },
+  },
+];
+for (const { name, prepare } of cases) {
+  test(`delivers the changes ${name}`, async () => {
+    assert.deepEqual([...(await watchWhile(prepare))], ['job-1']);
+  });
+}
--- /dev/null
+++ b/packages/scheduler/src/memory-feed-store.ts
@@ -0,0 +1,120 @@
+/**
+ * A feed store in memory for tests. Calls can be refused, or lose their answers before or after they take
+ * effect.
+ */
+import { ErrorCode } from '@figjunction/errors';
+import { FeedStore, PlatformError } from '@figjunction/store';
+import type {
+  ConditionalWrite,
+  FeedRow,
+  RangeParameters,
+  RangeResult,
+  WatchParameters,
+  WatchResult,
+  WriteResult,
+} from '@figjunction/store';
+import type { ManualClock } from '@figjunction/time';
+
+export enum StoreFault {
+  None = 'none',
+  /** Nothing is done. */
+  Refuses = 'refuses',
+  /** The write is done, its answer is lost. */
+  LosesAnswers = 'loses-answers',
+}
+
+interface StoredRow extends FeedRow {
+  collection: string;
+}
+
+export class MemoryFeedStore extends FeedStore {
+  fault = StoreFault.None;
+
+  /** Watches from versions before this one find no history. */
+  oldestVersion = 0;
+
+  /** Runs before the next write, for changes of others that come first. */
+  beforeWrite: (() => Promise<void>) | null = null;
+
+  private version = 0;
+
+  private readonly rows = new Map<string, StoredRow>();
+
+  constructor(private readonly clock: ManualClock) {
+    super();
+  }
+
+  override async write(write: ConditionalWrite): Promise<WriteResult> {
+    const before = this.beforeWrite;
+    this.beforeWrite = null;
+    await before?.();
+    this.refuseIfDown();
+    const result = this.apply(write);
+    if (this.fault === StoreFault.LosesAnswers) {
+      throw new PlatformError('no answer', { code: ErrorCode.OutcomeUnknown });
+    }
+    return result;
+  }
+
+  override readRange<Value>(parameters: RangeParameters): Promise<RangeResult<Value>> {
+    this.refuseIfDown();
+    const { collection, partition, from = '', until } = parameters;
+    const rows = [...this.rows.values()]
+      .filter((row) => row.collection === collection && row.partition === partition)
+      .filter(({ key }) => key >= from && (until === undefined || key < until))
+      .filter(({ value }) => value !== null)
+      .sort((left, right) => left.key.localeCompare(right.key)) as FeedRow<Value>[];
+    return Promise.resolve({ rows, version: this.version, storeMs: this.clock.now() });
+  }
+
+  override watch<Value>(parameters: WatchParameters): Promise<WatchResult<Value>> {
+    this.refuseIfDown();
+    const { collection, afterVersion } = parameters;
+    const result = { version: this.version, storeMs: this.clock.now() };
+    if (afterVersion < this.oldestVersion) {
+      return Promise.resolve({ ...result, rows: null });
+    }
+    const rows = [...this.rows.values()].filter(
+      (row) => row.collection === collection && row.version > afterVersion,
+    ) as unknown as FeedRow<Value>[];
+    return Promise.resolve({ ...result, rows });
+  }
+
+  private apply({
+    partition,
+    expected = [],
+    writes = [],
+    removals = [],
+  }: ConditionalWrite): WriteResult {
+    const storeMs = this.clock.now();
+    const conflicting = expected
+      .map(({ collection, key, version }) => ({
+        row: this.find(collection, partition, key),
+        version,
+      }))
+      .filter(({ row, version }) => row.version !== version);
+    if (conflicting.length > 0) {
+      return { committed: false, conflicting: conflicting.map(({ row }) => row), storeMs };
+    }
+    this.version += 1;
+    const changes = [...writes, ...removals.map((row) => ({ ...row, value: null }))];
+    for (const { collection, key, value } of changes) {
+      const row = { collection, partition, key, version: this.version, value };
+      this.rows.set(`${collection}/${partition}/${key}`, row);
+    }
+    return { committed: true, version: this.version, storeMs };
+  }
+
+  private find(collection: string, partition: string, key: string): StoredRow {
+    const row = this.rows.get(`${collection}/${partition}/${key}`);
+    return row !== undefined && row.value !== null
+      ? row
+      : { collection, partition, key, version: 0, value: null };
+  }
+
+  private refuseIfDown(): void {
+    if (this.fault === StoreFault.Refuses) {
+      throw new PlatformError('the store is down', { code: ErrorCode.Unavailable });
+    }
+  }
+}
