--- a/packages/gateway/src/job-submission.ts
+++ b/packages/gateway/src/job-submission.ts
@@ -52,7 +52,8 @@
     const { clock } = this.context;
     const { jobId } = submission;
     const giveUpAt = Math.min(arrivedAt + PATIENCE_MS, submission.deadline - DEADLINE_MARGIN_MS);
-    do {
+    // A write to a store that does not answer might take effect after the caller was refused.
+    while (!this.context.storeHealth.isAway()) {
       try {
         await this.writeOnce(submission);
         this.unknown.delete(jobId);
@@ -60,8 +61,11 @@
       } catch (error) {
         this.noteFailure(jobId, toError(error));
       }
+      if (clock.now() >= giveUpAt) {
+        break;
+      }
       await sleep(RETRY_MS);
-    } while (clock.now() < giveUpAt);
+    }
     return this.unknown.has(jobId) ? SubmitOutcome.Unknown : SubmitOutcome.Refused;
   }
 
--- a/packages/scheduler/src/cell-run.ts
+++ b/packages/scheduler/src/cell-run.ts
@@ -3,6 +3,7 @@
  */
 import {
   CellState,
+  evacuateDrainingVms,
   placeTasks,
   preemptFor,
   relocateSlowRuns,
@@ -218,6 +219,7 @@
   private keepHouse(now: Instant): void {
     const { context } = this.options;
     stopStalledRuns(this.state, now).forEach((run) => this.logStop(run, 'stalled'));
+    evacuateDrainingVms(this.state, now).forEach((run) => this.logStop(run, 'vm-leaves'));
     relocateSlowRuns(this.state, now).forEach((run) => this.logStop(run, 'slowed-down'));
     for (const job of this.state.jobs.values()) {
       if (job.finishedAt !== null && now - job.finishedAt > context.statusMs) {
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -2,6 +2,7 @@
  * Pure tables and systems of a cell: jobs, VMs, runs, placement and recovery.
  */
 export * from './cell-state.js';
+export * from './evacuate.js';
 export * from './job-table.js';
 export * from './place.js';
 export * from './preempt.js';
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -10,6 +10,7 @@
 export { PlatformError } from './platform-error.js';
 export * from './retry-budget.js';
 export * from './store-clock.js';
+export * from './store-health.js';
 export * from './table-service.js';
 export * from './write-batcher.js';
 export { OVERTAKEN_VERSION } from './write-item.js';
