Check the platform's names by lint, test the decoders, drop unused waves

Cause: nothing kept the platform's names inside platform/; the decoders and settings had no tests; waves of upkeep were decoded and went nowhere. Ruled out for now: carrying out waves, because the platform answers busy for machines on the side class, where each VM of these deployments is. Change: lint rule, tests, removal.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -3,8 +3,12 @@
 
 const TRANSPORTS = ['node:http', 'node:net', 'node:dgram', 'node:fs', '@figjunction/rpc'];
 
+/** Names of the platform's protocol; they belong into platform/ alone. */
+const PLATFORM_NAMES =
+  '/rows-(tx|get|feed)|run-(start|stop)\\b|Instances\\.(Heartbeat|Deregister)|FIGJUNCTION_NODE_FILE|fence_token|last_seen|now_ms|clock_ms/u';
+
 export default [
-  { ignores: ['**/dist/**', '**/node_modules/**', 'coverage/**'] },
+  { ignores: ['**/dist/**', 'target/**', '**/node_modules/**', 'coverage/**'] },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
@@ -55,8 +59,13 @@
     },
   },
   {
-    files: ['packages/*/src/**/*.ts'],
-    ignores: ['packages/bench/**', 'packages/test-support/**', '**/*.test.ts'],
+    files: ['packages/*/src/**/*.ts', 'platform/src/**/*.ts'],
+    ignores: [
+      'platform/src/stand-in/**',
+      'packages/bench/**',
+      'packages/test-support/**',
+      '**/*.test.ts',
+    ],
     rules: {
       'no-restricted-imports': [
         'error',
@@ -74,6 +83,21 @@
       ],
     },
   },
+  {
+    files: ['packages/**/*.ts'],
+    rules: {
+      'no-restricted-syntax': [
+        'error',
+        { selector: `Literal[value=${PLATFORM_NAMES}]`, message: 'translate in platform/' },
+        { selector: `Identifier[name=${PLATFORM_NAMES}]`, message: 'translate in platform/' },
+      ],
+    },
+  },
+  {
+    files: ['platform/src/wire.ts', 'platform/src/**/*.ts'],
+    // Fields of the platform's messages are named as they are on the wire.
+    rules: { camelcase: 'off', '@typescript-eslint/naming-convention': 'off' },
+  },
   {
     files: ['packages/bench/**', 'packages/client/**', 'packages/daemon/**', 'scripts/**'],
     rules: { 'no-console': 'off' },
--- a/packages/scheduler/src/operator-feed.ts
+++ b/packages/scheduler/src/operator-feed.ts
@@ -4,12 +4,11 @@
 import { toError } from '@figjunction/errors';
 import type { EventLog } from '@figjunction/logger';
 import { sleep } from '@figjunction/time';
-import type { FleetConfiguration, MaintenanceWave, WaveState } from '@figjunction/types';
+import type { FleetConfiguration } from '@figjunction/types';
 
 export interface OperatorChange {
   /** Null when the configuration has not changed. */
   configuration: FleetConfiguration | null;
-  waves: MaintenanceWave[];
   version: number;
 }
 
@@ -19,15 +18,12 @@
 
   /** Waits for changes; null when the history is gone and everything must be read. */
   abstract watch(afterVersion: number, waitMs: number): Promise<OperatorChange | null>;
-
-  abstract writeWaveState(wave: number, state: WaveState): Promise<void>;
 }
 
 export interface OperatorFollowerOptions {
   feed: OperatorFeed;
   events: EventLog;
   onConfiguration: (configuration: FleetConfiguration) => void;
-  onWaves: (waves: MaintenanceWave[]) => void;
 }
 
 const WAIT_MS = 1_200;
@@ -75,18 +71,15 @@
     this.apply(change);
   }
 
-  private apply({ configuration, waves, version }: OperatorChange): void {
+  private apply({ configuration, version }: OperatorChange): void {
     this.version = version;
-    const { events, onConfiguration, onWaves } = this.options;
+    const { events, onConfiguration } = this.options;
     if (configuration !== null && configuration.revision > (this.configuration?.revision ?? 0)) {
       this.configuration = configuration;
       const { revision, queues } = configuration;
       events.write('configuration-applied', { revision, queues: queues.length });
       onConfiguration(configuration);
     }
-    if (waves.length > 0) {
-      onWaves(waves);
-    }
   }
 
   private note(error: Error | null): void {
--- a/packages/scheduling/src/cell-fixture.ts
+++ b/packages/scheduling/src/cell-fixture.ts
@@ -15,7 +15,7 @@
 import { applyReport } from './reports.js';
 import type { JobRecord, VmRecord } from './records.js';
 
-export const POLICY: QueuePolicy = {
+const POLICY: QueuePolicy = {
   name: 'labels',
   host: 'labels.example',
   pathPrefix: '/labels/',
@@ -88,7 +88,7 @@
   };
 }
 
-export function createReport(changes: Partial<ReportParameters> = {}): ReportParameters {
+function createReport(changes: Partial<ReportParameters> = {}): ReportParameters {
   return {
     agentId: 'vm-1',
     address: 'http://127.0.0.1:1',
--- a/packages/scheduling/src/place.test.ts
+++ b/packages/scheduling/src/place.test.ts
@@ -148,7 +148,8 @@
   const { unplaced } = placeTasks(state, 1_000);
   const [victim] = preemptFor(state, unplaced, 1_000);
   assert.equal(victim?.task.step.occurrence.job.id, 'batch');
-  state.removeRun(victim as RunRecord, 1_100);
+  assert.ok(victim !== undefined);
+  state.removeRun(victim, 1_100);
   const placed = started(state, 1_100);
   assert.deepEqual(
     placed.map(({ task }) => task.step.occurrence.job.id),
--- a/packages/types/src/cell/fleet-configuration.ts
+++ b/packages/types/src/cell/fleet-configuration.ts
@@ -1,5 +1,5 @@
 /**
- * What operators configure for a cell: queues, services and maintenance waves.
+ * What operators configure for a cell: queues and services.
  */
 import type { DataCentreName, ServiceName } from '../identifiers.js';
 import type { Resources } from '../resources.js';
@@ -40,18 +40,6 @@
   services: ServicePolicy[];
 }
 
-export interface MaintenanceWave {
-  wave: number;
-  machines: string[];
-  withinMs: number;
-  concurrentMaximum: number;
-}
-
-export enum WaveState {
-  Running = 'running',
-  Completed = 'completed',
-}
-
 export enum VmState {
   Ready = 'ready',
   Draining = 'draining',
--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -22,8 +22,8 @@
 }
 
 function listTestFiles() {
-  return readdirSync('packages')
-    .map((name) => path.resolve('packages', name, 'dist'))
+  return [...readdirSync('packages').map((name) => path.join('packages', name)), 'platform']
+    .map((folder) => path.resolve(folder, 'dist'))
     .flatMap((folder) => {
       try {
         return readdirSync(folder, { recursive: true }).map((file) => path.join(folder, file));
