--- a/packages/scheduling/src/job-table.ts
+++ b/packages/scheduling/src/job-table.ts
@@ -91,6 +91,7 @@
     runs: [],
     eligibleAt,
     waitingSince: eligibleAt,
+    movedAt: Number.NEGATIVE_INFINITY,
     failedOn: new Set(),
   };
 }
--- a/packages/scheduling/src/records.ts
+++ b/packages/scheduling/src/records.ts
@@ -56,6 +56,8 @@
   eligibleAt: Instant;
   /** Since when it waits for a VM. */
   waitingSince: Instant;
+  /** When it was last moved to run faster. */
+  movedAt: Instant;
   /** VMs on which it failed. */
   failedOn: Set<AgentId>;
 }
--- a/packages/scheduling/src/relocate.ts
+++ b/packages/scheduling/src/relocate.ts
@@ -12,6 +12,8 @@
 const SLOW_SHARE = 0.5;
 /** Readings cover the last half second; younger runs have none. */
 const MINIMUM_AGE_MS = 1_500;
+/** A task that is slowed wherever it goes gains nothing by moving on. */
+const PAUSE_MS = 5_000;
 /** Without a checkpoint, only runs that have done little are moved. */
 const LITTLE_PROGRESS_PERCENT = 15;
 /** Runs near their end are left alone: a move takes longer than the rest. */
@@ -28,6 +30,7 @@
     if (target !== null) {
       const need = run.task.step.specification.resources.processorMillicores;
       room.set(target, (room.get(target) ?? 0) - need);
+      run.task.movedAt = now;
       state.orderStop(run, now);
       moved.push(run);
     }
@@ -53,6 +56,7 @@
     vm.servingCount > 0 &&
     phase === RunPhase.Running &&
     now - runningSince > MINIMUM_AGE_MS &&
+    now - task.movedAt > PAUSE_MS &&
     reading < SLOW_SHARE * resources.processorMillicores &&
     percent < NEARLY_DONE_PERCENT &&
     (checkpoints || percent < LITTLE_PROGRESS_PERCENT)
