--- a/packages/daemon/src/operating-page.test.ts
+++ b/packages/daemon/src/operating-page.test.ts
@@ -10,8 +10,10 @@
 import ts from 'typescript';
 
 const ROOT = fileURLToPath(new URL('../../..', import.meta.url));
-const PAGE = 'docs/operating.md';
+const PAGE = 'docs/OPERATIONS.md';
 const OTHER_PACKAGES = ['bench', 'test-support'];
+/** Writes the events of others, which have a check of their own below. */
+const EVENT_LOG = path.join('logger', 'src', 'event-log.ts');
 const METRIC_METHODS = ['count', 'setGauge', 'recordLatency'];
 const LOG_METHODS = ['info', 'warn', 'error', 'fatal'];
 
@@ -21,15 +23,18 @@
 }
 
 function sourceFiles(): string[] {
-  return readdirSync(path.join(ROOT, 'packages'))
+  const packages = readdirSync(path.join(ROOT, 'packages'))
     .filter((name) => !OTHER_PACKAGES.includes(name))
+    .map((name) => path.join('packages', name));
+  return [...packages, 'platform']
     .flatMap((name) => {
-      const folder = path.join(ROOT, 'packages', name, 'src');
+      const folder = path.join(ROOT, name, 'src');
       return readdirSync(folder, { recursive: true }).map((file) =>
         path.join(folder, String(file)),
       );
     })
-    .filter((file) => file.endsWith('.ts') && !file.endsWith('.test.ts'));
+    .filter((file) => file.endsWith('.ts') && !file.endsWith('.test.ts'))
+    .filter((file) => !file.endsWith(EVENT_LOG));
 }
 
 /** The texts that an argument can have: one for a literal, two for a choice, none that is known else. */
@@ -110,3 +115,9 @@
   assert.ok(found.length > 20, `${found.length} log lines found`);
   compareWithPage(found, 'Log lines');
 });
+
+test('the operating page explains every event, and no other', () => {
+  const found = collect(/\bevents$/u, ['write'], (call) => call.arguments[0]);
+  assert.ok(found.length > 50, `${found.length} events found`);
+  compareWithPage(found, 'Events on the platform');
+});
--- a/packages/runner/src/runner.ts
+++ b/packages/runner/src/runner.ts
@@ -50,7 +50,7 @@
   }
 
   start(): void {
-    this.reporter.run().catch((error: unknown) => this.logFailure('reporter-failed', error));
+    this.reporter.run().catch((error: unknown) => this.logFailure('reporter', error));
   }
 
   stop(): void {
@@ -121,7 +121,7 @@
       onChange: () => this.reporter.wake(),
     });
     this.session = session;
-    session.run().catch((error: unknown) => this.logFailure('vm-session-failed', error));
+    session.run().catch((error: unknown) => this.logFailure('vm-session', error));
     this.reporter.startAnew();
   }
 
@@ -130,7 +130,7 @@
     this.options.events.write('vm-announced', fields);
   }
 
-  private logFailure(event: string, error: unknown): void {
-    this.options.events.write(event, { error: toError(error).message });
+  private logFailure(part: string, error: unknown): void {
+    this.options.events.write('part-failed', { part, error: toError(error).message });
   }
 }
--- a/packages/scheduler/src/cell-scheduler.ts
+++ b/packages/scheduler/src/cell-scheduler.ts
@@ -150,8 +150,10 @@
       }
       if (outcome !== RenewalOutcome.NotDue && failing !== (outcome === RenewalOutcome.Failed)) {
         failing = outcome === RenewalOutcome.Failed;
-        const event = failing ? 'lease-renewal-failed' : 'lease-renewal-regained';
-        context.events.write(event, { epoch, held: this.lease.isHeld() });
+        context.events.write(failing ? 'lease-renewal-failed' : 'lease-renewal-regained', {
+          epoch,
+          held: this.lease.isHeld(),
+        });
       }
       await sleep(RENEWAL_CHECK_MS);
     }
--- a/packages/scheduler/src/operator-feed.ts
+++ b/packages/scheduler/src/operator-feed.ts
@@ -86,8 +86,11 @@
     const isFailing = error !== null;
     if (isFailing !== this.failing) {
       this.failing = isFailing;
-      const event = isFailing ? 'configuration-watch-lost' : 'configuration-watch-regained';
-      this.options.events.write(event, { error: error?.message, version: this.version });
+      const fields = { error: error?.message, version: this.version };
+      this.options.events.write(
+        isFailing ? 'configuration-watch-lost' : 'configuration-watch-regained',
+        fields,
+      );
     }
   }
 }
