Let no late write replace later progress, spread jobs over partitions

Their condition, the owner row, still held, so they replaced later progress, and the next scheduler started done tasks again. Ruled out: the lapse of leases (the ends had been taken note of).

--- a/packages/gateway/src/job-cancellation.ts
+++ b/packages/gateway/src/job-cancellation.ts
@@ -1,7 +1,7 @@
 /**
  * Cancels jobs. A cancellation is accepted once it is stored.
  */
-import { CELL_PARTITION, CellCollection } from '@figjunction/scheduler';
+import { CellCollection, jobPartition } from '@figjunction/scheduler';
 import type { JobId } from '@figjunction/types';
 import type { GatewayContext } from './gateway-context.js';
 import type { JobQueries } from './job-queries.js';
@@ -21,7 +21,7 @@
     }
     const requestedAtStoreMs = Math.floor(storeClock.earliest());
     await store.write({
-      partition: CELL_PARTITION,
+      partition: jobPartition(jobId),
       writes: [
         { collection: CellCollection.Cancellations, key: jobId, value: { requestedAtStoreMs } },
       ],
--- a/packages/gateway/src/job-queries.ts
+++ b/packages/gateway/src/job-queries.ts
@@ -3,7 +3,7 @@
  * does not know the job yet.
  */
 import { ErrorCode, toError } from '@figjunction/errors';
-import { CELL_PARTITION, CellCollection } from '@figjunction/scheduler';
+import { CELL_PARTITION, CellCollection, jobPartition } from '@figjunction/scheduler';
 import { sleep } from '@figjunction/time';
 import type { Instant } from '@figjunction/time';
 import { JobState, RpcMethod } from '@figjunction/types';
@@ -130,7 +130,7 @@
   private async readJob(jobId: JobId): Promise<JobRow | null> {
     const { rows } = await this.context.store.readRange<JobRow>({
       collection: CellCollection.Jobs,
-      partition: CELL_PARTITION,
+      partition: jobPartition(jobId),
       from: jobId,
       until: `${jobId}~`,
     });
--- a/packages/gateway/src/job-submission.ts
+++ b/packages/gateway/src/job-submission.ts
@@ -2,7 +2,7 @@
  * Accepts jobs. A job is accepted once its row is stored; the same id sent again stays one job.
  */
 import { ErrorCode, errorCodeOf, toError } from '@figjunction/errors';
-import { CELL_PARTITION, CellCollection } from '@figjunction/scheduler';
+import { CellCollection, jobPartition } from '@figjunction/scheduler';
 import { sleep } from '@figjunction/time';
 import type { Instant } from '@figjunction/time';
 import type { JobId, JobRow, JobSpecification, QueuePolicy } from '@figjunction/types';
@@ -79,7 +79,7 @@
     };
     const reference = { collection: CellCollection.Jobs, key: jobId };
     await store.write({
-      partition: CELL_PARTITION,
+      partition: jobPartition(jobId),
       expected: [{ ...reference, version: 0 }],
       writes: [{ ...reference, value: row }],
     });
--- a/packages/scheduler/src/cell-lease.ts
+++ b/packages/scheduler/src/cell-lease.ts
@@ -7,7 +7,7 @@
 import type { FeedStore, RowExpectation, StoreClock, WriteResult } from '@figjunction/store';
 import type { Clock, Instant } from '@figjunction/time';
 import type { CellLeaseRow, CellOwnerRow } from '@figjunction/types';
-import { CELL_PARTITION, CellCollection, LEASE_KEY, OWNER_KEY } from './cell-tables.js';
+import { CELL_PARTITION, COMMIT_KEY, CellCollection, LEASE_KEY, OWNER_KEY } from './cell-tables.js';
 import type { OwnerView } from './owner-directory.js';
 
 export interface CellLeaseOptions {
@@ -30,6 +30,7 @@
 
 const ownerReference = { collection: CellCollection.Cells, key: OWNER_KEY };
 const leaseReference = { collection: CellCollection.Cells, key: LEASE_KEY };
+const commitReference = { collection: CellCollection.Cells, key: COMMIT_KEY };
 
 const DEFAULT_LEASE_MS = 3_000;
 const DEFAULT_RENEWAL_MS = 750;
@@ -41,6 +42,9 @@
 export class CellLease {
   epoch = 0;
 
+  /** Version of the commit row at the take-over. */
+  commitVersion = 0;
+
   private ownerVersion = 0;
 
   private leaseVersion = 0;
@@ -94,6 +98,7 @@
     }
     this.epoch = epoch;
     this.ownerVersion = result.version;
+    this.commitVersion = result.version;
     return true;
   }
 
@@ -149,7 +154,7 @@
     const lease: CellLeaseRow = { epoch, leasedUntilStoreMs };
     const writes = [{ ...leaseReference, value: lease as unknown }];
     if (owner !== null) {
-      writes.push({ ...ownerReference, value: owner });
+      writes.push({ ...ownerReference, value: owner }, { ...commitReference, value: { epoch } });
     }
     const result = await this.options.store.write({ partition: CELL_PARTITION, expected, writes });
     if (result.committed) {
--- a/packages/scheduler/src/cell-loader.ts
+++ b/packages/scheduler/src/cell-loader.ts
@@ -1,10 +1,10 @@
 /**
  * Reads a cell from the store when a process takes it over.
  */
-import type { FeedRow } from '@figjunction/store';
+import type { FeedRow, FeedStore } from '@figjunction/store';
 import type { JobRow, ProgressRow, RunnerRow } from '@figjunction/types';
 import type { CellContext } from './cell-context.js';
-import { CELL_PARTITION, CellCollection } from './cell-tables.js';
+import { CELL_PARTITION, CellCollection, jobPartitions } from './cell-tables.js';
 
 export interface LoadedCell {
   jobs: FeedRow<JobRow>[];
@@ -21,8 +21,8 @@
   const [progress, runners, jobs, cancellations] = await Promise.all([
     store.readRange<ProgressRow>({ collection: CellCollection.Progress, ...range }),
     store.readRange<RunnerRow>({ collection: CellCollection.Runners, ...range }),
-    store.readRange<JobRow>({ collection: CellCollection.Jobs, ...range }),
-    store.readRange({ collection: CellCollection.Cancellations, ...range }),
+    readJobPartitions<JobRow>(store, CellCollection.Jobs),
+    readJobPartitions(store, CellCollection.Cancellations),
   ]);
   return {
     jobs: jobs.rows,
@@ -33,3 +33,17 @@
     runners: runners.rows,
   };
 }
+
+/** The version is the oldest of the parts, so that a watch from it misses nothing. */
+export async function readJobPartitions<Value>(
+  store: FeedStore,
+  collection: CellCollection,
+): Promise<{ rows: FeedRow<Value>[]; version: number }> {
+  const parts = await Promise.all(
+    jobPartitions().map((partition) => store.readRange<Value>({ collection, partition })),
+  );
+  return {
+    rows: parts.flatMap(({ rows }) => rows),
+    version: Math.min(...parts.map(({ version }) => version)),
+  };
+}
--- a/packages/scheduler/src/cell-tables.ts
+++ b/packages/scheduler/src/cell-tables.ts
@@ -15,8 +15,23 @@
 }
 
 export const CELL_PARTITION = 'cell-0';
+
+/** Jobs are spread over partitions, so that a slow store still takes many submissions at a time. */
+const JOB_PARTITION_DIGITS = '0123456789abcdef';
+
+/** Partition of the rows that gateways write for a job. */
+export function jobPartition(jobId: string): string {
+  return `jobs-${jobId.slice(-1)}`;
+}
+
+export function jobPartitions(): string[] {
+  return [...JOB_PARTITION_DIGITS].map(jobPartition);
+}
+
 export const OWNER_KEY = 'owner';
 export const LEASE_KEY = 'lease';
+/** Changes with each transaction of progress, so that one whose answer was lost cannot follow a later one. */
+export const COMMIT_KEY = 'commit';
 
 export function progressKey(jobId: string, occurrence: number): string {
   return `${jobId}.${occurrence}`;
--- a/packages/scheduler/src/collection-watch.test.ts
+++ b/packages/scheduler/src/collection-watch.test.ts
@@ -5,7 +5,7 @@
 import { test } from 'node:test';
 import { EventLog, createLogger } from '@figjunction/logger';
 import { ManualClock, sleep } from '@figjunction/time';
-import { CELL_PARTITION, CellCollection } from './cell-tables.js';
+import { CellCollection, jobPartition } from './cell-tables.js';
 import { CollectionWatch } from './collection-watch.js';
 import { MemoryFeedStore, StoreFault } from './memory-feed-store.js';
 
@@ -37,7 +37,7 @@
 
 async function addJob(store: MemoryFeedStore): Promise<void> {
   const writes = [{ collection, key: 'job-1', value: {} }];
-  await store.write({ partition: CELL_PARTITION, writes });
+  await store.write({ partition: jobPartition('job-1'), writes });
 }
 
 const cases: { name: string; prepare: (store: MemoryFeedStore) => Promise<void> }[] = [
--- a/packages/scheduler/src/collection-watch.ts
+++ b/packages/scheduler/src/collection-watch.ts
@@ -1,15 +1,16 @@
 /**
- * Follows the changes of one collection. When the history is gone, all rows are read anew.
+ * Follows the changes of a collection that is spread over the partitions of jobs. When the history is gone, all rows are read anew.
  */
 import { toError } from '@figjunction/errors';
 import type { FeedRow } from '@figjunction/store';
 import { sleep } from '@figjunction/time';
 import type { CellContext } from './cell-context.js';
-import { CELL_PARTITION } from './cell-tables.js';
+import { readJobPartitions } from './cell-loader.js';
+import type { CellCollection } from './cell-tables.js';
 
 export interface CollectionWatchOptions<Value> {
   context: Pick<CellContext, 'store' | 'events'>;
-  collection: string;
+  collection: CellCollection;
   afterVersion: number;
   onRows: (rows: FeedRow<Value>[]) => void;
 }
@@ -54,8 +55,7 @@
       return;
     }
     context.events.write('history-gone', { collection, afterVersion });
-    const range = { collection, partition: CELL_PARTITION };
-    const whole = await context.store.readRange<Value>(range);
+    const whole = await readJobPartitions<Value>(context.store, collection);
     this.deliver(whole.rows, whole.version);
   }
 
--- a/packages/scheduler/src/memory-feed-store.ts
+++ b/packages/scheduler/src/memory-feed-store.ts
@@ -21,6 +21,8 @@
   Refuses = 'refuses',
   /** The write is done, its answer is lost. */
   LosesAnswers = 'loses-answers',
+  /** The write is done later, when the test says so; there is no answer. */
+  Delays = 'delays',
 }
 
 interface StoredRow extends FeedRow {
@@ -36,6 +38,8 @@
   /** Runs before the next write, for changes of others that come first. */
   beforeWrite: (() => Promise<void>) | null = null;
 
+  private readonly delayed: ConditionalWrite[] = [];
+
   private version = 0;
 
   private readonly rows = new Map<string, StoredRow>();
@@ -49,6 +53,10 @@
     this.beforeWrite = null;
     await before?.();
     this.refuseIfDown();
+    if (this.fault === StoreFault.Delays) {
+      this.delayed.push(write);
+      throw new PlatformError('no answer', { code: ErrorCode.OutcomeUnknown });
+    }
     const result = this.apply(write);
     if (this.fault === StoreFault.LosesAnswers) {
       throw new PlatformError('no answer', { code: ErrorCode.OutcomeUnknown });
@@ -80,6 +88,11 @@
     return Promise.resolve({ ...result, rows });
   }
 
+  /** Carries out the delayed writes whose conditions still hold. */
+  applyDelayed(): void {
+    this.delayed.splice(0).forEach((write) => this.apply(write));
+  }
+
   private apply({
     partition,
     expected = [],
--- a/packages/scheduler/src/progress-writer.ts
+++ b/packages/scheduler/src/progress-writer.ts
@@ -5,12 +5,19 @@
 import { toError } from '@figjunction/errors';
 import { encodeProgress, isFinished, occurrenceCount } from '@figjunction/scheduling';
 import type { CellState, JobRecord, OccurrenceRecord, VmRecord } from '@figjunction/scheduling';
-import type { RowReference, RowWrite } from '@figjunction/store';
+import type { FeedRow, RowReference, RowWrite } from '@figjunction/store';
 import type { Instant } from '@figjunction/time';
 import type { JobState } from '@figjunction/types';
 import type { CellContext } from './cell-context.js';
 import type { CellLease } from './cell-lease.js';
-import { CELL_PARTITION, CellCollection, progressKey } from './cell-tables.js';
+import {
+  CELL_PARTITION,
+  COMMIT_KEY,
+  CellCollection,
+  OWNER_KEY,
+  jobPartition,
+  progressKey,
+} from './cell-tables.js';
 
 export interface ProgressWriterOptions {
   context: CellContext;
@@ -23,12 +30,14 @@
   onStored: () => void;
 }
 
-/** One entry of a transaction is the condition on the owner. */
-const ENTRIES_MAXIMUM = 99;
+/** The store takes 100 entries: two conditions and the commit row are among them. */
+const ENTRIES_MAXIMUM = 97;
 const RETRY_FIRST_MS = 50;
 const RETRY_MAXIMUM_MS = 800;
 const RETRY_FACTOR = 2;
 
+const COMMIT_ROW = { collection: CellCollection.Cells, key: COMMIT_KEY };
+
 interface Batch {
   occurrences: { occurrence: OccurrenceRecord; state: JobState }[];
   runners: [string, string][];
@@ -39,23 +48,48 @@
 export class ProgressWriter {
   private readonly unregistered = new Map<string, string>();
 
+  /** Jobs whose own rows are being removed, and jobs whose progress remains to be removed. */
+  private readonly removing = new Set<JobRecord>();
+
   private readonly expired = new Set<JobRecord>();
 
   private writing = false;
 
+  private commitVersion: number;
+
   private retryAt: Instant = 0;
 
   private retryDelayMs = RETRY_FIRST_MS;
 
-  constructor(private readonly options: ProgressWriterOptions) {}
+  constructor(private readonly options: ProgressWriterOptions) {
+    this.commitVersion = options.lease.commitVersion;
+  }
 
   register(runnerId: string, address: string): void {
     this.unregistered.set(runnerId, address);
   }
 
-  /** Removes a job and its progress for good. */
+  /**
+   * Removes a job for good. The rows of the gateways go first: a job whose progress alone is gone would
+   * start again.
+   */
   remove(job: JobRecord): void {
-    this.expired.add(job);
+    if (this.removing.has(job)) {
+      return;
+    }
+    this.removing.add(job);
+    const { context } = this.options;
+    const removals = [CellCollection.Jobs, CellCollection.Cancellations].map((collection) => ({
+      collection,
+      key: job.id,
+    }));
+    context.store.write({ partition: jobPartition(job.id), removals }).then(
+      () => this.expired.add(job),
+      (error: unknown) => {
+        this.removing.delete(job);
+        context.events.write('job-not-removed', { job: job.id, error: toError(error).message });
+      },
+    );
   }
 
   /** Starts a transaction when there is something to store. */
@@ -95,7 +129,7 @@
     const jobs: JobRecord[] = [];
     let entries = 0;
     for (const job of this.expired) {
-      entries += rowsOf(job).length;
+      entries += progressRowsOf(job).length;
       if (entries > room) {
         break;
       }
@@ -106,39 +140,43 @@
 
   private async store(batch: Batch): Promise<void> {
     const { context, lease, state } = this.options;
-    const writes: RowWrite[] = [
-      ...batch.occurrences.map(({ occurrence }) => ({
-        collection: CellCollection.Progress,
-        key: progressKey(occurrence.job.id, occurrence.index),
-        value: encodeProgress(occurrence),
-      })),
-      ...batch.runners.map(([id, address]) => ({
-        collection: CellCollection.Runners,
-        key: id,
-        value: { address },
-      })),
-    ];
     batch.occurrences.forEach(({ occurrence }) => state.dirty.delete(occurrence));
     const sentAt = context.clock.now();
+    let isStored = false;
     try {
       const result = await context.store.write({
         partition: CELL_PARTITION,
-        expected: [lease.expectation()],
-        writes,
-        removals: batch.removedJobs.flatMap(rowsOf),
+        expected: [lease.expectation(), { ...COMMIT_ROW, version: this.commitVersion }],
+        writes: [{ ...COMMIT_ROW, value: { epoch: lease.epoch } }, ...describeWrites(batch)],
+        removals: batch.removedJobs.flatMap(progressRowsOf),
       });
-      if (!result.committed) {
-        this.options.onDeposed();
-        return;
+      isStored = result.committed;
+      if (result.committed) {
+        this.commitVersion = result.version;
+      } else {
+        this.resolveConflict(result.conflicting);
+      }
+    } finally {
+      if (!isStored) {
+        batch.occurrences.forEach(({ occurrence }) => state.dirty.add(occurrence));
       }
-    } catch (error) {
-      batch.occurrences.forEach(({ occurrence }) => state.dirty.add(occurrence));
-      throw error;
+    }
+    if (!isStored) {
+      return;
     }
     context.metrics.recordLatency('progress_write_ms', context.clock.now() - sentAt);
     this.settle(batch);
   }
 
+  /** A conflict on the commit row alone: an earlier transaction without an answer took effect. */
+  private resolveConflict(conflicting: FeedRow[]): void {
+    if (conflicting.some(({ key }) => key === OWNER_KEY)) {
+      this.options.onDeposed();
+    }
+    const commit = conflicting.find(({ key }) => key === COMMIT_KEY);
+    this.commitVersion = commit?.version ?? this.commitVersion;
+  }
+
   private settle(batch: Batch): void {
     const { context, state } = this.options;
     this.retryDelayMs = RETRY_FIRST_MS;
@@ -170,6 +208,7 @@
     }
     for (const job of batch.removedJobs) {
       this.expired.delete(job);
+      this.removing.delete(job);
       state.jobs.delete(job.id);
     }
     this.options.onStored();
@@ -198,13 +237,24 @@
   }
 }
 
-function rowsOf(job: JobRecord): RowReference[] {
+function progressRowsOf(job: JobRecord): RowReference[] {
+  return [...job.occurrences.keys()].map((index) => ({
+    collection: CellCollection.Progress,
+    key: progressKey(job.id, index),
+  }));
+}
+
+function describeWrites({ occurrences, runners }: Batch): RowWrite[] {
   return [
-    { collection: CellCollection.Jobs, key: job.id },
-    { collection: CellCollection.Cancellations, key: job.id },
-    ...[...job.occurrences.keys()].map((index) => ({
+    ...occurrences.map(({ occurrence }) => ({
       collection: CellCollection.Progress,
-      key: progressKey(job.id, index),
+      key: progressKey(occurrence.job.id, occurrence.index),
+      value: encodeProgress(occurrence),
+    })),
+    ...runners.map(([id, address]) => ({
+      collection: CellCollection.Runners,
+      key: id,
+      value: { address },
     })),
   ];
 }
