--- a/packages/runner/src/vm-session.test.ts
+++ b/packages/runner/src/vm-session.test.ts
@@ -24,8 +24,7 @@
 };
 const INHERITED_LEASE_MS = 5_000;
 
-function createSession(inheritedLeaseMs = 0) {
-  const host = new FakeVmHost();
+function createSession(inheritedLeaseMs = 0, host = new FakeVmHost()) {
   const clock = new ManualClock(1_000);
   const logger = createLogger({ name: 'test', level: 'silent' });
   const session = new VmSession({
@@ -113,18 +112,7 @@
 });
 
 test('does not take a list of another life of the VM', async () => {
-  const host = new FakeVmHost(2_000);
-  const clock = new ManualClock(1_000);
-  const logger = createLogger({ name: 'test', level: 'silent' });
-  const session = new VmSession({
-    host,
-    clock,
-    events: new EventLog({ logger, now: () => clock.now() }),
-    announcement: ANNOUNCEMENT,
-    epoch: () => 1,
-    inheritedLeaseUntil: 0,
-    onChange: () => {},
-  });
+  const { session } = createSession(0, new FakeVmHost(2_000));
   await session.lookNow();
   assert.equal(session.listedEpoch, 0);
 });
--- /dev/null
+++ b/packages/scheduler/src/progress-batch.ts
@@ -0,0 +1,53 @@
+/**
+ * What one transaction of progress holds, and how it is written.
+ */
+import { encodeProgress, isFinished, occurrenceCount } from '@figjunction/scheduling';
+import type { JobRecord, OccurrenceRecord, VmRecord } from '@figjunction/scheduling';
+import type { RowReference, RowWrite } from '@figjunction/store';
+import type { Instant } from '@figjunction/time';
+import type { JobState } from '@figjunction/types';
+import { COMMIT_KEY, CellCollection, progressKey } from './cell-tables.js';
+
+export const COMMIT_ROW = { collection: CellCollection.Cells, key: COMMIT_KEY };
+
+export interface ProgressBatch {
+  occurrences: { occurrence: OccurrenceRecord; state: JobState }[];
+  runners: [string, string][];
+  removedJobs: JobRecord[];
+  ends: [VmRecord, number, string][];
+}
+
+/** Notes the end of a job once all of it has ended and is stored. */
+export function finishJob(job: JobRecord, now: Instant): void {
+  const isOver =
+    job.cancelled ||
+    (job.occurrences.size === occurrenceCount(job) &&
+      [...job.occurrences.values()].every(
+        ({ storedState }) => storedState !== null && isFinished(storedState),
+      ));
+  if (isOver) {
+    job.finishedAt ??= now;
+  }
+}
+
+export function progressRowsOf(job: JobRecord): RowReference[] {
+  return [...job.occurrences.keys()].map((index) => ({
+    collection: CellCollection.Progress,
+    key: progressKey(job.id, index),
+  }));
+}
+
+export function describeWrites({ occurrences, runners }: ProgressBatch): RowWrite[] {
+  return [
+    ...occurrences.map(({ occurrence }) => ({
+      collection: CellCollection.Progress,
+      key: progressKey(occurrence.job.id, occurrence.index),
+      value: encodeProgress(occurrence),
+    })),
+    ...runners.map(([id, address]) => ({
+      collection: CellCollection.Runners,
+      key: id,
+      value: { address },
+    })),
+  ];
+}
--- a/packages/scheduler/src/progress-writer.ts
+++ b/packages/scheduler/src/progress-writer.ts
@@ -3,11 +3,10 @@
  * runs count as settled only once their effect is stored.
  */
 import { toError } from '@figjunction/errors';
-import { encodeProgress, isFinished, occurrenceCount } from '@figjunction/scheduling';
-import type { CellState, JobRecord, OccurrenceRecord, VmRecord } from '@figjunction/scheduling';
-import type { FeedRow, RowReference, RowWrite } from '@figjunction/store';
+import { isFinished } from '@figjunction/scheduling';
+import type { CellState, JobRecord } from '@figjunction/scheduling';
+import type { FeedRow } from '@figjunction/store';
 import type { Instant } from '@figjunction/time';
-import type { JobState } from '@figjunction/types';
 import type { CellContext } from './cell-context.js';
 import type { CellLease } from './cell-lease.js';
 import {
@@ -16,8 +15,9 @@
   CellCollection,
   OWNER_KEY,
   jobPartition,
-  progressKey,
 } from './cell-tables.js';
+import { COMMIT_ROW, describeWrites, finishJob, progressRowsOf } from './progress-batch.js';
+import type { ProgressBatch } from './progress-batch.js';
 
 export interface ProgressWriterOptions {
   context: CellContext;
@@ -36,15 +36,6 @@
 const RETRY_MAXIMUM_MS = 800;
 const RETRY_FACTOR = 2;
 
-const COMMIT_ROW = { collection: CellCollection.Cells, key: COMMIT_KEY };
-
-interface Batch {
-  occurrences: { occurrence: OccurrenceRecord; state: JobState }[];
-  runners: [string, string][];
-  removedJobs: JobRecord[];
-  ends: [VmRecord, number, string][];
-}
-
 export class ProgressWriter {
   private readonly unregistered = new Map<string, string>();
 
@@ -112,7 +103,7 @@
       });
   }
 
-  private collect(): Batch {
+  private collect(): ProgressBatch {
     const { state } = this.options;
     const occurrences = [...state.dirty].slice(0, ENTRIES_MAXIMUM);
     const room = ENTRIES_MAXIMUM - occurrences.length;
@@ -138,7 +129,7 @@
     return jobs;
   }
 
-  private async store(batch: Batch): Promise<void> {
+  private async store(batch: ProgressBatch): Promise<void> {
     const { context, lease, state } = this.options;
     batch.occurrences.forEach(({ occurrence }) => state.dirty.delete(occurrence));
     const sentAt = context.clock.now();
@@ -177,7 +168,7 @@
     this.commitVersion = commit?.version ?? this.commitVersion;
   }
 
-  private settle(batch: Batch): void {
+  private settle(batch: ProgressBatch): void {
     const { context, state } = this.options;
     this.retryDelayMs = RETRY_FIRST_MS;
     const now = context.clock.now();
@@ -224,37 +215,3 @@
     });
   }
 }
-
-function finishJob(job: JobRecord, now: Instant): void {
-  const isOver =
-    job.cancelled ||
-    (job.occurrences.size === occurrenceCount(job) &&
-      [...job.occurrences.values()].every(
-        ({ storedState }) => storedState !== null && isFinished(storedState),
-      ));
-  if (isOver) {
-    job.finishedAt ??= now;
-  }
-}
-
-function progressRowsOf(job: JobRecord): RowReference[] {
-  return [...job.occurrences.keys()].map((index) => ({
-    collection: CellCollection.Progress,
-    key: progressKey(job.id, index),
-  }));
-}
-
-function describeWrites({ occurrences, runners }: Batch): RowWrite[] {
-  return [
-    ...occurrences.map(({ occurrence }) => ({
-      collection: CellCollection.Progress,
-      key: progressKey(occurrence.job.id, occurrence.index),
-      value: encodeProgress(occurrence),
-    })),
-    ...runners.map(([id, address]) => ({
-      collection: CellCollection.Runners,
-      key: id,
-      value: { address },
-    })),
-  ];
-}
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -4,6 +4,7 @@
 export * from './cell-state.js';
 export * from './evacuate.js';
 export * from './job-table.js';
+export * from './lapse.js';
 export * from './place.js';
 export * from './preempt.js';
 export * from './progress.js';
--- a/packages/scheduling/src/reports.test.ts
+++ b/packages/scheduling/src/reports.test.ts
@@ -14,10 +14,10 @@
   send,
 } from './cell-fixture.js';
 import { createOccurrence, encodeProgress, restoreProgress } from './job-table.js';
+import { lapseVms } from './lapse.js';
 import { placeTasks } from './place.js';
 import { RunPhase } from './records.js';
 import type { OccurrenceRecord, RunRecord } from './records.js';
-import { lapseVms } from './reports.js';
 
 const TASK = '00000000000000aa.0.0.0';
 
--- a/packages/scheduling/src/reports.ts
+++ b/packages/scheduling/src/reports.ts
@@ -6,6 +6,7 @@
 import type { ReportParameters, RunningTask, RunReference } from '@figjunction/types';
 import type { CellState } from './cell-state.js';
 import { isFinished } from './job-table.js';
+import { removeAllRuns } from './lapse.js';
 import { applyEnd } from './progress.js';
 import type { TaskEnd } from './progress.js';
 import { RunPhase, instanceKeyOf, runKey } from './records.js';
@@ -226,26 +227,3 @@
     }
   }
 }
-
-export function removeAllRuns(state: CellState, vm: VmRecord, now: Instant): void {
-  for (const record of [...vm.runs.values()]) {
-    state.removeRun(record, now);
-  }
-  vm.reservations.clear();
-}
-
-/** Takes the runs off VMs whose lease has surely expired. Returns those VMs. */
-export function lapseVms(state: CellState, now: Instant): VmRecord[] {
-  const lapsed = [...state.vms.values()].filter((vm) => vm.session !== 0 && vm.lapseAt <= now);
-  for (const vm of lapsed) {
-    vm.session = 0;
-    vm.lapsed = true;
-    removeAllRuns(state, vm, now);
-  }
-  for (const [id, lapseAt] of state.unheard) {
-    if (lapseAt <= now) {
-      state.unheard.delete(id);
-    }
-  }
-  return lapsed;
-}
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -13,5 +13,6 @@
 export * from './platform-messages.js';
 export * from './resources.js';
 export * from './rows.js';
+export * from './rpc-methods.js';
 export * from './table-keys.js';
 export * from './worker-messages.js';
--- a/packages/types/src/messages.ts
+++ b/packages/types/src/messages.ts
@@ -10,18 +10,8 @@
   TaskType,
 } from './enums.js';
 import type { AgentSlice } from './agent-slice.js';
-import type {
-  AdoptParameters,
-  JobStatesParameters,
-  JobStatesResult,
-  OrdersParameters,
-  OrdersResult,
-  PendingCountsResult,
-  ReportParameters,
-  ReportResult,
-} from './cell/cell-messages.js';
 import type { DecisionRecord } from './decision-record.js';
-import type { HeartbeatParameters, HeartbeatResult, HeldTask } from './heartbeat-messages.js';
+import type { HeldTask } from './heartbeat-messages.js';
 import type {
   AgentId,
   AgentIncarnation,
@@ -39,28 +29,6 @@
 } from './identifiers.js';
 import type { Resources } from './resources.js';
 
-export enum RpcMethod {
-  AgentHeartbeat = 'agent.heartbeat',
-  LeaseRenew = 'lease.renew',
-  ConfigurationGet = 'configuration.get',
-  TaskReserve = 'task.reserve',
-  TaskStart = 'task.start',
-  TaskStop = 'task.stop',
-  TaskReport = 'task.report',
-  AttemptRun = 'attempt.run',
-  AttemptInquire = 'attempt.inquire',
-  AttemptCancel = 'attempt.cancel',
-  AgentDrain = 'agent.drain',
-  EntryDigest = 'entry.digest',
-  EntryNotify = 'entry.notify',
-  ExplainGet = 'explain.get',
-  RunnerReport = 'runner.report',
-  RunnerOrders = 'runner.orders',
-  RunnerAdopt = 'runner.adopt',
-  JobStates = 'job.states',
-  PendingCounts = 'queue.pending',
-}
-
 export interface LeaseRenewParameters {
   agentId: AgentId;
   incarnation: AgentIncarnation;
@@ -234,29 +202,3 @@
 export interface ExplainGetResult {
   records: DecisionRecord[];
 }
-
-/** The methods with their parameter and result types, for the typed client and server. */
-export interface RpcMethods {
-  [RpcMethod.AgentHeartbeat]: { parameters: HeartbeatParameters; result: HeartbeatResult };
-  [RpcMethod.LeaseRenew]: { parameters: LeaseRenewParameters; result: LeaseRenewResult };
-  [RpcMethod.ConfigurationGet]: {
-    parameters: ConfigurationGetParameters;
-    result: ConfigurationGetResult;
-  };
-  [RpcMethod.TaskReserve]: { parameters: TaskReserveParameters; result: TaskReserveResult };
-  [RpcMethod.TaskStart]: { parameters: TaskStartParameters; result: Record<string, never> };
-  [RpcMethod.TaskStop]: { parameters: TaskStopParameters; result: Record<string, never> };
-  [RpcMethod.TaskReport]: { parameters: TaskReportParameters; result: TaskReportResult };
-  [RpcMethod.AttemptRun]: { parameters: AttemptRunParameters; result: AttemptRunResult };
-  [RpcMethod.AttemptInquire]: { parameters: AttemptReference; result: AttemptInquireResult };
-  [RpcMethod.AttemptCancel]: { parameters: AttemptReference; result: AttemptCancelResult };
-  [RpcMethod.AgentDrain]: { parameters: DrainParameters; result: Record<string, never> };
-  [RpcMethod.EntryDigest]: { parameters: EntryDigestParameters; result: EntryDigestResult };
-  [RpcMethod.EntryNotify]: { parameters: EntryNotifyParameters; result: Record<string, never> };
-  [RpcMethod.ExplainGet]: { parameters: ExplainGetParameters; result: ExplainGetResult };
-  [RpcMethod.RunnerReport]: { parameters: ReportParameters; result: ReportResult };
-  [RpcMethod.RunnerOrders]: { parameters: OrdersParameters; result: OrdersResult };
-  [RpcMethod.RunnerAdopt]: { parameters: AdoptParameters; result: Record<string, never> };
-  [RpcMethod.JobStates]: { parameters: JobStatesParameters; result: JobStatesResult };
-  [RpcMethod.PendingCounts]: { parameters: Record<string, never>; result: PendingCountsResult };
-}
