Close an expired lease again when the VM did not answer

The VM left that call without an answer.

Ruled out: two schedulers (one epoch started all four runs of a task), numbers of runs, ends of an earlier life of the VM.

Change: the lease of a VM is a class of its own. An expiry is closed only by a list that was asked for after the expiry; until then nothing is reported and the next exchange asks again.

Test: "closes the time before an expiry again when the VM did not answer" failed before the change.

--- a/packages/logger/src/index.ts
+++ b/packages/logger/src/index.ts
@@ -20,3 +20,4 @@
   const { name, level = 'info' } = options;
   return pino({ name, level, redact: REDACTED_PATHS });
 }
+export * from './outage.js';
--- a/packages/runner/src/fake-vm-host.ts
+++ b/packages/runner/src/fake-vm-host.ts
@@ -25,6 +25,8 @@
 
   startAnswer = FakeAnswer.Normal;
 
+  holdAnswer = FakeAnswer.Normal;
+
   readonly starts: StartRequest[] = [];
 
   readonly stops: StopRequest[] = [];
@@ -58,6 +60,9 @@
 
   override hold(request: HoldRequest): Promise<HoldResult | HoldRefusal> {
     this.holds.push(request);
+    if (this.holdAnswer !== FakeAnswer.Normal) {
+      return noAnswer();
+    }
     if (request.epoch < this.highestEpoch) {
       return Promise.resolve(HoldRefusal.Fenced);
     }
--- a/packages/runner/src/order-desk.test.ts
+++ b/packages/runner/src/order-desk.test.ts
@@ -57,7 +57,7 @@
     onChange: () => {},
   });
   await session.lookNow();
-  session.grantUntil(20_000);
+  session.lease.grantUntil(20_000);
   const desk = new OrderDesk({ host, clock, events, onLateAnswer: (item) => late.push(item) });
   const until = async (isReached: () => boolean): Promise<void> => {
     while (!isReached()) {
@@ -96,7 +96,7 @@
 
 test('starts nothing without a lease', async () => {
   const { desk, session, host } = await createDesk();
-  await session.recoverFromLapse();
+  session.lease.untilVmMs = null;
   assert.equal((await desk.carryOut(ORDERS, session))[0]?.refusal, StartRefusal.NoSession);
   assert.equal(host.starts.length, 0);
 });
--- a/packages/runner/src/order-desk.ts
+++ b/packages/runner/src/order-desk.ts
@@ -114,7 +114,7 @@
     const { instanceId, epoch } = orders;
     const payload = orders.payloads[taskId.slice(0, taskId.indexOf('.'))] ?? '';
     while (this.options.clock.now() < giveUpAt) {
-      const leaseUntilVmMs = session.lease;
+      const leaseUntilVmMs = session.lease.untilVmMs;
       if (leaseUntilVmMs === null) {
         return StartRefusal.NoSession;
       }
--- a/packages/runner/src/reporter.ts
+++ b/packages/runner/src/reporter.ts
@@ -139,8 +139,8 @@
 
   private async exchange(address: string): Promise<number> {
     const vmSession = this.options.session();
-    if (vmSession?.hasLapsed() === true) {
-      await vmSession.recoverFromLapse();
+    if (vmSession?.lease.hasExpired() === true) {
+      await vmSession.lookNow();
       this.session = 0;
     }
     const sentAt = this.options.clock.now();
@@ -165,7 +165,7 @@
     this.refusedSince = null;
     this.accept(result, report, vmSession, sentAt);
     if (vmMs !== null) {
-      vmSession?.grantUntil(vmMs + result.grantMs);
+      vmSession?.lease.grantUntil(vmMs + result.grantMs);
     }
     return REPORT_INTERVAL_MS;
   }
@@ -182,7 +182,8 @@
 
   private describe(vmSession: VmSession | null): ReportParameters {
     const { runnerId, address, processId } = this.options;
-    const isListed = vmSession !== null && vmSession.listedEpoch === this.epoch;
+    const isListed =
+      vmSession !== null && vmSession.listedEpoch === this.epoch && !vmSession.lease.isExpired;
     return {
       agentId: runnerId,
       address,
--- a/packages/runner/src/vm-session.test.ts
+++ b/packages/runner/src/vm-session.test.ts
@@ -8,7 +8,7 @@
 import { ManualClock } from '@figjunction/time';
 import { RunEnding, VmState } from '@figjunction/types';
 import type { VmAnnouncement } from '@figjunction/types';
-import { FakeVmHost } from './fake-vm-host.js';
+import { FakeAnswer, FakeVmHost } from './fake-vm-host.js';
 import { VmSession } from './vm-session.js';
 
 const ANNOUNCEMENT: VmAnnouncement = {
@@ -50,32 +50,55 @@
 test('voids ends that were not settled when the lease expired', async () => {
   const { host, session, advance } = createSession();
   await session.lookNow();
-  session.grantUntil(host.vmClockMs + 5_000);
+  session.lease.grantUntil(host.vmClockMs + 5_000);
   runTask(host, 'a.0.0.0');
   host.end('a.0.0.0', RunEnding.Done);
   await session.lookNow();
   assert.equal(session.runs.unsettled.length, 1);
   advance(6_000);
-  assert.ok(session.hasLapsed());
-  await session.recoverFromLapse();
+  assert.ok(session.lease.hasExpired());
+  await session.lookNow();
   assert.deepEqual(session.runs.unsettled, []);
   assert.deepEqual(session.vanished, [{ taskId: 'a.0.0.0', run: 1 }]);
   assert.equal(session.settledThrough, 1);
-  assert.equal(session.lease, null);
+  assert.equal(session.lease.untilVmMs, null);
 });
 
 test('keeps ends that come after the lease was extended again', async () => {
   const { host, session, advance } = createSession();
   await session.lookNow();
-  session.grantUntil(host.vmClockMs + 5_000);
+  session.lease.grantUntil(host.vmClockMs + 5_000);
   advance(6_000);
-  await session.recoverFromLapse();
-  session.grantUntil(host.vmClockMs + 5_000);
+  assert.ok(session.lease.hasExpired());
+  await session.lookNow();
+  session.lease.grantUntil(host.vmClockMs + 5_000);
   runTask(host, 'b.0.0.0');
   host.end('b.0.0.0', RunEnding.Failed);
   await session.lookNow();
   assert.equal(session.runs.unsettled.length, 1);
-  assert.equal(session.hasLapsed(), false);
+  assert.equal(session.lease.hasExpired(), false);
+});
+
+test('closes the time before an expiry again when the VM did not answer', async () => {
+  const { host, session, advance } = createSession();
+  await session.lookNow();
+  session.lease.grantUntil(host.vmClockMs + 5_000);
+  runTask(host, 'a.0.0.0');
+  host.end('a.0.0.0', RunEnding.Done);
+  advance(6_000);
+  host.holdAnswer = FakeAnswer.Dropped;
+  assert.ok(session.lease.hasExpired());
+  await assert.rejects(session.lookNow());
+  assert.ok(session.lease.hasExpired());
+  host.holdAnswer = FakeAnswer.Normal;
+  await session.lookNow();
+  assert.equal(session.lease.hasExpired(), false);
+  assert.equal(session.settledThrough, 1);
+  session.lease.grantUntil(host.vmClockMs + 5_000);
+  runTask(host, 'a.0.0.0');
+  host.end('a.0.0.0', RunEnding.Done);
+  await session.lookNow();
+  assert.equal(session.runs.unsettled.length, 1);
 });
 
 test('reports no list while ends of an earlier process may be void', async () => {
--- a/packages/runner/src/vm-session.ts
+++ b/packages/runner/src/vm-session.ts
@@ -2,6 +2,7 @@
  * One life of the VM: extends its lease as far as the scheduler has granted, and follows its runs.
  */
 import { toError } from '@figjunction/errors';
+import { Outage } from '@figjunction/logger';
 import type { EventLog } from '@figjunction/logger';
 import { sleep } from '@figjunction/time';
 import type { Clock, Instant } from '@figjunction/time';
@@ -11,6 +12,7 @@
 import type { LapseVerdict } from './lapse-detector.js';
 import { RunTable } from './run-table.js';
 import { VmClock } from './vm-clock.js';
+import { VmLease } from './vm-lease.js';
 import { HoldRefusal } from './vm-host.js';
 import type { HoldResult, VmHost } from './vm-host.js';
 
@@ -27,6 +29,14 @@
   onChange: () => void;
 }
 
+/** What was known when a list was asked for. */
+interface ListRequest {
+  askedAt: Instant;
+  askedEpoch: number;
+  /** The lease had surely expired, so that all ends in the list came before the expiry. */
+  closesExpiry: boolean;
+}
+
 const HOLD_WAIT_MS = 900;
 /** While tasks that serve and tasks that fill run side by side, readings are looked at more often. */
 const PACING_WAIT_MS = 300;
@@ -54,9 +64,7 @@
 
   private readonly lapses: LapseDetector;
 
-  private leaseUntilVmMs: number | null = null;
-
-  private isExpired = false;
+  readonly lease: VmLease;
 
   private stopped = false;
 
@@ -64,11 +72,12 @@
 
   private pauseMs = UNSETTLED_PAUSE_MS;
 
-  private failing = false;
+  private readonly outage = new Outage();
 
   constructor(private readonly options: VmSessionOptions) {
     this.announcement = options.announcement;
     this.vmClock = new VmClock(options.clock);
+    this.lease = new VmLease(this.vmClock);
     this.pacer = new FillPacer(options.host, options.events, options.clock);
     this.lapses = new LapseDetector(options.clock, options.inheritedLeaseUntil);
   }
@@ -82,32 +91,6 @@
     return this.vmClock.earliest();
   }
 
-  /** The scheduler allows the lease to run until this time on the VM's clock. */
-  grantUntil(vmMs: number): void {
-    this.leaseUntilVmMs = Math.max(this.leaseUntilVmMs ?? 0, Math.floor(vmMs));
-  }
-
-  /** True when the lease has surely expired since it was last extended. */
-  hasLapsed(): boolean {
-    const vmMs = this.vmClock.earliest();
-    return vmMs !== null && this.leaseUntilVmMs !== null && vmMs > this.leaseUntilVmMs;
-  }
-
-  /**
-   * Closes the time before an expiry: nothing is extended or started until a list tells which ends came
-   * before it.
-   */
-  async recoverFromLapse(): Promise<void> {
-    this.isExpired = true;
-    this.leaseUntilVmMs = null;
-    await this.hold(0);
-    this.isExpired = false;
-  }
-
-  get lease(): number | null {
-    return this.leaseUntilVmMs;
-  }
-
   settle(sequence: number): void {
     if (sequence > this.settledThrough) {
       this.settledThrough = sequence;
@@ -146,7 +129,7 @@
     this.hold(0).catch((error: unknown) => this.noteFailure(toError(error)));
   }
 
-  /** Asks the VM once, without waiting for an end. */
+  /** Asks the VM once, without waiting for an end. The list closes an expiry of the lease that is known. */
   async lookNow(): Promise<void> {
     await this.hold(0);
   }
@@ -174,10 +157,11 @@
     const { host, clock, announcement, epoch } = this.options;
     const askedAt = clock.now();
     const askedEpoch = epoch();
+    const closesExpiry = this.lease.isExpired;
     const result = await host.hold({
       instanceId: announcement.instanceId,
       epoch: askedEpoch,
-      leaseUntilVmMs: this.leaseUntilVmMs,
+      leaseUntilVmMs: this.lease.untilVmMs,
       settledThrough: this.settledThrough,
       waitMs,
     });
@@ -185,15 +169,19 @@
       await this.handleRefusal(result, askedEpoch);
       return false;
     }
-    this.noteRecovery();
+    this.outage.end(() =>
+      this.options.events.write('vm-regained', { instance: announcement.instanceId }),
+    );
     const verdict = this.lapses.judge(result);
-    return verdict.isCertain && this.applyList(result, verdict, { askedAt, askedEpoch });
+    return (
+      verdict.isCertain && this.applyList(result, verdict, { askedAt, askedEpoch, closesExpiry })
+    );
   }
 
   private applyList(
     result: HoldResult,
     { voidThrough }: LapseVerdict,
-    { askedAt, askedEpoch }: { askedAt: Instant; askedEpoch: number },
+    { askedAt, askedEpoch, closesExpiry }: ListRequest,
   ): boolean {
     const { clock, announcement, epoch } = this.options;
     if (result.bornWallMs !== announcement.bornWallMs) {
@@ -203,7 +191,10 @@
     const now = clock.now();
     const { ended, vanished } = this.runs.apply(result.running, result.ended, askedAt, now);
     this.vanished.push(...vanished);
-    this.voidEnds(Math.max(voidThrough, this.isExpired ? lastEnd(result) : 0));
+    this.voidEnds(Math.max(voidThrough, closesExpiry ? lastEnd(result) : 0));
+    if (closesExpiry) {
+      this.lease.closeExpiry();
+    }
     const isFirst = this.listedEpoch !== askedEpoch;
     this.listedEpoch = Math.max(this.listedEpoch, askedEpoch);
     this.pacer.adjust(this.runs, { instanceId: announcement.instanceId, epoch: epoch() });
@@ -231,17 +222,10 @@
   }
 
   private noteFailure(error: Error): void {
-    if (!this.failing) {
-      this.failing = true;
-      const { instanceId } = this.announcement;
-      this.options.events.write('vm-lost', { instance: instanceId, error: error.message });
-    }
-  }
-
-  private noteRecovery(): void {
-    if (this.failing) {
-      this.failing = false;
-      this.options.events.write('vm-regained', { instance: this.announcement.instanceId });
-    }
+    const { instanceId } = this.announcement;
+    const { events } = this.options;
+    this.outage.begin(() =>
+      events.write('vm-lost', { instance: instanceId, error: error.message }),
+    );
   }
 }
--- a/packages/scheduler/src/collection-watch.ts
+++ b/packages/scheduler/src/collection-watch.ts
@@ -2,6 +2,7 @@
  * Follows the changes of a collection that is spread over the partitions of jobs. When the history is gone, all rows are read anew.
  */
 import { toError } from '@figjunction/errors';
+import { Outage } from '@figjunction/logger';
 import type { FeedRow } from '@figjunction/store';
 import { sleep } from '@figjunction/time';
 import type { CellContext } from './cell-context.js';
@@ -24,19 +25,22 @@
 
   private afterVersion: number;
 
-  private failing = false;
+  private readonly outage = new Outage();
 
   constructor(private readonly options: CollectionWatchOptions<Value>) {
     this.afterVersion = options.afterVersion;
   }
 
   async run(): Promise<void> {
+    const { context, collection } = this.options;
+    const { events } = context;
     while (!this.stopped) {
       try {
         await this.step();
-        this.noteRecovery();
+        this.outage.end(() => events.write('watch-regained', { collection }));
       } catch (error) {
-        this.noteFailure(toError(error));
+        const { message } = toError(error);
+        this.outage.begin(() => events.write('watch-lost', { collection, error: message }));
         await sleep(RETRY_MS);
       }
     }
@@ -65,20 +69,4 @@
       this.options.onRows(rows);
     }
   }
-
-  private noteFailure(error: Error): void {
-    if (!this.failing) {
-      this.failing = true;
-      const { context, collection } = this.options;
-      context.events.write('watch-lost', { collection, error: error.message });
-    }
-  }
-
-  private noteRecovery(): void {
-    if (this.failing) {
-      this.failing = false;
-      const { context, collection } = this.options;
-      context.events.write('watch-regained', { collection });
-    }
-  }
 }
