Let a scheduler that answers renew its lease after an outage

The successor held back every inherited job until all runners were heard: 588 tasks still waited at 26.5 s.

Ruled out: that the owner was cut off; it reported the return of its watches within 50 ms.

Change: a process that hears refusals waits 1.2 s from the first sight of the expired lease, and only takes over when that row has not changed. The owner retries a failed renewal after 200 ms instead of 750 ms. A silent owner is still replaced as soon as its lease is over. The decision is a class of its own, so that it can be tested alone.

--- a/packages/runner/src/reporter.ts
+++ b/packages/runner/src/reporter.ts
@@ -10,6 +10,7 @@
 import type { Clock, Instant } from '@figjunction/time';
 import { RpcMethod } from '@figjunction/types';
 import type { ReportParameters, ReportResult, RunAnswer } from '@figjunction/types';
+import { Silence, Succession } from './succession.js';
 import type { VmSession } from './vm-session.js';
 
 export interface ReporterOptions {
@@ -25,16 +26,6 @@
   takeOver: (view: OwnerView, reason: string) => Promise<void>;
 }
 
-/** Why the scheduler is not heard. */
-enum Silence {
-  Unknown = 'no-scheduler-known',
-  Unanswered = 'unanswered',
-  /** The process at its address does not schedule. */
-  OtherProcess = 'other-process',
-  /** It answers, but gives no session. */
-  Refused = 'refused',
-}
-
 const REFUSAL_PATIENCE_MS = 600;
 
 const REPORT_INTERVAL_MS = 500;
@@ -66,7 +57,11 @@
 
   private refusedSince: Instant | null = null;
 
-  constructor(private readonly options: ReporterOptions) {}
+  private readonly succession: Succession;
+
+  constructor(private readonly options: ReporterOptions) {
+    this.succession = new Succession(options);
+  }
 
   /** True while orders of the session may be carried out. */
   accepts(epoch: number, session: number): boolean {
@@ -229,18 +224,13 @@
 
   /** Reads who schedules; takes over when nobody does any more. */
   private async findOwner(silence: Silence): Promise<number> {
-    const { directory, address, processId, takeOver } = this.options;
+    const { directory, clock, takeOver } = this.options;
     const silentEpoch = directory.owner?.epoch ?? null;
     const view = await directory.refresh();
     if (view === null) {
       return RETRY_MS;
     }
-    const { owner, lease, storeMs } = view;
-    const isOver = lease === null || lease.leasedUntilStoreMs <= storeMs;
-    const isPredecessor = owner?.address === address && owner.processId !== processId;
-    // Another process at the owner's address proves that the owner has ended.
-    const isReplaced = silence === Silence.OtherProcess && owner?.epoch === silentEpoch;
-    if (owner === null || isOver || isPredecessor || isReplaced) {
+    if (this.succession.mayTakeOver(view, silence, silentEpoch, clock.now())) {
       await takeOver(view, silence);
       this.wake();
     }
--- a/packages/scheduler/src/cell-lease.ts
+++ b/packages/scheduler/src/cell-lease.ts
@@ -34,6 +34,7 @@
 
 const DEFAULT_LEASE_MS = 3_000;
 const DEFAULT_RENEWAL_MS = 750;
+const RENEWAL_RETRY_MS = 200;
 /** Kept between the end of the holder's own right and the end that the row shows. */
 const LEASE_MARGIN_MS = 150;
 /** A larger step between wall clock and steady clock hints at a suspended VM. */
@@ -115,7 +116,7 @@
       const result = await this.send(expected, this.epoch, null);
       return result.committed ? RenewalOutcome.Renewed : this.resolveConflict(result);
     } catch (error) {
-      this.lastRenewalAt = now;
+      this.lastRenewalAt = now - this.renewalMs + RENEWAL_RETRY_MS;
       if (errorCodeOf(error) === ErrorCode.OutcomeUnknown) {
         return await this.resolveUnknown();
       }
