Send orders to a runner one call at a time

Cause: each tick sent a call for each VM with new orders, about one call for each start (250 a second on the grown sites), also while earlier calls to the same runner were without an answer.

Change: a runner that is being called gets its next orders when that call is over, so that orders of a busy time share calls.

Tests: order-sender.test.ts; "sends the orders that come up during a call together" fails without the change. Tests of the scheduler share one context fixture and the fixture of scheduling instead of a copy of it.

--- /dev/null
+++ b/packages/scheduler/src/cell-context-fixture.ts
@@ -0,0 +1,35 @@
+/**
+ * Builds what the parts of a scheduler share, for tests.
+ */
+import { EventLog, createLogger } from '@figjunction/logger';
+import { RpcClient } from '@figjunction/rpc';
+import { StoreClock } from '@figjunction/store';
+import { Metrics } from '@figjunction/telemetry';
+import type { ManualClock } from '@figjunction/time';
+import { Adviser } from './adviser.js';
+import type { CellContext } from './cell-context.js';
+import { MemoryFeedStore } from './memory-feed-store.js';
+
+class NoAdviser extends Adviser {
+  override advise(): Promise<never[]> {
+    return Promise.resolve([]);
+  }
+}
+
+export function createContext(clock: ManualClock, changes: Partial<CellContext> = {}): CellContext {
+  const logger = createLogger({ name: 'test', level: 'silent' });
+  return {
+    store: new MemoryFeedStore(clock),
+    storeClock: new StoreClock(clock),
+    clock,
+    events: new EventLog({ logger, now: () => clock.now() }),
+    metrics: new Metrics(),
+    rpc: new RpcClient({ sharedToken: 'token' }),
+    adviser: new NoAdviser(),
+    address: 'http://127.0.0.1:1',
+    processId: 'process-1',
+    grantMs: 5_000,
+    statusMs: 60_000,
+    ...changes,
+  };
+}
--- /dev/null
+++ b/packages/scheduler/src/order-sender.test.ts
@@ -0,0 +1,81 @@
+/**
+ * Guards against one call for each start under load, and against orders that are lost with a call.
+ */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { RpcClient } from '@figjunction/rpc';
+import { placeTasks } from '@figjunction/scheduling';
+import { addJob, addVm, createState, createStep } from '@figjunction/scheduling/cell-fixture';
+import { ManualClock } from '@figjunction/time';
+import type { OrdersParameters, OrdersResult } from '@figjunction/types';
+import { createContext } from './cell-context-fixture.js';
+import { OrderSender } from './order-sender.js';
+
+class HeldRpcClient extends RpcClient {
+  readonly calls: OrdersParameters[] = [];
+
+  private readonly answers: ((answer: OrdersResult | Error) => void)[] = [];
+
+  constructor() {
+    super({ sharedToken: 'token' });
+  }
+
+  override call<Result>(_address: string, _method: string, parameters: unknown): Promise<Result> {
+    this.calls.push(parameters as OrdersParameters);
+    return new Promise((resolve, reject) => {
+      this.answers.push((answer) =>
+        answer instanceof Error ? reject(answer) : resolve(answer as Result),
+      );
+    });
+  }
+
+  async answerNext(answer: OrdersResult | Error): Promise<void> {
+    this.answers.shift()?.(answer);
+    await new Promise((resolve) => {
+      setImmediate(resolve);
+    });
+  }
+}
+
+function createSender() {
+  const clock = new ManualClock(1_000);
+  const rpc = new HeldRpcClient();
+  const state = createState();
+  addVm(state);
+  const sender = new OrderSender({
+    context: createContext(clock, { rpc }),
+    state,
+    epoch: 1,
+    onAnswers: () => {},
+  });
+  const startJob = (id: string): void => {
+    addJob(state, { id, steps: [createStep()] });
+    placeTasks(state, clock.now());
+    sender.sendDue(clock.now());
+  };
+  return { clock, rpc, sender, startJob };
+}
+
+test('sends the orders that come up during a call together in the next one', async () => {
+  const { clock, rpc, sender, startJob } = createSender();
+  startJob('00000000000000aa');
+  startJob('00000000000000bb');
+  startJob('00000000000000cc');
+  assert.equal(rpc.calls.length, 1);
+  const [{ taskId, run } = { taskId: '', run: 0 }] = rpc.calls[0]?.starts ?? [];
+  await rpc.answerNext({ answers: [{ taskId, run, refusal: null }] });
+  sender.sendDue(clock.now());
+  assert.equal(rpc.calls.length, 2);
+  assert.equal(rpc.calls[1]?.starts.length, 2);
+});
+
+test('sends an order again after a call without an answer', async () => {
+  const { clock, rpc, sender, startJob } = createSender();
+  startJob('00000000000000aa');
+  await rpc.answerNext(new Error('no answer'));
+  sender.sendDue(clock.now());
+  assert.equal(rpc.calls.length, 1);
+  clock.advance(200);
+  sender.sendDue(clock.now());
+  assert.deepEqual(rpc.calls[1]?.starts, rpc.calls[0]?.starts);
+});
--- a/packages/scheduler/src/order-sender.ts
+++ b/packages/scheduler/src/order-sender.ts
@@ -1,5 +1,6 @@
 /**
- * Sends orders to runners. An order without an answer goes out again; runners carry out each only once.
+ * Sends orders to runners, one call at a time to each, so that orders of a busy time share calls. An order
+ * without an answer goes out again; runners carry out each only once.
  */
 import { toError } from '@figjunction/errors';
 import { RunPhase, applyAnswers } from '@figjunction/scheduling';
@@ -13,7 +14,7 @@
   context: CellContext;
   state: CellState;
   epoch: number;
-  /** Answers have changed the tables. */
+  /** A call is over: its answers have changed the tables, and the runner can be called again. */
   onAnswers: () => void;
 }
 
@@ -23,11 +24,13 @@
 const RETRY_MS = 150;
 
 export class OrderSender {
+  private readonly called = new Set<VmRecord>();
+
   constructor(private readonly options: OrderSenderOptions) {}
 
   sendDue(now: Instant): void {
     for (const vm of this.options.state.vms.values()) {
-      if (vm.session !== 0 && vm.announcement !== null) {
+      if (vm.session !== 0 && vm.announcement !== null && !this.called.has(vm)) {
         this.sendTo(vm, now);
       }
     }
@@ -50,6 +53,7 @@
       .filter(({ phase }) => phase === RunPhase.Stopping)
       .map(({ task, run }) => ({ taskId: task.id, run }));
     stops.push(...orphans.map(({ taskId, run }) => ({ taskId, run })));
+    this.called.add(vm);
     this.post(vm, {
       epoch: this.options.epoch,
       session: vm.session,
@@ -58,7 +62,12 @@
       payloads: payloadsOf(starts),
       starts: starts.map((run) => describeStart(this.options.state, run)),
       stops,
-    }).catch((error: unknown) => this.fail(vm, items, toError(error)));
+    })
+      .catch((error: unknown) => this.fail(vm, items, toError(error)))
+      .finally(() => {
+        this.called.delete(vm);
+        this.options.onAnswers();
+      });
   }
 
   private async post(vm: VmRecord, parameters: OrdersParameters): Promise<void> {
@@ -75,7 +84,6 @@
       refused.forEach(({ taskId, run, refusal }) =>
         context.events.write('run-refused', { task: taskId, run, vm: vm.id, refusal }),
       );
-      this.options.onAnswers();
     }
   }
 
--- a/packages/scheduler/src/progress-writer.test.ts
+++ b/packages/scheduler/src/progress-writer.test.ts
@@ -3,16 +3,10 @@
  */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { EventLog, createLogger } from '@figjunction/logger';
-import { RpcClient } from '@figjunction/rpc';
-import { CellState, createJob, createOccurrence, updateReadySteps } from '@figjunction/scheduling';
-import type { JobRecord } from '@figjunction/scheduling';
-import { StoreClock } from '@figjunction/store';
-import { Metrics } from '@figjunction/telemetry';
+import { addJob, createState, createStep } from '@figjunction/scheduling/cell-fixture';
 import { ManualClock } from '@figjunction/time';
-import type { ProgressRow, StepSpecification } from '@figjunction/types';
-import { Adviser } from './adviser.js';
-import type { CellContext } from './cell-context.js';
+import type { ProgressRow } from '@figjunction/types';
+import { createContext } from './cell-context-fixture.js';
 import { CellLease } from './cell-lease.js';
 import { CELL_PARTITION, CellCollection, jobPartition } from './cell-tables.js';
 import { MemoryFeedStore, StoreFault } from './memory-feed-store.js';
@@ -20,91 +14,16 @@
 import { ProgressWriter } from './progress-writer.js';
 
 const JOB_ID = '00000000000000aa';
-const STEP: StepSpecification = {
-  taskCount: 2,
-  resources: { processorMillicores: 100, memoryMegabytes: 10, accelerators: 0 },
-  estimateMs: 100,
-  after: [],
-  checkpoints: false,
-  gang: false,
-  sameRack: false,
-  requiredLabel: null,
-  preferredRack: null,
-  tasksPerVmMaximum: null,
-  duplicatesAllowed: false,
-  longRunning: false,
-  image: null,
-  latencyTargetMs: null,
-  fills: false,
-  unavailableMaximum: null,
-};
-const POLICY = {
-  name: 'labels',
-  host: 'labels.example',
-  pathPrefix: '/labels/',
-  service: 'printing',
-  priority: 0,
-  attemptsMaximum: 2,
-  slackFactor: 1,
-  objectiveMs: 100,
-  advice: null,
-};
-
-class NoAdviser extends Adviser {
-  override advise(): Promise<never[]> {
-    return Promise.resolve([]);
-  }
-}
-
-function createContext(clock: ManualClock, store: MemoryFeedStore): CellContext {
-  const logger = createLogger({ name: 'test', level: 'silent' });
-  return {
-    store,
-    storeClock: new StoreClock(clock),
-    clock,
-    events: new EventLog({ logger, now: () => clock.now() }),
-    metrics: new Metrics(),
-    rpc: new RpcClient({ sharedToken: 'token' }),
-    adviser: new NoAdviser(),
-    address: 'http://127.0.0.1:1',
-    processId: 'process-1',
-    grantMs: 5_000,
-    statusMs: 60_000,
-  };
-}
-
-function addJob(state: CellState): JobRecord {
-  const specification = {
-    payload: 'print',
-    steps: [STEP],
-    occurrences: 0,
-    firstDueWallMs: 0,
-    intervalMs: 0,
-  };
-  const job = createJob({
-    id: JOB_ID,
-    policy: POLICY,
-    specification,
-    submittedAt: 0,
-    inherited: false,
-  });
-  state.jobs.set(JOB_ID, job);
-  const occurrence = createOccurrence(job, 0, 0, 0);
-  state.activate(occurrence);
-  updateReadySteps(occurrence, 0);
-  return job;
-}
-
 async function createWriter() {
   const clock = new ManualClock(1_000);
   const store = new MemoryFeedStore(clock);
-  const context = createContext(clock, store);
+  const context = createContext(clock, { store });
   const lease = new CellLease(context);
   const directory = new OwnerDirectory(context);
   const view = await directory.refresh();
   assert.ok(view !== null && (await lease.acquire(view)));
-  const state = new CellState();
-  const job = addJob(state);
+  const state = createState();
+  const job = addJob(state, { id: JOB_ID, steps: [createStep({ taskCount: 2 })] });
   let deposed = 0;
   const writer = new ProgressWriter({
     context,
