Bound the rate of reports, and list all runs only twice a second

Cause: each runner reported on every new end and sent its whole list each time. On the grown sites that is up to 400 reports a second of about 30 runs each, and in an overload each timed-out report is sent whole again.

Change: the scheduler answers with the shortest time to the next report, 3 ms for each runner (33 ms at 11 runners, 200 ms at 66). Reports between two lists carry only ends, answers and vanished runs. What a report tells is a class of its own. A report times out after 1.5 s instead of 1 s. The answer of a process that claims the cell has a name instead of a bare -1.

Price: an end is known up to 200 ms later at 66 runners while ends are frequent; the first end after a pause is reported at once.

Tests of the runner share one fixture.

--- a/packages/runner/src/order-desk.test.ts
+++ b/packages/runner/src/order-desk.test.ts
@@ -3,13 +3,12 @@
  */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { EventLog, createLogger } from '@figjunction/logger';
 import { SystemClock, sleep } from '@figjunction/time';
-import { StartRefusal, VmState } from '@figjunction/types';
+import { StartRefusal } from '@figjunction/types';
 import type { OrdersParameters, RunAnswer } from '@figjunction/types';
-import { FakeAnswer, FakeVmHost } from './fake-vm-host.js';
+import { FakeAnswer } from './fake-vm-host.js';
 import { OrderDesk } from './order-desk.js';
-import { VmSession } from './vm-session.js';
+import { createVmSession } from './vm-session-fixture.js';
 
 const ORDERS: OrdersParameters = {
   epoch: 1,
@@ -32,30 +31,9 @@
 };
 
 async function createDesk() {
-  const host = new FakeVmHost();
   const clock = new SystemClock();
-  const logger = createLogger({ name: 'test', level: 'silent' });
-  const events = new EventLog({ logger, now: () => clock.now() });
+  const { host, events, session } = createVmSession(clock);
   const late: RunAnswer[] = [];
-  const session = new VmSession({
-    host,
-    clock,
-    events,
-    announcement: {
-      instanceId: 'instance-1',
-      bornWallMs: 1_000,
-      service: 'printing',
-      dataCentre: 'istanbul',
-      state: VmState.Ready,
-      capacity: { processorMillicores: 4_000, memoryMegabytes: 1_000, accelerators: 0 },
-      labels: [],
-      rack: null,
-      remainingMs: null,
-    },
-    epoch: () => 1,
-    inheritedLeaseUntil: 0,
-    onChange: () => {},
-  });
   await session.lookNow();
   session.lease.grantUntil(20_000);
   const desk = new OrderDesk({ host, clock, events, onLateAnswer: (item) => late.push(item) });
--- a/packages/runner/src/reporter.ts
+++ b/packages/runner/src/reporter.ts
@@ -9,7 +9,9 @@
 import { sleep } from '@figjunction/time';
 import type { Clock, Instant } from '@figjunction/time';
 import { RpcMethod } from '@figjunction/types';
-import type { ReportParameters, ReportResult, RunAnswer } from '@figjunction/types';
+import type { ReportResult, RunAnswer } from '@figjunction/types';
+import { ReportContents } from './report-contents.js';
+import type { ReportedChanges } from './report-contents.js';
 import { Silence, Succession } from './succession.js';
 import type { VmSession } from './vm-session.js';
 
@@ -29,7 +31,7 @@
 const REFUSAL_PATIENCE_MS = 600;
 
 const REPORT_INTERVAL_MS = 500;
-const REPORT_TIMEOUT_MS = 1_000;
+const REPORT_TIMEOUT_MS = 1_500;
 const RETRY_MS = 120;
 
 export class Reporter {
@@ -42,10 +44,10 @@
   /** Until when the last grant runs, on this process's clock. */
   private grantedUntil: Instant = 0;
 
-  private answers: RunAnswer[] = [];
+  /** No report before this time. */
+  private notBefore: Instant = 0;
 
-  /** The last end that the scheduler has received in this session. */
-  private receivedEnd = 0;
+  private readonly contents: ReportContents;
 
   private wakeUp = new AbortController();
 
@@ -61,6 +63,12 @@
 
   constructor(private readonly options: ReporterOptions) {
     this.succession = new Succession(options);
+    this.contents = new ReportContents(options.clock);
+  }
+
+  private get identity() {
+    const { runnerId, address, processId } = this.options;
+    return { agentId: runnerId, address, processId };
   }
 
   /** True while orders of the session may be carried out. */
@@ -70,7 +78,7 @@
   }
 
   addAnswer(answer: RunAnswer): void {
-    this.answers.push(answer);
+    this.contents.addAnswer(answer);
     this.wake();
   }
 
@@ -82,7 +90,7 @@
 
   /** A new life of the VM: ends count from the start again. */
   startAnew(): void {
-    this.receivedEnd = 0;
+    this.contents.startAnew();
     this.session = 0;
     this.wake();
   }
@@ -92,7 +100,7 @@
     if (epoch > this.epoch) {
       this.epoch = epoch;
       this.session = 0;
-      this.receivedEnd = 0;
+      this.contents.startAnew();
       this.options.session()?.relist();
       this.wake();
     }
@@ -107,6 +115,7 @@
     while (!this.stopped) {
       this.woken = false;
       const delayMs = await this.reportOnce();
+      await sleep(this.notBefore - this.options.clock.now());
       if (!this.woken) {
         this.wakeUp = new AbortController();
         await sleep(delayMs, this.wakeUp.signal);
@@ -140,8 +149,9 @@
     }
     const sentAt = this.options.clock.now();
     const vmMs = vmSession?.earliestVmMs() ?? null;
-    const report = this.describe(vmSession);
-    const result = await this.options.rpc.call(address, RpcMethod.RunnerReport, report, {
+    const report = this.contents.describe(vmSession, this.epoch, this.session);
+    const parameters = { ...this.identity, ...report };
+    const result = await this.options.rpc.call(address, RpcMethod.RunnerReport, parameters, {
       timeoutMs: REPORT_TIMEOUT_MS,
       newConnection: this.useNewConnection,
     });
@@ -158,6 +168,7 @@
       return this.waitForSession();
     }
     this.refusedSince = null;
+    this.notBefore = sentAt + result.pauseMs;
     this.accept(result, report, vmSession, sentAt);
     if (vmMs !== null) {
       vmSession?.lease.grantUntil(vmMs + result.grantMs);
@@ -175,39 +186,17 @@
     return this.findOwnerSafely(Silence.Refused);
   }
 
-  private describe(vmSession: VmSession | null): ReportParameters {
-    const { runnerId, address, processId } = this.options;
-    const isListed =
-      vmSession !== null && vmSession.listedEpoch === this.epoch && !vmSession.lease.isExpired;
-    return {
-      agentId: runnerId,
-      address,
-      processId,
-      session: this.session,
-      vm: vmSession?.announcement ?? null,
-      running: isListed ? vmSession.runs.list() : null,
-      ended: isListed
-        ? vmSession.runs.unsettled.filter(({ sequence }) => sequence > this.receivedEnd)
-        : [],
-      answers: this.answers,
-      pressureAllowance: vmSession?.pressureAllowance ?? null,
-      vanished: isListed ? vmSession.vanished : [],
-    };
-  }
-
   private accept(
     result: ReportResult,
-    report: ReportParameters,
+    report: ReportedChanges,
     vmSession: VmSession | null,
     sentAt: Instant,
   ): void {
     this.session = result.session;
     this.grantedUntil = sentAt + result.grantMs;
-    this.answers = this.answers.filter((answer) => !report.answers.includes(answer));
-    if (vmSession !== null && vmSession === this.options.session()) {
-      const sent = new Set(report.vanished);
-      vmSession.vanished = vmSession.vanished.filter((reference) => !sent.has(reference));
-      this.receivedEnd = Math.max(this.receivedEnd, ...report.ended.map((end) => end.sequence));
+    const isCurrent = vmSession !== null && vmSession === this.options.session();
+    this.contents.acknowledge(report, isCurrent ? vmSession : null);
+    if (isCurrent) {
       vmSession.settle(result.settledThrough);
       result.known.forEach((attributes) => vmSession.runs.describe(attributes));
     }
--- /dev/null
+++ b/packages/runner/src/vm-session-fixture.ts
@@ -0,0 +1,45 @@
+/**
+ * Builds sessions of a VM in memory for tests of the runner.
+ */
+import { EventLog, createLogger } from '@figjunction/logger';
+import type { Clock } from '@figjunction/time';
+import { VmState } from '@figjunction/types';
+import type { VmAnnouncement } from '@figjunction/types';
+import { FakeVmHost } from './fake-vm-host.js';
+import { VmSession } from './vm-session.js';
+
+const ANNOUNCEMENT: VmAnnouncement = {
+  instanceId: 'instance-1',
+  bornWallMs: 1_000,
+  service: 'printing',
+  dataCentre: 'istanbul',
+  state: VmState.Ready,
+  capacity: { processorMillicores: 4_000, memoryMegabytes: 1_000, accelerators: 0 },
+  labels: [],
+  rack: null,
+  remainingMs: null,
+};
+
+export interface SessionFixture {
+  host: FakeVmHost;
+  events: EventLog;
+  session: VmSession;
+}
+
+export function createVmSession(
+  clock: Clock,
+  { host = new FakeVmHost(), inheritedLeaseMs = 0 } = {},
+): SessionFixture {
+  const logger = createLogger({ name: 'test', level: 'silent' });
+  const events = new EventLog({ logger, now: () => clock.now() });
+  const session = new VmSession({
+    host,
+    clock,
+    events,
+    announcement: ANNOUNCEMENT,
+    epoch: () => 1,
+    inheritedLeaseUntil: clock.now() + inheritedLeaseMs,
+    onChange: () => {},
+  });
+  return { host, events, session };
+}
--- a/packages/runner/src/vm-session.test.ts
+++ b/packages/runner/src/vm-session.test.ts
@@ -4,38 +4,16 @@
  */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { EventLog, createLogger } from '@figjunction/logger';
 import { ManualClock } from '@figjunction/time';
-import { RunEnding, VmState } from '@figjunction/types';
-import type { VmAnnouncement } from '@figjunction/types';
+import { RunEnding } from '@figjunction/types';
 import { FakeAnswer, FakeVmHost } from './fake-vm-host.js';
-import { VmSession } from './vm-session.js';
+import { createVmSession } from './vm-session-fixture.js';
 
-const ANNOUNCEMENT: VmAnnouncement = {
-  instanceId: 'instance-1',
-  bornWallMs: 1_000,
-  service: 'printing',
-  dataCentre: 'istanbul',
-  state: VmState.Ready,
-  capacity: { processorMillicores: 4_000, memoryMegabytes: 1_000, accelerators: 0 },
-  labels: [],
-  rack: null,
-  remainingMs: null,
-};
 const INHERITED_LEASE_MS = 5_000;
 
 function createSession(inheritedLeaseMs = 0, host = new FakeVmHost()) {
   const clock = new ManualClock(1_000);
-  const logger = createLogger({ name: 'test', level: 'silent' });
-  const session = new VmSession({
-    host,
-    clock,
-    events: new EventLog({ logger, now: () => clock.now() }),
-    announcement: ANNOUNCEMENT,
-    epoch: () => 1,
-    inheritedLeaseUntil: clock.now() + inheritedLeaseMs,
-    onChange: () => {},
-  });
+  const { session } = createVmSession(clock, { host, inheritedLeaseMs });
   const advance = (milliseconds: number): void => {
     clock.advance(milliseconds);
     host.vmClockMs += milliseconds;
--- a/packages/scheduler/src/cell-scheduler.ts
+++ b/packages/scheduler/src/cell-scheduler.ts
@@ -12,6 +12,7 @@
 import { loadCell } from './cell-loader.js';
 import { CellRun } from './cell-run.js';
 import type { OwnerDirectory, OwnerView } from './owner-directory.js';
+import { refuseReport } from './runner-desk.js';
 import { SchedulerError } from './scheduler-error.js';
 
 export interface CellSchedulerOptions {
@@ -19,6 +20,10 @@
   directory: OwnerDirectory;
 }
 
+/** The epoch in the answer of a process that does not schedule. */
+const NO_EPOCH = 0;
+/** The epoch in the answer of a process that is trying to take the cell over. */
+const UNDECIDED_EPOCH = -1;
 const RENEWAL_CHECK_MS = 100;
 const LOAD_RETRY_MS = 200;
 /** How long a stop waits for progress to be stored. */
@@ -94,13 +99,7 @@
   handlers(): RpcHandlers {
     return {
       [RpcMethod.RunnerReport]: (report) =>
-        this.run?.desk.report(report) ?? {
-          epoch: this.claiming ? this.lease.epoch || -1 : 0,
-          session: 0,
-          grantMs: 0,
-          settledThrough: 0,
-          known: [],
-        },
+        this.run?.desk.report(report) ?? refuseReport(this.claimedEpoch()),
       [RpcMethod.JobStates]: ({ jobIds }) => ({
         states: this.activeRun()?.jobStates(jobIds) ?? jobIds.map(() => null),
       }),
@@ -108,6 +107,14 @@
     };
   }
 
+  /** The epoch that this process claims or holds without having loaded the cell. */
+  private claimedEpoch(): number {
+    if (!this.claiming) {
+      return NO_EPOCH;
+    }
+    return this.lease.epoch === 0 ? UNDECIDED_EPOCH : this.lease.epoch;
+  }
+
   private activeRun(): CellRun | null {
     return this.lease.isHeld() ? this.run : null;
   }
--- a/packages/scheduler/src/runner-desk.ts
+++ b/packages/scheduler/src/runner-desk.ts
@@ -24,6 +24,8 @@
 /** A VM's clock may be this much slow. */
 const VM_CLOCK_RATE = 0.98;
 const LAPSE_MARGIN_MS = 200;
+/** Keeps the reports of all runners together under about 330 a second. */
+const PAUSE_MS_PER_RUNNER = 3;
 const ADOPT_TIMEOUT_MS = 500;
 const ADOPT_RETRY_MS = 300;
 
@@ -32,6 +34,11 @@
   return grantMs / VM_CLOCK_RATE + LAPSE_MARGIN_MS;
 }
 
+/** The answer to a runner that gets no session. */
+export function refuseReport(epoch: number): ReportResult {
+  return { epoch, session: 0, grantMs: 0, pauseMs: 0, settledThrough: 0, known: [] };
+}
+
 export class RunnerDesk {
   private sessions = 0;
 
@@ -40,7 +47,7 @@
   /** A session of 0 tells the runner to send its whole list, or to come again. */
   report(report: ReportParameters): ReportResult {
     const { context, state, lease, writer, onChange } = this.options;
-    const refusal = { epoch: lease.epoch, session: 0, grantMs: 0, settledThrough: 0, known: [] };
+    const refusal = refuseReport(lease.epoch);
     const vm = state.vms.get(report.agentId);
     if (!lease.isHeld()) {
       return refusal;
@@ -70,7 +77,9 @@
     onChange();
     const { session, settledThrough } = vm;
     const known = isNew ? describeRuns(state, vm) : [];
-    return { epoch: lease.epoch, session, grantMs: context.grantMs, settledThrough, known };
+    const pauseMs = PAUSE_MS_PER_RUNNER * state.vms.size;
+    const { grantMs } = context;
+    return { epoch: lease.epoch, session, grantMs, pauseMs, settledThrough, known };
   }
 
   /** Takes the runs off VMs whose lease has surely expired. */
--- a/packages/types/src/cell/cell-messages.ts
+++ b/packages/types/src/cell/cell-messages.ts
@@ -67,6 +67,8 @@
   session: number;
   /** The runner may extend the lease of its VM for this long, counted from when it sent the report. */
   grantMs: number;
+  /** Shortest time from this report to the next one of the runner. */
+  pauseMs: number;
   /** Ends up to this one are stored. */
   settledThrough: number;
   /** All runs that the scheduler knows on the VM; only in the answer that opens a session. */
