Store which VMs may hold runs of a job before its orders go out

Cause: a new scheduler held back every inherited job until each registered runner had reported or its lease had surely expired, because starts were not stored.

Weighed: a shorter lease of the VMs (loses their work in outages of the store), one row for each start (about 250 rows a second). Chosen: the row of an occurrence, which is written at each end anyway, also names the runners that may hold its runs. An order goes out once the store names its runner; a run that is stopped before that is forgotten. While a row is on its way only runners that both rows name count as stored.

Now a job is held back only while one of its own runners has not been heard. Price: a first start on a VM waits for one transaction, and while the store is away no job starts on further VMs.

Tests: "starts jobs that are not stored with a VM that has not been heard" failed before; others in order-sender, progress-writer and reports tests.

--- a/packages/scheduler/src/job-intake.ts
+++ b/packages/scheduler/src/job-intake.ts
@@ -52,7 +52,7 @@
     }
   }
 
-  /** Adds jobs that are not known yet. `inherited` says that an earlier scheduler may know them. */
+  /** Adds jobs that are not known yet. Those of an earlier scheduler are not logged again. */
   addJobs(rows: FeedRow<JobRow>[], inherited: boolean, now: Instant): void {
     const { state, context } = this.options;
     for (const { key, value } of rows) {
@@ -60,7 +60,7 @@
         const ageMs = Math.max(0, context.storeClock.earliest() - value.submittedAtStoreMs);
         const submittedAt = now - ageMs;
         const { policy, specification } = value;
-        const job = createJob({ id: key, policy, specification, submittedAt, inherited });
+        const job = createJob({ id: key, policy, specification, submittedAt });
         state.jobs.set(key, job);
         this.addOccurrences(job, now);
         if (this.cancelledAhead.delete(key)) {
--- a/packages/scheduler/src/order-sender.test.ts
+++ b/packages/scheduler/src/order-sender.test.ts
@@ -5,8 +5,10 @@
 import { test } from 'node:test';
 import { RpcClient } from '@figjunction/rpc';
 import { placeTasks } from '@figjunction/scheduling';
+import type { OccurrenceRecord } from '@figjunction/scheduling';
 import { addJob, addVm, createState, createStep } from '@figjunction/scheduling/cell-fixture';
 import { ManualClock } from '@figjunction/time';
+import { JobState } from '@figjunction/types';
 import type { OrdersParameters, OrdersResult } from '@figjunction/types';
 import { createContext } from './cell-context-fixture.js';
 import { OrderSender } from './order-sender.js';
@@ -48,12 +50,13 @@
     epoch: 1,
     onAnswers: () => {},
   });
-  const startJob = (id: string): void => {
-    addJob(state, { id, steps: [createStep()] });
+  const startJob = (id: string, storedVms = ['vm-1']): OccurrenceRecord => {
+    const job = addJob(state, { id, steps: [createStep()], storedVms });
     placeTasks(state, clock.now());
     sender.sendDue(clock.now());
+    return job.occurrences.get(0) as OccurrenceRecord;
   };
-  return { clock, rpc, sender, startJob };
+  return { clock, rpc, state, sender, startJob };
 }
 
 test('sends the orders that come up during a call together in the next one', async () => {
@@ -69,6 +72,26 @@
   assert.equal(rpc.calls[1]?.starts.length, 2);
 });
 
+test('sends no order to start before the store names the VM', () => {
+  const { clock, rpc, state, sender, startJob } = createSender();
+  const occurrence = startJob('00000000000000aa', []);
+  assert.equal(rpc.calls.length, 0);
+  assert.ok(state.dirty.has(occurrence));
+  occurrence.storedVms.add('vm-1');
+  sender.sendDue(clock.now());
+  assert.equal(rpc.calls[0]?.starts.length, 1);
+});
+
+test('forgets a run that is stopped before its order was sent', () => {
+  const { clock, rpc, state, sender, startJob } = createSender();
+  const occurrence = startJob('00000000000000aa', []);
+  state.finishOccurrence(occurrence, JobState.Cancelled, clock.now());
+  occurrence.storedVms.add('vm-1');
+  sender.sendDue(clock.now());
+  assert.equal(rpc.calls.length, 0);
+  assert.equal(state.vms.get('vm-1')?.runs.size, 0);
+});
+
 test('sends an order again after a call without an answer', async () => {
   const { clock, rpc, sender, startJob } = createSender();
   startJob('00000000000000aa');
--- a/packages/scheduler/src/order-sender.ts
+++ b/packages/scheduler/src/order-sender.ts
@@ -37,9 +37,7 @@
   }
 
   private sendTo(vm: VmRecord, now: Instant): void {
-    const due = [...vm.runs.values()].filter(
-      ({ phase, sendAt }) => phase !== RunPhase.Running && sendAt <= now,
-    );
+    const due = [...vm.runs.values()].filter((run) => isDue(run, now));
     const orphans = [...vm.orphans.values()].filter(({ sendAt }) => sendAt <= now);
     if (due.length + orphans.length === 0) {
       return;
@@ -49,6 +47,9 @@
       item.sendAt = now + RESEND_MS;
     });
     const starts = due.filter(({ phase }) => phase === RunPhase.Ordered);
+    starts.forEach((run) => {
+      run.isSent = true;
+    });
     const stops: RunReference[] = due
       .filter(({ phase }) => phase === RunPhase.Stopping)
       .map(({ task, run }) => ({ taskId: task.id, run }));
@@ -98,6 +99,14 @@
   }
 }
 
+/** A start waits until the store names its VM, so that a successor knows where it may run. */
+function isDue({ phase, sendAt, task, vm }: RunRecord, now: Instant): boolean {
+  const isOpen =
+    phase === RunPhase.Stopping ||
+    (phase === RunPhase.Ordered && task.step.occurrence.storedVms.has(vm.id));
+  return isOpen && sendAt <= now;
+}
+
 function payloadsOf(starts: RunRecord[]): Record<JobId, string> {
   return Object.fromEntries(
     starts.map(({ task }) => [
--- a/packages/scheduler/src/progress-batch.ts
+++ b/packages/scheduler/src/progress-batch.ts
@@ -1,17 +1,17 @@
 /**
  * What one transaction of progress holds, and how it is written.
  */
-import { encodeProgress, isFinished, occurrenceCount } from '@figjunction/scheduling';
+import { isFinished, occurrenceCount } from '@figjunction/scheduling';
 import type { JobRecord, OccurrenceRecord, VmRecord } from '@figjunction/scheduling';
 import type { RowReference, RowWrite } from '@figjunction/store';
 import type { Instant } from '@figjunction/time';
-import type { JobState } from '@figjunction/types';
+import type { ProgressRow } from '@figjunction/types';
 import { COMMIT_KEY, CellCollection, progressKey } from './cell-tables.js';
 
 export const COMMIT_ROW = { collection: CellCollection.Cells, key: COMMIT_KEY };
 
 export interface ProgressBatch {
-  occurrences: { occurrence: OccurrenceRecord; state: JobState }[];
+  occurrences: { occurrence: OccurrenceRecord; row: ProgressRow }[];
   runners: [string, string][];
   removedJobs: JobRecord[];
   ends: [VmRecord, number, string][];
@@ -37,12 +37,20 @@
   }));
 }
 
+/** While a row is on its way, only VMs that the rows before and after name are surely stored. */
+export function keepStoredVms({ occurrences }: ProgressBatch): void {
+  for (const { occurrence, row } of occurrences) {
+    const { storedVms } = occurrence;
+    occurrence.storedVms = new Set(row.runners.filter((id) => storedVms.has(id)));
+  }
+}
+
 export function describeWrites({ occurrences, runners }: ProgressBatch): RowWrite[] {
   return [
-    ...occurrences.map(({ occurrence }) => ({
+    ...occurrences.map(({ occurrence, row }) => ({
       collection: CellCollection.Progress,
       key: progressKey(occurrence.job.id, occurrence.index),
-      value: encodeProgress(occurrence),
+      value: row,
     })),
     ...runners.map(([id, address]) => ({
       collection: CellCollection.Runners,
--- a/packages/scheduler/src/progress-writer.test.ts
+++ b/packages/scheduler/src/progress-writer.test.ts
@@ -3,7 +3,8 @@
  */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { addJob, createState, createStep } from '@figjunction/scheduling/cell-fixture';
+import { placeTasks } from '@figjunction/scheduling';
+import { addJob, addVm, createState, createStep } from '@figjunction/scheduling/cell-fixture';
 import { ManualClock } from '@figjunction/time';
 import type { ProgressRow } from '@figjunction/types';
 import { createContext } from './cell-context-fixture.js';
@@ -115,3 +116,19 @@
   assert.equal(await storedMarks(), undefined);
   assert.equal(state.jobs.size, 0);
 });
+
+test('names a VM as stored only while the rows before and after agree, or after the write', async () => {
+  const { store, state, job, flush } = await createWriter();
+  const occurrence = job.occurrences.get(0);
+  assert.ok(occurrence !== undefined);
+  addVm(state, 'vm-1');
+  occurrence.storedVms = new Set(['vm-2']);
+  placeTasks(state, 0);
+  store.fault = StoreFault.LosesAnswers;
+  await flush();
+  assert.deepEqual([...occurrence.storedVms], []);
+  store.fault = StoreFault.None;
+  await flush();
+  await flush();
+  assert.deepEqual([...occurrence.storedVms], ['vm-1']);
+});
--- a/packages/scheduler/src/progress-writer.ts
+++ b/packages/scheduler/src/progress-writer.ts
@@ -3,7 +3,7 @@
  * runs count as settled only once their effect is stored.
  */
 import { toError } from '@figjunction/errors';
-import { isFinished } from '@figjunction/scheduling';
+import { encodeProgress, isFinished } from '@figjunction/scheduling';
 import type { CellState, JobRecord } from '@figjunction/scheduling';
 import type { FeedRow } from '@figjunction/store';
 import type { Instant } from '@figjunction/time';
@@ -16,7 +16,13 @@
   OWNER_KEY,
   jobPartition,
 } from './cell-tables.js';
-import { COMMIT_ROW, describeWrites, finishJob, progressRowsOf } from './progress-batch.js';
+import {
+  COMMIT_ROW,
+  describeWrites,
+  finishJob,
+  keepStoredVms,
+  progressRowsOf,
+} from './progress-batch.js';
 import type { ProgressBatch } from './progress-batch.js';
 
 export interface ProgressWriterOptions {
@@ -109,7 +115,10 @@
     const room = ENTRIES_MAXIMUM - occurrences.length;
     const isWhole = occurrences.length === state.dirty.size;
     return {
-      occurrences: occurrences.map((occurrence) => ({ occurrence, state: occurrence.state })),
+      occurrences: occurrences.map((occurrence) => ({
+        occurrence,
+        row: encodeProgress(occurrence, state.unheard),
+      })),
       runners: [...this.unregistered].slice(0, room),
       removedJobs: isWhole && this.unregistered.size === 0 ? this.removable(room) : [],
       ends: isWhole ? [...state.vms.values()].map((vm) => [vm, vm.lastEnd, vm.processId]) : [],
@@ -132,6 +141,7 @@
   private async store(batch: ProgressBatch): Promise<void> {
     const { context, lease, state } = this.options;
     batch.occurrences.forEach(({ occurrence }) => state.dirty.delete(occurrence));
+    keepStoredVms(batch);
     const sentAt = context.clock.now();
     let isStored = false;
     try {
@@ -172,7 +182,8 @@
     const { context, state } = this.options;
     this.retryDelayMs = RETRY_FIRST_MS;
     const now = context.clock.now();
-    for (const { occurrence, state: stored } of batch.occurrences) {
+    for (const { occurrence, row } of batch.occurrences) {
+      const { state: stored, runners } = row;
       if (occurrence.storedState !== stored && isFinished(stored)) {
         const { job } = occurrence;
         const ageMs = Math.round(now - occurrence.dueAt);
@@ -185,6 +196,7 @@
         context.metrics.recordLatency('job_time_ms', ageMs, { queue: job.policy.name });
       }
       occurrence.storedState = stored;
+      occurrence.storedVms = new Set(runners);
       occurrence.dirty = state.dirty.has(occurrence);
       finishJob(occurrence.job, now);
     }
--- a/packages/scheduling/src/cell-fixture.ts
+++ b/packages/scheduling/src/cell-fixture.ts
@@ -52,12 +52,13 @@
 export interface AddedJob {
   id?: string;
   steps: StepSpecification[];
-  inherited?: boolean;
+  /** VMs that the store names as holding runs of the job. */
+  storedVms?: string[];
   policy?: QueuePolicy;
 }
 
 export function addJob(state: CellState, options: AddedJob): JobRecord {
-  const { id = '00000000000000aa', steps, inherited = false, policy = POLICY } = options;
+  const { id = '00000000000000aa', steps, storedVms = [], policy = POLICY } = options;
   const specification: JobSpecification = {
     payload: 'print',
     steps,
@@ -65,9 +66,10 @@
     firstDueWallMs: 0,
     intervalMs: 0,
   };
-  const job = createJob({ id, policy, specification, submittedAt: 0, inherited });
+  const job = createJob({ id, policy, specification, submittedAt: 0 });
   state.jobs.set(id, job);
   const occurrence = createOccurrence(job, 0, 0, 0);
+  occurrence.storedVms = new Set(storedVms);
   state.activate(occurrence);
   updateReadySteps(occurrence, 0);
   return job;
--- a/packages/scheduling/src/cell-state.ts
+++ b/packages/scheduling/src/cell-state.ts
@@ -36,7 +36,7 @@
   /** Occurrences with changes that are not stored. */
   readonly dirty = new Set<OccurrenceRecord>();
 
-  /** VMs of earlier schedulers that have not been heard yet; each may run tasks of inherited jobs. */
+  /** VMs of earlier schedulers that have not been heard yet; each may run tasks of jobs stored with it. */
   readonly unheard = new Map<AgentId, Instant>();
 
   findTask(taskId: TaskId): TaskRecord | null {
@@ -109,7 +109,7 @@
       run,
       vm,
       phase,
-      orderedAt: now,
+      isSent: phase !== RunPhase.Ordered,
       sendAt: now,
       ticket,
       percent: 0,
@@ -151,7 +151,9 @@
   }
 
   orderStop(record: RunRecord, now: Instant): void {
-    if (record.phase !== RunPhase.Stopping) {
+    if (!record.isSent) {
+      this.removeRun(record, now);
+    } else if (record.phase !== RunPhase.Stopping) {
       record.phase = RunPhase.Stopping;
       record.sendAt = now;
     }
--- a/packages/scheduling/src/job-table.ts
+++ b/packages/scheduling/src/job-table.ts
@@ -3,7 +3,13 @@
  */
 import type { Instant } from '@figjunction/time';
 import { JobState } from '@figjunction/types';
-import type { JobId, JobSpecification, ProgressRow, QueuePolicy } from '@figjunction/types';
+import type {
+  AgentId,
+  JobId,
+  JobSpecification,
+  ProgressRow,
+  QueuePolicy,
+} from '@figjunction/types';
 import type { JobRecord, OccurrenceRecord, StepRecord, TaskRecord } from './records.js';
 
 /** One character for each task of a step in a stored row. */
@@ -19,7 +25,6 @@
   policy: QueuePolicy;
   specification: JobSpecification;
   submittedAt: Instant;
-  inherited: boolean;
 }
 
 export function createJob(options: NewJob): JobRecord {
@@ -40,6 +45,7 @@
     steps: [],
     state: JobState.Queued,
     storedState: null,
+    storedVms: new Set(),
     dirty: false,
     startedAt: null,
     work: 0,
@@ -113,7 +119,11 @@
   }
 }
 
-export function encodeProgress(occurrence: OccurrenceRecord): ProgressRow {
+/** `unheard` are VMs that may still hold runs of an earlier scheduler. */
+export function encodeProgress(
+  occurrence: OccurrenceRecord,
+  unheard: ReadonlyMap<AgentId, unknown>,
+): ProgressRow {
   const failures: Record<string, number[]> = {};
   const done = occurrence.steps.map((step) =>
     step.tasks.map((task) => (task.done ? DONE_MARK : OPEN_MARK)).join(''),
@@ -123,12 +133,17 @@
       failures[`${task.step.index}.${task.index}`] = task.failedRuns;
     }
   }
-  return { state: occurrence.state, done, failures };
+  const runners = new Set([...occurrence.storedVms].filter((id) => unheard.has(id)));
+  for (const { vm } of occurrence.steps.flatMap(({ tasks }) => tasks.flatMap(({ runs }) => runs))) {
+    runners.add(vm.id);
+  }
+  return { state: occurrence.state, done, failures, runners: [...runners] };
 }
 
 export function restoreProgress(occurrence: OccurrenceRecord, row: ProgressRow): void {
   occurrence.state = row.state;
   occurrence.storedState = row.state;
+  occurrence.storedVms = new Set(row.runners);
   for (const step of occurrence.steps) {
     const marks = row.done[step.index] ?? '';
     for (const task of step.tasks) {
--- a/packages/scheduling/src/place.test.ts
+++ b/packages/scheduling/src/place.test.ts
@@ -89,7 +89,7 @@
     prepare: (state) => {
       addVm(state);
       state.unheard.set('vm-2', 5_000);
-      addJob(state, { steps: [createStep()], inherited: true });
+      addJob(state, { steps: [createStep()], storedVms: ['vm-2'] });
     },
   },
 ];
@@ -101,6 +101,14 @@
   });
 }
 
+test('starts jobs that are not stored with a VM that has not been heard', () => {
+  const state = createState();
+  addVm(state);
+  state.unheard.set('vm-2', 5_000);
+  addJob(state, { steps: [createStep()], storedVms: ['vm-1'] });
+  assert.equal(started(state).length, 1);
+});
+
 test('keeps to the number of tasks of a step on one VM', () => {
   const state = createState();
   addVm(state, 'vm-1');
--- a/packages/scheduling/src/place.ts
+++ b/packages/scheduling/src/place.ts
@@ -36,9 +36,9 @@
   return result;
 }
 
-/** VMs that have not reported to this scheduler yet may run tasks of inherited jobs. */
-function isHeldBack(state: CellState, step: StepRecord): boolean {
-  return step.occurrence.job.inherited && state.unheard.size > 0;
+/** VMs that have not reported to this scheduler yet may run tasks of the jobs that are stored with them. */
+function isHeldBack({ unheard }: CellState, { occurrence }: StepRecord): boolean {
+  return unheard.size > 0 && [...occurrence.storedVms].some((id) => unheard.has(id));
 }
 
 interface StepPlacement {
@@ -113,6 +113,9 @@
   const highest = step.specification.gang
     ? Math.max(...step.tasks.map(({ lastRun }) => lastRun))
     : task.lastRun;
+  if (!step.occurrence.storedVms.has(vm.id)) {
+    state.markDirty(step.occurrence);
+  }
   const isGangMember = step.specification.gang && step.tasks.some(({ runs }) => runs.length > 0);
   return state.addRun({
     task,
--- a/packages/scheduling/src/records.ts
+++ b/packages/scheduling/src/records.ts
@@ -28,7 +28,8 @@
   run: number;
   vm: VmRecord;
   phase: RunPhase;
-  orderedAt: Instant;
+  /** False while the order to start has surely not left this process. */
+  isSent: boolean;
   /** The next time at which its order goes out again, unless an answer arrives. */
   sendAt: Instant;
   ticket: string | null;
@@ -91,6 +92,8 @@
   state: JobState;
   /** The state in the store. */
   storedState: JobState | null;
+  /** Ids of VMs that the store names as holding runs of it; orders to start go to these only. */
+  storedVms: Set<AgentId>;
   /** Has changes that are not stored yet. */
   dirty: boolean;
   startedAt: Instant | null;
@@ -107,8 +110,6 @@
   submittedAt: Instant;
   occurrences: Map<number, OccurrenceRecord>;
   cancelled: boolean;
-  /** Accepted before this scheduler took the cell over: an earlier one may have started its tasks. */
-  inherited: boolean;
   /** When all of it had ended; null while it is unfinished. */
   finishedAt: Instant | null;
 }
--- a/packages/scheduling/src/reports.test.ts
+++ b/packages/scheduling/src/reports.test.ts
@@ -36,11 +36,11 @@
 test('counts a failed run once, also when the next scheduler hears of it again', () => {
   const { state, vm, occurrence } = startOne();
   send(state, vm, { session: 1, ended: [end(1, 1, RunEnding.Failed)] });
-  const stored = encodeProgress(occurrence);
+  const stored = encodeProgress(occurrence, state.unheard);
 
   const next = createState();
   const nextVm = next.addVm('vm-1', vm.address);
-  const nextJob = addJob(next, { steps: [createStep()], inherited: true });
+  const nextJob = addJob(next, { steps: [createStep()] });
   const nextOccurrence = nextJob.occurrences.get(0) as OccurrenceRecord;
   restoreProgress(nextOccurrence, stored);
   send(next, nextVm, { ended: [end(1, 1, RunEnding.Failed)], vm: vm.announcement });
@@ -94,7 +94,7 @@
 test('adopts a run of an earlier scheduler instead of starting it again', () => {
   const state = createState();
   const vm = state.addVm('vm-1', 'http://127.0.0.1:1');
-  addJob(state, { steps: [createStep()], inherited: true });
+  addJob(state, { steps: [createStep()] });
   const running = [{ taskId: TASK, run: 3, checkpoint: 'c', percent: 50, reading: 0 }];
   send(state, vm, { running, vm: createAnnouncement() });
   assert.equal(placeTasks(state, 0).started.length, 0);
@@ -130,10 +130,17 @@
   assert.equal(placeTasks(state, 1_000).started[0]?.run, 2);
 });
 
+test('stores the VMs that may hold runs, also those that have not been heard yet', () => {
+  const { state, occurrence } = startOne();
+  occurrence.storedVms = new Set(['vm-2', 'vm-3']);
+  state.unheard.set('vm-3', 5_000);
+  assert.deepEqual(encodeProgress(occurrence, state.unheard).runners.sort(), ['vm-1', 'vm-3']);
+});
+
 test('restores stored progress', () => {
   const { state, vm, occurrence } = startOne([createStep({ taskCount: 3 })]);
   send(state, vm, { session: 1, ended: [end(1, 1, RunEnding.Done)] });
-  const row = encodeProgress(occurrence);
+  const row = encodeProgress(occurrence, state.unheard);
   assert.deepEqual(row.done, ['100']);
   const copy = createOccurrence(occurrence.job, 0, 0, 0);
   restoreProgress(copy, row);
--- a/packages/scheduling/src/vm-health.test.ts
+++ b/packages/scheduling/src/vm-health.test.ts
@@ -50,7 +50,7 @@
   addVm(state);
   addJob(state, { steps: [createStep()] });
   const [run] = placeTasks(state, 0).started;
-  (run ?? { phase: null }).phase = RunPhase.Running;
+  Object.assign(run ?? {}, { phase: RunPhase.Running, isSent: true });
   assert.equal(stopStalledRuns(state, 1_000).length, 0);
   assert.deepEqual(stopStalledRuns(state, 2_000), [run]);
   assert.equal(run?.phase, RunPhase.Stopping);
--- a/packages/types/src/cell/job-specification.ts
+++ b/packages/types/src/cell/job-specification.ts
@@ -1,7 +1,7 @@
 /**
  * Batch jobs made of steps, as the scheduler of a cell keeps them.
  */
-import type { TaskId } from '../identifiers.js';
+import type { AgentId, TaskId } from '../identifiers.js';
 import type { Resources } from '../resources.js';
 import type { QueuePolicy } from './fleet-configuration.js';
 
@@ -61,6 +61,8 @@
   done: string[];
   /** Numbers of the failed runs by "step.index"; tasks without failures are left out. */
   failures: Record<string, number[]>;
+  /** Runners whose VMs may hold runs of the occurrence. Stored before the order to start goes out. */
+  runners: AgentId[];
 }
 
 export enum JobState {
