Judge a silent scheduler by the epoch that was asked

The new process at the killed owner's address answers that it does not schedule. When the successor had announced itself before this answer came, the answer was taken as one of the successor, whose lease then counted for nothing: two schedulers were active at once.

Change: the reporter keeps the epoch of the scheduler that it asked, and only that one counts as replaced.

Test: reporter.test.ts failed before.

--- /dev/null
+++ b/packages/runner/src/reporter.test.ts
@@ -0,0 +1,74 @@
+/**
+ * Guards against a take-over from a scheduler that has just taken over itself: the answer of the process
+ * at its predecessor's address says nothing about it.
+ */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { EventLog, createLogger } from '@figjunction/logger';
+import { RpcClient } from '@figjunction/rpc';
+import { OwnerDirectory } from '@figjunction/scheduler';
+import type { OwnerView } from '@figjunction/scheduler';
+import { StoreClock } from '@figjunction/store';
+import type { FeedStore } from '@figjunction/store';
+import { SystemClock, sleep } from '@figjunction/time';
+import type { CellOwnerRow } from '@figjunction/types';
+import { Reporter } from './reporter.js';
+
+const BEFORE: CellOwnerRow = { epoch: 1, address: 'http://before', processId: 'before' };
+const AFTER: CellOwnerRow = { epoch: 2, address: 'http://after', processId: 'after' };
+
+/** Shows the successor with a lease that runs. */
+class FixedDirectory extends OwnerDirectory {
+  override refresh(): Promise<OwnerView> {
+    const lease = { epoch: 2, leasedUntilStoreMs: 9_000 };
+    return Promise.resolve({
+      owner: AFTER,
+      ownerVersion: 5,
+      lease,
+      leaseVersion: 6,
+      storeMs: 7_000,
+    });
+  }
+}
+
+/** While the predecessor's address answers that it does not schedule, the successor announces itself. */
+class AnnouncingRpcClient extends RpcClient {
+  constructor(private readonly onCall: () => void) {
+    super({ sharedToken: 'token' });
+  }
+
+  override call<Result>(): Promise<Result> {
+    this.onCall();
+    const answer = { epoch: 0, session: 0, grantMs: 0, pauseMs: 0, settledThrough: 0, known: [] };
+    return Promise.resolve(answer as Result);
+  }
+}
+
+test('does not take over from a successor because its predecessor has ended', async () => {
+  const clock = new SystemClock();
+  const logger = createLogger({ name: 'test', level: 'silent' });
+  const store = {} as FeedStore;
+  const directory = new FixedDirectory({ store, storeClock: new StoreClock(clock), clock });
+  directory.learn(BEFORE);
+  let takeOvers = 0;
+  const reporter = new Reporter({
+    clock,
+    events: new EventLog({ logger, now: () => clock.now() }),
+    rpc: new AnnouncingRpcClient(() => {
+      directory.learn(AFTER);
+      reporter.stop();
+    }),
+    directory,
+    runnerId: 'vm-1',
+    address: 'http://mine',
+    processId: 'mine',
+    session: () => null,
+    takeOver: () => {
+      takeOvers += 1;
+      return Promise.resolve();
+    },
+  });
+  await reporter.run();
+  await sleep(0);
+  assert.equal(takeOvers, 0);
+});
--- a/packages/runner/src/reporter.ts
+++ b/packages/runner/src/reporter.ts
@@ -9,7 +9,7 @@
 import { sleep } from '@figjunction/time';
 import type { Clock, Instant } from '@figjunction/time';
 import { RpcMethod } from '@figjunction/types';
-import type { ReportResult, RunAnswer } from '@figjunction/types';
+import type { CellOwnerRow, ReportResult, RunAnswer } from '@figjunction/types';
 import { ReportContents } from './report-contents.js';
 import type { ReportedChanges } from './report-contents.js';
 import { Silence, Succession } from './succession.js';
@@ -129,19 +129,19 @@
     const { owner } = directory;
     try {
       if (owner === null) {
-        return await this.findOwner(Silence.Unknown);
+        return await this.findOwner(Silence.Unknown, null);
       }
       this.follow(owner.epoch);
-      return await this.exchange(owner.address);
+      return await this.exchange(owner);
     } catch (error) {
       this.useNewConnection = true;
       const { message } = toError(error);
       events.write('report-failed', { owner: owner?.address, epoch: this.epoch, error: message });
-      return this.findOwnerSafely(Silence.Unanswered);
+      return this.findOwnerSafely(Silence.Unanswered, owner?.epoch ?? null);
     }
   }
 
-  private async exchange(address: string): Promise<number> {
+  private async exchange({ address, epoch }: CellOwnerRow): Promise<number> {
     const vmSession = this.options.session();
     if (vmSession?.lease.hasExpired() === true) {
       await vmSession.lookNow();
@@ -157,7 +157,7 @@
     });
     this.useNewConnection = false;
     if (result.epoch === 0) {
-      return this.findOwnerSafely(Silence.OtherProcess);
+      return this.findOwnerSafely(Silence.OtherProcess, epoch);
     }
     if (result.epoch !== this.epoch) {
       this.follow(result.epoch);
@@ -165,7 +165,7 @@
     }
     if (result.session === 0) {
       this.session = 0;
-      return this.waitForSession();
+      return this.waitForSession(epoch);
     }
     this.refusedSince = null;
     this.notBefore = sentAt + result.pauseMs;
@@ -177,13 +177,13 @@
   }
 
   /** A scheduler that gives no session for long may have lost its lease without knowing a successor. */
-  private async waitForSession(): Promise<number> {
+  private async waitForSession(epoch: number): Promise<number> {
     const now = this.options.clock.now();
     this.refusedSince ??= now;
     if (now - this.refusedSince < REFUSAL_PATIENCE_MS) {
       return RETRY_MS;
     }
-    return this.findOwnerSafely(Silence.Refused);
+    return this.findOwnerSafely(Silence.Refused, epoch);
   }
 
   private accept(
@@ -202,24 +202,26 @@
     }
   }
 
-  private async findOwnerSafely(silence: Silence): Promise<number> {
+  private async findOwnerSafely(silence: Silence, askedEpoch: number | null): Promise<number> {
     try {
-      return await this.findOwner(silence);
+      return await this.findOwner(silence, askedEpoch);
     } catch (error) {
       this.options.events.write('owner-unknown', { silence, error: toError(error).message });
       return RETRY_MS;
     }
   }
 
-  /** Reads who schedules; takes over when nobody does any more. */
-  private async findOwner(silence: Silence): Promise<number> {
+  /**
+   * Reads who schedules; takes over when nobody does any more. The epoch is that of the scheduler that was
+   * asked: another one may have announced itself since.
+   */
+  private async findOwner(silence: Silence, askedEpoch: number | null): Promise<number> {
     const { directory, clock, takeOver } = this.options;
-    const silentEpoch = directory.owner?.epoch ?? null;
     const view = await directory.refresh();
     if (view === null) {
       return RETRY_MS;
     }
-    if (this.succession.mayTakeOver(view, silence, silentEpoch, clock.now())) {
+    if (this.succession.mayTakeOver(view, silence, askedEpoch, clock.now())) {
       await takeOver(view, silence);
       this.wake();
     }
