--- a/packages/runner/src/reporter.test.ts
+++ b/packages/runner/src/reporter.test.ts
@@ -8,9 +8,8 @@
 import { RpcClient } from '@figjunction/rpc';
 import { OwnerDirectory } from '@figjunction/scheduler';
 import type { OwnerView } from '@figjunction/scheduler';
-import { StoreClock } from '@figjunction/store';
-import type { FeedStore } from '@figjunction/store';
 import { SystemClock, sleep } from '@figjunction/time';
+import type { Clock } from '@figjunction/time';
 import type { CellOwnerRow } from '@figjunction/types';
 import { Reporter } from './reporter.js';
 
@@ -19,6 +18,11 @@
 
 /** Shows the successor with a lease that runs. */
 class FixedDirectory extends OwnerDirectory {
+  constructor(clock: Clock) {
+    // Nothing is read from the store, because `refresh` is replaced.
+    super({ store: {} as never, storeClock: {} as never, clock });
+  }
+
   override refresh(): Promise<OwnerView> {
     const lease = { epoch: 2, leasedUntilStoreMs: 9_000 };
     return Promise.resolve({
@@ -47,8 +51,7 @@
 test('does not take over from a successor because its predecessor has ended', async () => {
   const clock = new SystemClock();
   const logger = createLogger({ name: 'test', level: 'silent' });
-  const store = {} as FeedStore;
-  const directory = new FixedDirectory({ store, storeClock: new StoreClock(clock), clock });
+  const directory = new FixedDirectory(clock);
   directory.learn(BEFORE);
   let takeOvers = 0;
   const reporter = new Reporter({
