Take a refused start as proof only when no earlier call can start it

Cause: the scheduler repeats an order whose call got no answer. A stop or a list that the VM refused (fence, other instance) also counted as proof.

Change: an order says whether an earlier one for its run may have reached the VM. The runner answers such an order without a session not at all, and reports the refusal of the VM only after a stop that the VM carried out and a list that does not hold the run. What stays unknown stays an open run, in the row too, until the VM's list, its lease or its next incarnation shows the truth.

The test of resent orders now also demands that the repeat says so.

--- a/packages/runner/src/fake-vm-host.ts
+++ b/packages/runner/src/fake-vm-host.ts
@@ -5,7 +5,7 @@
 import { RunEnding, StartRefusal } from '@figjunction/types';
 import type { EndedRun, RunningTask } from '@figjunction/types';
 import { RunnerError } from './runner-error.js';
-import { HoldRefusal, VmHost } from './vm-host.js';
+import { HoldRefusal, StopOutcome, VmHost } from './vm-host.js';
 import type { HoldRequest, HoldResult, PaceRequest, StartRequest, StopRequest } from './vm-host.js';
 
 export enum FakeResponse {
@@ -25,6 +25,9 @@
 
   startResponse = FakeResponse.Normal;
 
+  /** The refusal of the next starts that get a response; null to start the runs. */
+  startRefusal: StartRefusal | null = null;
+
   holdResponse = FakeResponse.Normal;
 
   readonly starts: StartRequest[] = [];
@@ -46,6 +49,9 @@
   override start(request: StartRequest): Promise<StartRefusal | null> {
     this.starts.push(request);
     const { taskId, run } = request;
+    if (this.startResponse === FakeResponse.Normal && this.startRefusal !== null) {
+      return Promise.resolve(this.startRefusal);
+    }
     if (this.startResponse !== FakeResponse.Dropped) {
       this.running.push({ taskId, run, checkpoint: '', percent: 0, reading: 0 });
     }
@@ -54,10 +60,13 @@
       : rejectWithoutResponse();
   }
 
-  override stop(request: StopRequest): Promise<void> {
+  override stop(request: StopRequest): Promise<StopOutcome> {
     this.stops.push(request);
+    if (request.epoch < this.highestEpoch) {
+      return Promise.resolve(StopOutcome.Refused);
+    }
     this.end(request.taskId, RunEnding.Stopped);
-    return Promise.resolve();
+    return Promise.resolve(StopOutcome.Stopped);
   }
 
   override hold(request: HoldRequest): Promise<HoldResult | HoldRefusal> {
--- a/packages/runner/src/order-executor.test.ts
+++ b/packages/runner/src/order-executor.test.ts
@@ -22,6 +22,7 @@
       run: 1,
       checkpoint: '',
       ticket: null,
+      mayHaveReachedVm: false,
       fills: false,
       latencyTargetMs: null,
       pressure: 0,
@@ -83,3 +84,62 @@
   assert.equal((await executor.execute(ORDERS, session))[0]?.refusal, StartRefusal.NoSession);
   assert.equal(host.starts.length, 0);
 });
+
+const REPEATED_ORDERS: OrdersParameters = {
+  ...ORDERS,
+  starts: ORDERS.starts.map((order) => ({ ...order, mayHaveReachedVm: true })),
+};
+
+test('reports the refusal of a first order at once', async () => {
+  const { executor, session, host } = await createExecutor();
+  host.startRefusal = StartRefusal.NoRoom;
+  assert.equal((await executor.execute(ORDERS, session))[0]?.refusal, StartRefusal.NoRoom);
+  assert.equal(host.stops.length, 0);
+});
+
+for (const refusal of Object.values(StartRefusal)) {
+  test(`keeps a listed run whose repeated order is refused: ${refusal}`, async () => {
+    const { executor, session, host, lateResults } = await createExecutor();
+    host.running.push({ taskId: 'a.0.0.0', run: 1, checkpoint: '', percent: 0, reading: 0 });
+    host.startRefusal = refusal;
+    assert.deepEqual(await executor.execute(REPEATED_ORDERS, session), []);
+    assert.deepEqual(lateResults, []);
+    assert.equal(session.runs.isListed({ taskId: 'a.0.0.0', run: 1 }), true);
+  });
+}
+
+test('rules out a late start before it reports the refusal of a repeated order', async () => {
+  const { executor, session, host } = await createExecutor();
+  host.startRefusal = StartRefusal.NoRoom;
+  const results = await executor.execute(REPEATED_ORDERS, session);
+  assert.equal(results[0]?.refusal, StartRefusal.NoRoom);
+  assert.deepEqual(host.stops, [{ instanceId: 'instance-1', epoch: 1, taskId: 'a.0.0.0', run: 1 }]);
+});
+
+test('rules out a late start when the lease ends after a start without a response', async () => {
+  const { executor, session, host, lateResults, waitUntil } = await createExecutor();
+  host.startResponse = FakeResponse.Dropped;
+  const results = executor.execute(ORDERS, session);
+  await waitUntil(() => host.starts.length > 0);
+  session.lease.untilVmMs = null;
+  await results;
+  await waitUntil(() => host.stops.length > 0);
+  assert.deepEqual(
+    [...(await results), ...lateResults].map((result) => result.refusal),
+    [StartRefusal.NoSession],
+  );
+});
+
+test('reports nothing when the VM follows a newer scheduler and refuses stop and list', async () => {
+  const { executor, session, host, lateResults } = await createExecutor();
+  await host.hold({
+    instanceId: 'instance-1',
+    epoch: 2,
+    leaseUntilVmMs: null,
+    settledThrough: 0,
+    waitMs: 0,
+  });
+  host.startRefusal = StartRefusal.Fenced;
+  assert.deepEqual(await executor.execute(REPEATED_ORDERS, session), []);
+  assert.deepEqual(lateResults, []);
+});
--- a/packages/runner/src/order-executor.ts
+++ b/packages/runner/src/order-executor.ts
@@ -1,7 +1,7 @@
 /**
- * Executes the scheduler's start and stop orders on the VM and retries calls that get no response. When a
- * start times out, the executor stops the run before it reports the failure, so that a delayed start request
- * cannot begin the run afterwards.
+ * Executes the scheduler's start and stop orders on the VM and retries calls that get no response. When an
+ * earlier call may have started the run, a refusal is reported only after a stop, so that a delayed call cannot
+ * begin the run afterwards, and after a list that does not contain the run.
  */
 import PQueue from 'p-queue';
 import type { EventLog } from '@figjunction/logger';
@@ -10,6 +10,7 @@
 import type { Clock, Instant } from '@figjunction/time';
 import { StartRefusal } from '@figjunction/types';
 import type { OrdersParameters, RunAnswer, RunReference, StartOrder } from '@figjunction/types';
+import { StopOutcome } from './vm-host.js';
 import type { VmHost } from './vm-host.js';
 import type { VmSession } from './vm-session.js';
 
@@ -21,6 +22,13 @@
   onLateResult: (result: RunAnswer) => void;
 }
 
+interface StartAttempt {
+  /** Null when the run has started. */
+  refusal: StartRefusal | null;
+  /** A call got no response; the VM may still carry it out. */
+  hadUnansweredCall: boolean;
+}
+
 /** `execute` waits this long for the results of its starts; later ones go to `onLateResult`. */
 const RESULT_TIMEOUT_MS = 250;
 const START_TIMEOUT_MS = 1_200;
@@ -70,11 +78,15 @@
     session.runs.setAttributes(order);
     return this.queue.add(async () => {
       try {
-        const refusal = await this.start(order, orders, session);
+        const { refusal, hadUnansweredCall } = await this.start(order, orders, session);
         if (refusal === null) {
           session.runs.confirmStart(order, this.options.clock.now());
           report({ taskId, run, refusal });
-        } else if (await this.isRefusalFinal(order, refusal, session)) {
+          return;
+        }
+        const mayHaveBegun =
+          order.mayHaveReachedVm || hadUnansweredCall || refusal === StartRefusal.Superseded;
+        if (!mayHaveBegun || (await this.ruleOut(order, refusal, orders, session))) {
           report({ taskId, run, refusal });
         }
       } finally {
@@ -84,53 +96,56 @@
   }
 
   /**
-   * Returns false if the run may have begun despite the refusal: a superseded start, or one without a
-   * response, may have succeeded. The VM then lists the run or its end, which is reported.
+   * Returns true once the run is neither on the VM nor in its list of ends and no earlier call can start it any
+   * more. Otherwise the outcome stays unknown: the VM's list shows it, or the scheduler repeats the order.
    */
-  private async isRefusalFinal(
+  private async ruleOut(
     order: StartOrder,
     refusal: StartRefusal,
+    orders: OrdersParameters,
     session: VmSession,
   ): Promise<boolean> {
-    if (refusal !== StartRefusal.Superseded && refusal !== StartRefusal.Unanswered) {
-      return true;
-    }
     try {
-      await session.refresh();
+      // The VM itself rules out later starts of a superseded run.
+      const canStillStart = refusal !== StartRefusal.Superseded;
+      if (canStillStart && !(await this.stop(order, orders, session))) {
+        return false;
+      }
+      return (await session.refresh()) && !session.runs.isListed(order);
     } catch (error) {
-      // Without a list the outcome stays unknown; the scheduler repeats the order.
       const fields = { task: order.taskId, run: order.run, error: toError(error).message };
       this.options.events.write('end-not-confirmed', fields);
       return false;
     }
-    return !session.runs.isListed(order);
   }
 
   private async start(
     order: StartOrder,
     orders: OrdersParameters,
     session: VmSession,
-  ): Promise<StartRefusal | null> {
+  ): Promise<StartAttempt> {
     const deadline: Instant = this.options.clock.now() + START_TIMEOUT_MS;
     const { taskId, run, checkpoint, ticket } = order;
     const { instanceId, epoch } = orders;
     const payload = orders.payloads[taskId.slice(0, taskId.indexOf('.'))] ?? '';
+    let hadUnansweredCall = false;
     while (this.options.clock.now() < deadline) {
       const leaseUntilVmMs = session.lease.untilVmMs;
       if (leaseUntilVmMs === null) {
-        return StartRefusal.NoSession;
+        return { refusal: StartRefusal.NoSession, hadUnansweredCall };
       }
       try {
         const request = { instanceId, epoch, taskId, run, payload, checkpoint, ticket };
-        return await this.options.host.start({ ...request, leaseUntilVmMs });
+        const refusal = await this.options.host.start({ ...request, leaseUntilVmMs });
+        return { refusal, hadUnansweredCall };
       } catch (error) {
+        hadUnansweredCall = true;
         const fields = { task: taskId, run, error: toError(error).message };
         this.options.events.write('start-unanswered', fields);
         await sleep(RETRY_DELAY_MS);
       }
     }
-    await this.stop(order, orders, session);
-    return StartRefusal.Unanswered;
+    return { refusal: StartRefusal.Unanswered, hadUnansweredCall };
   }
 
   private stopUnlessInProgress(
@@ -152,22 +167,23 @@
       });
   }
 
-  /** Retries until the VM responds or its session stops. */
+  /** Retries until the VM responds or its session stops. Returns true if the VM has carried out the stop. */
   private async stop(
     { taskId, run }: RunReference,
     { instanceId, epoch }: OrdersParameters,
     session: VmSession,
-  ): Promise<void> {
+  ): Promise<boolean> {
     while (!session.isStopped) {
       try {
-        await this.options.host.stop({ instanceId, epoch, taskId, run });
+        const outcome = await this.options.host.stop({ instanceId, epoch, taskId, run });
         session.wake();
-        return;
+        return outcome === StopOutcome.Stopped;
       } catch (error) {
         const fields = { task: taskId, run, error: toError(error).message };
         this.options.events.write('stop-unanswered', fields);
         await sleep(RETRY_DELAY_MS);
       }
     }
+    return false;
   }
 }
--- a/packages/runner/src/runner.ts
+++ b/packages/runner/src/runner.ts
@@ -8,7 +8,7 @@
 import type { OwnerDirectory, OwnerView } from '@figjunction/scheduler';
 import type { Clock, Instant } from '@figjunction/time';
 import { RpcMethod, StartRefusal } from '@figjunction/types';
-import type { OrdersParameters, OrdersResult, VmAnnouncement } from '@figjunction/types';
+import type { OrdersParameters, OrdersResult, RunAnswer, VmAnnouncement } from '@figjunction/types';
 import { OrderExecutor } from './order-executor.js';
 import { Reporter } from './reporter.js';
 import type { VmHost } from './vm-host.js';
@@ -103,15 +103,21 @@
       session === null ||
       !isCurrent
     ) {
-      const refusal = StartRefusal.NoSession;
-      const { epoch, session: orderSession } = orders;
-      this.options.events.write('orders-refused', { epoch, session: orderSession, refusal });
-      return { answers: orders.starts.map(({ taskId, run }) => ({ taskId, run, refusal })) };
+      return { answers: this.refuseOrders(orders) };
     }
     session.acknowledgeEnds(orders.settledThrough);
     return { answers: await this.orderExecutor.execute(orders, session) };
   }
 
+  /** A repeated order gets no answer: an earlier process of this runner may have started its run. */
+  private refuseOrders({ epoch, session, starts }: OrdersParameters): RunAnswer[] {
+    const refusal = StartRefusal.NoSession;
+    this.options.events.write('orders-refused', { epoch, session, refusal });
+    return starts
+      .filter(({ mayHaveReachedVm }) => !mayHaveReachedVm)
+      .map(({ taskId, run }) => ({ taskId, run, refusal }));
+  }
+
   private openSession(announcement: VmAnnouncement): void {
     this.logAnnouncement(announcement);
     this.session?.stop();
--- a/packages/runner/src/vm-host.ts
+++ b/packages/runner/src/vm-host.ts
@@ -46,13 +46,19 @@
   OtherInstance = 'other-instance',
 }
 
+export enum StopOutcome {
+  /** The run has ended, is ending, or can no longer start. */
+  Stopped = 'stopped',
+  /** The VM did nothing: it has received a call with a higher epoch, or is another incarnation. */
+  Refused = 'refused',
+}
+
 /** A call that gets no response throws a `RunnerError` with `ErrorCode.OutcomeUnknown`. */
 export abstract class VmHost {
   /** Starts a run. Returns null if it has started or is already running. */
   abstract start(request: StartRequest): Promise<StartRefusal | null>;
 
-  /** Stops a run. After a response, the run has ended, is ending, or can no longer start. */
-  abstract stop(request: StopRequest): Promise<void>;
+  abstract stop(request: StopRequest): Promise<StopOutcome>;
 
   /** Extends the lease of the VM and lists its running and ended runs. */
   abstract hold(request: HoldRequest): Promise<HoldResult | HoldRefusal>;
--- a/packages/runner/src/vm-session.ts
+++ b/packages/runner/src/vm-session.ts
@@ -38,6 +38,14 @@
   clearsExpiry: boolean;
 }
 
+enum ListOutcome {
+  /** The VM refused the request, or its list does not count. */
+  NotApplied = 'not-applied',
+  Unchanged = 'unchanged',
+  /** The list contained new ends. */
+  NewEnds = 'new-ends',
+}
+
 /** Longest wait of a long poll. */
 const HOLD_WAIT_MS = 900;
 /** Shorter wait while a serving task runs, because pacing filler tasks needs recent measurements. */
@@ -132,9 +140,12 @@
     this.requestList(0).catch((error: unknown) => this.recordFailure(toError(error)));
   }
 
-  /** Requests a list without waiting for an end. The list clears a marked expiry of the lease. */
-  async refresh(): Promise<void> {
-    await this.requestList(0);
+  /**
+   * Requests a list without waiting for an end. The list clears a marked expiry of the lease. Returns false if
+   * the VM refused the request or its list could not be applied.
+   */
+  async refresh(): Promise<boolean> {
+    return (await this.requestList(0)) !== ListOutcome.NotApplied;
   }
 
   private async poll(): Promise<void> {
@@ -142,14 +153,15 @@
     const hadUnacknowledged = this.runs.unacknowledged.some(
       ({ sequence }) => sequence > this.settledThrough,
     );
-    const hasNewEnds = await this.requestList(
+    const outcome = await this.requestList(
       hadUnacknowledged || this.listedEpoch === 0 ? 0 : waitMs,
     );
     const { unacknowledged } = this.runs;
     if (unacknowledged.some(({ sequence }) => sequence > this.settledThrough)) {
-      this.pauseMs = hasNewEnds
-        ? UNACKNOWLEDGED_PAUSE_MS
-        : Math.min(UNACKNOWLEDGED_PAUSE_MAXIMUM_MS, this.pauseMs * 1.5);
+      this.pauseMs =
+        outcome === ListOutcome.NewEnds
+          ? UNACKNOWLEDGED_PAUSE_MS
+          : Math.min(UNACKNOWLEDGED_PAUSE_MAXIMUM_MS, this.pauseMs * 1.5);
       await this.pause(this.pauseMs);
     }
   }
@@ -159,8 +171,8 @@
     await sleep(milliseconds, this.wakeUp.signal);
   }
 
-  /** Extends the lease and applies the returned list. Returns true if the list contained new ends. */
-  private async requestList(waitMs: number): Promise<boolean> {
+  /** Extends the lease and applies the returned list. */
+  private async requestList(waitMs: number): Promise<ListOutcome> {
     const { host, clock, announcement, epoch } = this.options;
     const requestedAt = clock.now();
     const requestedEpoch = epoch();
@@ -174,27 +186,30 @@
     });
     if (result === HoldRefusal.Fenced || result === HoldRefusal.OtherInstance) {
       await this.handleRefusal(result, requestedEpoch);
-      return false;
+      return ListOutcome.NotApplied;
     }
     this.outage.end(() =>
       this.options.events.write('vm-regained', { instance: announcement.instanceId }),
     );
     const validity = this.leaseExpiryDetector.validateEnds(result);
-    return (
-      validity.isConclusive &&
-      this.applyList(result, validity, { requestedAt, requestedEpoch, clearsExpiry })
-    );
+    if (!validity.isConclusive || result.bornWallMs !== announcement.bornWallMs) {
+      return ListOutcome.NotApplied;
+    }
+    const hasNewEnds = this.applyList(result, validity, {
+      requestedAt,
+      requestedEpoch,
+      clearsExpiry,
+    });
+    return hasNewEnds ? ListOutcome.NewEnds : ListOutcome.Unchanged;
   }
 
+  /** Returns true if the list contained new ends. */
   private applyList(
     result: HoldResult,
     { invalidThrough }: EndValidity,
     { requestedAt, requestedEpoch, clearsExpiry }: ListRequest,
   ): boolean {
     const { clock, announcement, epoch } = this.options;
-    if (result.bornWallMs !== announcement.bornWallMs) {
-      return false;
-    }
     this.vmClock.observe(result.vmClockMs);
     const now = clock.now();
     const { ended, vanished } = this.runs.apply(result.running, result.ended, requestedAt, now);
--- a/packages/scheduler/src/order-sender.test.ts
+++ b/packages/scheduler/src/order-sender.test.ts
@@ -100,5 +100,7 @@
   assert.equal(rpc.calls.length, 1);
   clock.advance(200);
   sender.sendDueOrders(clock.now());
-  assert.deepEqual(rpc.calls[1]?.starts, rpc.calls[0]?.starts);
+  const [first] = rpc.calls[0]?.starts ?? [];
+  assert.equal(first?.mayHaveReachedVm, false);
+  assert.deepEqual(rpc.calls[1]?.starts, [{ ...first, mayHaveReachedVm: true }]);
 });
--- a/packages/scheduler/src/order-sender.ts
+++ b/packages/scheduler/src/order-sender.ts
@@ -47,6 +47,7 @@
       item.sendAt = now + RESEND_DELAY_MS;
     });
     const starts = dueRuns.filter(({ phase }) => phase === RunPhase.Ordered);
+    const startOrders = starts.map((run) => createStartOrder(this.options.state, run));
     starts.forEach((run) => {
       run.isSent = true;
     });
@@ -61,7 +62,7 @@
       instanceId: vm.announcement?.instanceId ?? '',
       settledThrough: vm.settledThrough,
       payloads: payloadsOf(starts),
-      starts: starts.map((run) => createStartOrder(this.options.state, run)),
+      starts: startOrders,
       stops,
     })
       .catch((error: unknown) => this.handleFailure(vm, items, toError(error)))
@@ -116,8 +117,9 @@
   );
 }
 
-function createStartOrder(state: CellState, { task, run, ticket }: RunRecord): StartOrder {
+function createStartOrder(state: CellState, { task, run, ticket, isSent }: RunRecord): StartOrder {
   const { fills, latencyTargetMs } = task.step.specification;
   const attributes = { fills, latencyTargetMs, pressure: state.estimatePressure(task.step) };
-  return { taskId: task.id, run, checkpoint: task.checkpoint, ticket, ...attributes };
+  const { id: taskId, checkpoint } = task;
+  return { taskId, run, checkpoint, ticket, mayHaveReachedVm: isSent, ...attributes };
 }
--- a/packages/types/src/cell/cell-messages.ts
+++ b/packages/types/src/cell/cell-messages.ts
@@ -21,7 +21,10 @@
   checkpoint: string;
 }
 
-/** Why a VM did not start a run. Every value guarantees that the run did not begin. */
+/**
+ * Why a run did not start. A runner reports a refusal only when the run did not begin and no earlier call can
+ * start it any more; while that is unknown, it reports nothing.
+ */
 export enum StartRefusal {
   Fenced = 'fenced',
   /** The run number is not higher than that of a run that has ended on this VM. */
@@ -86,6 +89,8 @@
 export interface StartOrder extends RunAttributes {
   checkpoint: string;
   ticket: string | null;
+  /** An earlier order for this run may have reached the VM, so a refusal alone does not show that it never began. */
+  mayHaveReachedVm: boolean;
 }
 
 export interface OrdersParameters {
