Count only time that lists cover as time without progress

Cause: a run counted as stalled when its progress had not changed for 1.8 s, whether or not its VM had reported meanwhile. A machine that was silent or slow to report for two seconds had its healthy runs stopped and started elsewhere, and was suspected as faulty.

Change: the time without progress ends at the VM's last list, and time in which a list was overdue moves the last progress forward. Within a session a runner sends no list that its VM gave more than 2 s ago.

--- a/packages/runner/src/report-builder.test.ts
+++ b/packages/runner/src/report-builder.test.ts
@@ -55,3 +55,11 @@
   assert.ok(vmSession.lease.checkExpiry());
   assert.equal(builder.build(vmSession, EPOCH, 0).running, null);
 });
+
+test('sends no list within a session while the VM does not respond', async () => {
+  const { clock, vmSession, builder } = await createBuilder();
+  clock.advance(2_500);
+  assert.equal(builder.build(vmSession, EPOCH, SESSION).running, null);
+  await vmSession.refresh();
+  assert.equal(builder.build(vmSession, EPOCH, SESSION).running?.length, 1);
+});
--- a/packages/runner/src/report-builder.ts
+++ b/packages/runner/src/report-builder.ts
@@ -9,6 +9,9 @@
 /** Shortest time between two full lists within a session. */
 const LIST_INTERVAL_MS = 450;
 
+/** Within a session, an older list is not sent: the scheduler would take the silence of the VM for lack of progress. */
+const LIST_AGE_MAXIMUM_MS = 2_000;
+
 const NO_SESSION = 0;
 
 export type ReportedChanges = Omit<ReportParameters, 'agentId' | 'address' | 'processId'>;
@@ -44,7 +47,9 @@
     if (!isListed) {
       return { ...common, running: null, ended: [], vanished: [] };
     }
-    const isListDue = session === NO_SESSION || this.clock.now() >= this.listDueAt;
+    const now = this.clock.now();
+    const isRecent = now - vmSession.listRequestedAt < LIST_AGE_MAXIMUM_MS;
+    const isListDue = session === NO_SESSION || (isRecent && now >= this.listDueAt);
     const { runs, vanished } = vmSession;
     const ended = runs.unacknowledged.filter(({ sequence }) => sequence > this.acknowledgedEnd);
     return { ...common, running: isListDue ? runs.toRunningTasks() : null, ended, vanished };
--- a/packages/runner/src/vm-session.ts
+++ b/packages/runner/src/vm-session.ts
@@ -69,6 +69,9 @@
 
   announcement: VmAnnouncement;
 
+  /** When the VM's last applied list was requested. */
+  listRequestedAt: Instant = Number.NEGATIVE_INFINITY;
+
   private readonly vmClock: VmClock;
 
   private readonly pacer: FillerPacer;
@@ -218,6 +221,7 @@
     if (clearsExpiry) {
       this.lease.clearExpiry();
     }
+    this.listRequestedAt = Math.max(this.listRequestedAt, requestedAt);
     const isFirstOfEpoch = this.listedEpoch !== requestedEpoch;
     this.listedEpoch = Math.max(this.listedEpoch, requestedEpoch);
     this.pacer.adjust(this.runs, { instanceId: announcement.instanceId, epoch: epoch() });
--- a/packages/scheduling/src/cell-state.ts
+++ b/packages/scheduling/src/cell-state.ts
@@ -90,6 +90,7 @@
       isLeaseExpired: false,
       leaseExpiresAt: 0,
       reportedAt: 0,
+      listedAt: 0,
       lastEndSequence: 0,
       settledThrough: 0,
       health: { failedJobs: new Set(), succeededAt: null, backoffUntil: 0 },
--- a/packages/scheduling/src/records.ts
+++ b/packages/scheduling/src/records.ts
@@ -38,6 +38,7 @@
   ticket: string | null;
   /** Progress as last reported, 0 to 100. */
   percent: number;
+  /** When the progress last changed. Time without lists of the VM does not count as time without progress. */
   percentChangedAt: Instant;
   /** Last measurement: tail latency in milliseconds for a serving task, else processor use in millicores. */
   measurement: number;
@@ -165,6 +166,8 @@
   /** Upper bound on the expiry of the VM's lease, allowing for a slow VM clock. Each report extends it. */
   leaseExpiresAt: Instant;
   reportedAt: Instant;
+  /** When a report last contained the list of its runs. */
+  listedAt: Instant;
   /** Sequence number of the last end that was applied. */
   lastEndSequence: number;
   /** Ends up to this sequence number are stored and can be acknowledged to the runner. */
--- a/packages/scheduling/src/reports.ts
+++ b/packages/scheduling/src/reports.ts
@@ -13,6 +13,9 @@
 import type { RunRecord, TaskRecord, VmRecord } from './records.js';
 import { recordFailure, recordRefusal, recordSuccess } from './vm-health.js';
 
+/** Longest time between two lists of a VM that is not silent. */
+const LIST_INTERVAL_MAXIMUM_MS = 1_200;
+
 export interface ReportOptions {
   state: CellState;
   vm: VmRecord;
@@ -48,6 +51,7 @@
   const ended = applyEnds(state, vm, report, now);
   applyOrderResponses(state, vm, report, now);
   if (report.running !== null) {
+    excludeSilence(vm, now);
     report.running.forEach((running) => applyRunning(state, vm, running, now));
     state.interference.observe(vm, report.running, now);
   }
@@ -173,6 +177,17 @@
   }
 }
 
+/** Moves the times of the last progress forward by the time in which a list of the VM was overdue. */
+function excludeSilence(vm: VmRecord, now: Instant): void {
+  const silentMs = now - vm.listedAt - LIST_INTERVAL_MAXIMUM_MS;
+  vm.listedAt = now;
+  if (silentMs > 0) {
+    for (const run of vm.runs.values()) {
+      run.percentChangedAt = Math.min(now, run.percentChangedAt + silentMs);
+    }
+  }
+}
+
 function confirmRunning(record: RunRecord, now: Instant): void {
   if (record.phase === RunPhase.Ordered) {
     record.phase = RunPhase.Running;
--- a/packages/scheduling/src/stall.ts
+++ b/packages/scheduling/src/stall.ts
@@ -1,5 +1,6 @@
 /**
- * Stops runs without progress, so that their tasks restart on other VMs.
+ * Stops runs without progress, so that their tasks restart on other VMs. Only time that lists of the VM cover
+ * counts: a VM whose reports are late may be working.
  */
 import type { Instant } from '@figjunction/time';
 import type { CellState } from './cell-state.js';
@@ -19,7 +20,7 @@
   const stalled: RunRecord[] = [];
   for (const vm of state.vms.values()) {
     for (const run of vm.runs.values()) {
-      if (isStalled(run, now)) {
+      if (isStalled(run)) {
         recordFailure(vm, run.task, now);
         run.task.failedVms.add(vm.id);
         state.orderStop(run, now);
@@ -30,7 +31,7 @@
   return stalled;
 }
 
-function isStalled({ phase, task, percentChangedAt }: RunRecord, now: Instant): boolean {
+function isStalled({ phase, task, vm, percentChangedAt }: RunRecord): boolean {
   const { longRunning, gang, fills, estimateMs } = task.step.specification;
   if (phase !== RunPhase.Running || longRunning || gang) {
     return false;
@@ -38,5 +39,5 @@
   const timeoutMs = fills
     ? FILLER_STALL_TIMEOUT_MS
     : Math.max(STALL_TIMEOUT_MINIMUM_MS, STALL_SHARE_OF_ESTIMATE * estimateMs);
-  return now - percentChangedAt > timeoutMs;
+  return vm.listedAt - percentChangedAt > timeoutMs;
 }
