Let ends be reported soon on large cells, and lists more rarely

Cause: every report of a runner waited for the same pause, 3 ms for each runner of the cell: 480 ms at 160 VMs, 33 ms at 11. The end of a step's last task was known up to half a second late, and the next step began so much later, while two full lists a second from each runner were the larger part of the scheduler's work.

The reply to a report carries both; the test for overdue lists follows the interval.

--- a/packages/runner/src/report-builder.ts
+++ b/packages/runner/src/report-builder.ts
@@ -6,8 +6,8 @@
 import type { ReportParameters, RunAnswer } from '@figjunction/types';
 import type { VmSession } from './vm-session.js';
 
-/** Shortest time between two full lists within a session. */
-const LIST_INTERVAL_MS = 450;
+/** A list this long before it is due goes along with a report of changes. */
+const LIST_ADVANCE_MS = 50;
 
 /** Within a session, an older list is not sent: the scheduler would take the silence of the VM for lack of progress. */
 const LIST_AGE_MAXIMUM_MS = 2_000;
@@ -22,7 +22,8 @@
   /** Sequence number of the last end that the scheduler has received from this builder. */
   private acknowledgedEnd = 0;
 
-  private listDueAt: Instant = 0;
+  /** When the scheduler expects the next full list. */
+  listDueAt: Instant = 0;
 
   constructor(private readonly clock: Clock) {}
 
@@ -49,17 +50,18 @@
     }
     const now = this.clock.now();
     const isRecent = now - vmSession.listRequestedAt < LIST_AGE_MAXIMUM_MS;
-    const isListDue = session === NO_SESSION || (isRecent && now >= this.listDueAt);
+    const isListDue =
+      session === NO_SESSION || (isRecent && now >= this.listDueAt - LIST_ADVANCE_MS);
     const { runs, vanished } = vmSession;
     const ended = runs.unacknowledged.filter(({ sequence }) => sequence > this.acknowledgedEnd);
     return { ...common, running: isListDue ? runs.toRunningTasks() : null, ended, vanished };
   }
 
-  /** Marks the contents of a report as received by the scheduler. */
-  acknowledge(report: ReportedChanges, vmSession: VmSession | null): void {
+  /** Marks the contents of a report as received by the scheduler, which expects lists at this interval. */
+  acknowledge(report: ReportedChanges, vmSession: VmSession | null, listIntervalMs: number): void {
     this.answers = this.answers.filter((answer) => !report.answers.includes(answer));
     if (report.running !== null) {
-      this.listDueAt = this.clock.now() + LIST_INTERVAL_MS;
+      this.listDueAt = this.clock.now() + listIntervalMs;
     }
     if (vmSession !== null) {
       const sent = new Set(report.vanished);
--- a/packages/runner/src/reporter.ts
+++ b/packages/runner/src/reporter.ts
@@ -30,6 +30,7 @@
 
 /** How long the scheduler may respond without a session before the owner is looked up again. */
 const NO_SESSION_TIMEOUT_MS = 600;
+/** Interval of reports while no list is due, because there is no VM or it does not respond. */
 const REPORT_INTERVAL_MS = 500;
 const REPORT_TIMEOUT_MS = 1_500;
 const RETRY_DELAY_MS = 120;
@@ -173,7 +174,12 @@
     if (vmMs !== null) {
       vmSession?.lease.grantUntil(vmMs + result.grantMs);
     }
-    return REPORT_INTERVAL_MS;
+    return this.delayUntilList();
+  }
+
+  private delayUntilList(): number {
+    const delayMs = this.reportBuilder.listDueAt - this.options.clock.now();
+    return delayMs > 0 ? delayMs : REPORT_INTERVAL_MS;
   }
 
   /** A scheduler that opens no session may have lost its lease without knowing its successor. */
@@ -195,7 +201,8 @@
     this.session = result.session;
     this.grantedUntil = sentAt + result.grantMs;
     const isCurrent = vmSession !== null && vmSession === this.options.session();
-    this.reportBuilder.acknowledge(report, isCurrent ? vmSession : null);
+    const { listIntervalMs } = result;
+    this.reportBuilder.acknowledge(report, isCurrent ? vmSession : null, listIntervalMs);
     if (isCurrent) {
       vmSession.acknowledgeEnds(result.settledThrough);
       result.known.forEach((attributes) => vmSession.runs.setAttributes(attributes));
--- a/packages/scheduler/src/cell-context-fixture.ts
+++ b/packages/scheduler/src/cell-context-fixture.ts
@@ -12,6 +12,7 @@
 import { MemoryFeedStore } from './memory-feed-store.js';
 import { ConfigurationFeed } from './configuration-feed.js';
 import type { ConfigurationChange } from './configuration-feed.js';
+import { ProcessorLoad } from './processor-load.js';
 
 /** Serves one configuration without queues and counts the reads. */
 export class StaticConfigurationFeed extends ConfigurationFeed {
@@ -37,6 +38,12 @@
   }
 }
 
+class NoLoad extends ProcessorLoad {
+  override utilization(): number {
+    return 0;
+  }
+}
+
 export function createCellContext(
   clock: ManualClock,
   changes: Partial<CellContext> = {},
@@ -51,6 +58,7 @@
     rpc: new RpcClient({ sharedToken: 'token' }),
     adviser: new DenyingAdviser(),
     configurationFeed: new StaticConfigurationFeed(),
+    processorLoad: new NoLoad(),
     address: 'http://127.0.0.1:1',
     processId: 'process-1',
     grantMs: 5_000,
--- a/packages/scheduler/src/cell-context.ts
+++ b/packages/scheduler/src/cell-context.ts
@@ -8,6 +8,7 @@
 import type { Clock } from '@figjunction/time';
 import type { Adviser } from './adviser.js';
 import type { ConfigurationFeed } from './configuration-feed.js';
+import type { ProcessorLoad } from './processor-load.js';
 
 export interface CellContext {
   store: FeedStore;
@@ -18,6 +19,7 @@
   rpc: RpcClient;
   adviser: Adviser;
   configurationFeed: ConfigurationFeed;
+  processorLoad: ProcessorLoad;
   /** URL at which runners and gateways reach this process. */
   address: string;
   processId: string;
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -8,3 +8,4 @@
 export * from './collection-watch.js';
 export * from './configuration-feed.js';
 export * from './owner-directory.js';
+export * from './processor-load.js';
--- a/packages/scheduler/src/runner-sessions.ts
+++ b/packages/scheduler/src/runner-sessions.ts
@@ -3,7 +3,7 @@
  * scheduler to the runners of an earlier one.
  */
 import { toError } from '@figjunction/errors';
-import { applyReport, expireVmLeases } from '@figjunction/scheduling';
+import { applyReport, computeReportPace, expireVmLeases } from '@figjunction/scheduling';
 import type { CellState, TaskEnd, VmRecord } from '@figjunction/scheduling';
 import { sleep } from '@figjunction/time';
 import type { Instant } from '@figjunction/time';
@@ -25,8 +25,6 @@
 /** Lower bound of the rate of a VM's clock, relative to the clock of this process. */
 const MINIMUM_VM_CLOCK_RATE = 0.98;
 const LEASE_EXPIRY_MARGIN_MS = 200;
-/** Limits the reports of all runners together to about 330 a second. */
-const REPORT_PAUSE_MS_PER_RUNNER = 3;
 const ADOPT_TIMEOUT_MS = 500;
 const ADOPT_RETRY_DELAY_MS = 300;
 
@@ -37,7 +35,8 @@
 
 /** Returns the response to a runner that gets no session. */
 export function createReportRefusal(epoch: number): ReportResult {
-  return { epoch, session: 0, grantMs: 0, pauseMs: 0, settledThrough: 0, known: [] };
+  const pace = { pauseMs: 0, listIntervalMs: 0 };
+  return { epoch, session: 0, grantMs: 0, ...pace, settledThrough: 0, known: [] };
 }
 
 export class RunnerSessions {
@@ -78,9 +77,10 @@
     wake();
     const { session, settledThrough } = vm;
     const known = isNew ? runAttributesOf(state, vm) : [];
-    const pauseMs = REPORT_PAUSE_MS_PER_RUNNER * state.vms.size;
+    const pace = computeReportPace(state.vms.size, context.processorLoad.utilization());
+    state.listIntervalMs = pace.listIntervalMs;
     const { grantMs } = context;
-    return { epoch: lease.epoch, session, grantMs, pauseMs, settledThrough, known };
+    return { epoch: lease.epoch, session, grantMs, ...pace, settledThrough, known };
   }
 
   /** Removes the runs from VMs whose lease must have expired by the slowest VM clock. */
--- a/packages/scheduling/src/cell-state.ts
+++ b/packages/scheduling/src/cell-state.ts
@@ -42,6 +42,9 @@
    */
   readonly unreportedVms = new Map<AgentId, Instant>();
 
+  /** Interval at which each runner is asked to list its runs. */
+  listIntervalMs = 0;
+
   findTask(taskId: TaskId): TaskRecord | null {
     const [jobId = '', occurrence = '', step = '', index = ''] = taskId.split('.');
     return (
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -10,6 +10,7 @@
 export * from './progress.js';
 export * from './records.js';
 export * from './relocate.js';
+export * from './report-pace.js';
 export * from './reports.js';
 export * from './stall.js';
 export * from './vm-health.js';
--- a/packages/scheduling/src/reports.ts
+++ b/packages/scheduling/src/reports.ts
@@ -13,8 +13,8 @@
 import type { RunRecord, TaskRecord, VmRecord } from './records.js';
 import { recordFailure, recordRefusal, recordSuccess } from './vm-health.js';
 
-/** Longest time between two lists of a VM that is not silent. */
-const LIST_INTERVAL_MAXIMUM_MS = 1_200;
+/** A list that is later than this is overdue, and its VM counts as silent. */
+const LIST_DELAY_MAXIMUM_MS = 700;
 
 export interface ReportOptions {
   state: CellState;
@@ -51,7 +51,7 @@
   const ended = applyEnds(state, vm, report, now);
   applyOrderResponses(state, vm, report, now);
   if (report.running !== null) {
-    excludeSilence(vm, now);
+    excludeSilence(vm, state.listIntervalMs, now);
     report.running.forEach((running) => applyRunning(state, vm, running, now));
     state.interference.observe(vm, report.running, now);
   }
@@ -178,8 +178,8 @@
 }
 
 /** Moves the times of the last progress forward by the time in which a list of the VM was overdue. */
-function excludeSilence(vm: VmRecord, now: Instant): void {
-  const silentMs = now - vm.listedAt - LIST_INTERVAL_MAXIMUM_MS;
+function excludeSilence(vm: VmRecord, listIntervalMs: number, now: Instant): void {
+  const silentMs = now - vm.listedAt - listIntervalMs - LIST_DELAY_MAXIMUM_MS;
   vm.listedAt = now;
   if (silentMs > 0) {
     for (const run of vm.runs.values()) {
--- a/packages/types/src/cell/cell-messages.ts
+++ b/packages/types/src/cell/cell-messages.ts
@@ -72,6 +72,8 @@
   grantMs: number;
   /** Minimum time between this report and the next one of the runner. */
   pauseMs: number;
+  /** Time between two reports that list all runs. */
+  listIntervalMs: number;
   /** Ended runs up to this sequence are acknowledged. */
   settledThrough: number;
   /** All runs that the scheduler knows on the VM; only in the response that opens a session. */
