Announce a take-over to a few runners at a time

Cause: after a take-over the scheduler called every runner on a new connection, again every 300 ms until its report had been handled: at 208 VMs that is more than all reports together.

Change: calls go through a queue of eight; a runner that has answered is called again only after 2.5 s. Runners find the scheduler in the store in any case.

The tests fail on the calls as they were: 200 runners got several calls a second.

--- a/packages/scheduler/src/runner-sessions.ts
+++ b/packages/scheduler/src/runner-sessions.ts
@@ -1,13 +1,9 @@
 /**
- * Handles the reports of runners, opens their sessions, expires the leases of their VMs, and announces this
- * scheduler to the runners of an earlier one.
+ * Handles the reports of runners, opens their sessions and expires the leases of their VMs.
  */
-import { toError } from '@figjunction/errors';
 import { applyReport, computeReportPace, expireVmLeases } from '@figjunction/scheduling';
 import type { CellState, TaskEnd, VmRecord } from '@figjunction/scheduling';
-import { sleep } from '@figjunction/time';
 import type { Instant } from '@figjunction/time';
-import { RpcMethod } from '@figjunction/types';
 import type { ReportParameters, ReportResult, RunAttributes } from '@figjunction/types';
 import type { CellContext } from './cell-context.js';
 import type { CellLease } from './cell-lease.js';
@@ -25,8 +21,6 @@
 /** Lower bound of the rate of a VM's clock, relative to the clock of this process. */
 const MINIMUM_VM_CLOCK_RATE = 0.98;
 const LEASE_EXPIRY_MARGIN_MS = 200;
-const ADOPT_TIMEOUT_MS = 500;
-const ADOPT_RETRY_DELAY_MS = 300;
 
 /** Returns the time after a grant by which the lease must have expired, even on the slowest VM clock. */
 export function leaseExpiryDelayMs(grantMs: number): number {
@@ -118,23 +112,6 @@
       failures: task.failedRuns.length,
     });
   }
-
-  /** Sends a runner the address of this scheduler until it reports or the lease of its VM must have expired. */
-  async sendAdoptCalls(runnerId: string, address: string): Promise<void> {
-    const { context, state, lease } = this.options;
-    const { epoch } = lease;
-    while (state.unreportedVms.has(runnerId) && lease.epoch === epoch) {
-      try {
-        const parameters = { epoch, address: context.address };
-        const options = { timeoutMs: ADOPT_TIMEOUT_MS, newConnection: true };
-        await context.rpc.call(address, RpcMethod.RunnerAdopt, parameters, options);
-      } catch (error) {
-        const fields = { vm: runnerId, error: toError(error).message };
-        context.events.write('runner-unreachable', fields);
-      }
-      await sleep(ADOPT_RETRY_DELAY_MS);
-    }
-  }
 }
 
 function runAttributesOf(state: CellState, vm: VmRecord): RunAttributes[] {
--- a/packages/scheduler/src/scheduling-term.ts
+++ b/packages/scheduler/src/scheduling-term.ts
@@ -28,6 +28,7 @@
 import { OrderSender } from './order-sender.js';
 import { ProgressWriter } from './progress-writer.js';
 import { RunnerSessions, leaseExpiryDelayMs } from './runner-sessions.js';
+import { TakeoverAnnouncer } from './takeover-announcer.js';
 
 export interface SchedulingTermOptions {
   context: CellContext;
@@ -53,6 +54,8 @@
 
   private readonly adviceRequester: AdviceRequester;
 
+  private readonly announcer: TakeoverAnnouncer;
+
   private readonly tickLoop: WakeLoop;
 
   private readonly watches: CollectionWatch<never>[];
@@ -75,6 +78,7 @@
       onStored: wake,
     });
     this.sessions = new RunnerSessions({ context, state, lease, writer: this.writer, wake });
+    this.announcer = new TakeoverAnnouncer({ context, state, lease });
     this.sender = new OrderSender({ context, state, epoch: lease.epoch, onCallFinished: wake });
     this.adviceRequester = new AdviceRequester(context, state, wake);
     this.tickLoop = new WakeLoop({
@@ -156,7 +160,7 @@
   }
 
   private adoptRunner(id: string, address: string): void {
-    this.sessions.sendAdoptCalls(id, address).catch((error: unknown) => {
+    this.announcer.announceTo(id, address).catch((error: unknown) => {
       const fields = { vm: id, error: toError(error).message };
       this.options.context.events.write('adopt-failed', fields);
     });
