Fill VMs without serving tasks before disturbing serving ones

Cause: a fixed cost kept filler tasks away from VMs without serving tasks, so that they went beside serving tasks first. There they are slowed down, are moved after two seconds and lose time.

Change: the cost is gone. VMs without serving tasks are used until about three quarters are taken; what is left goes to work with high pressure.

The new test fails on the code before.

--- a/packages/scheduling/src/place.test.ts
+++ b/packages/scheduling/src/place.test.ts
@@ -166,3 +166,19 @@
   );
   assert.equal(vm.used.processorMillicores, 4_000);
 });
+
+test('places filler tasks beside serving tasks only when most of the other VMs is taken', () => {
+  const state = createState();
+  const vms = ['vm-1', 'vm-2', 'vm-3', 'vm-4'].map((id) => addVm(state, id));
+  const serving = createStep({ longRunning: true, latencyTargetMs: 50, taskCount: 4 });
+  addJob(state, { id: '00000000000000aa', steps: [serving] });
+  placeTasks(state, 0);
+  const servingVms = vms.filter(({ servingCount }) => servingCount > 0);
+  assert.equal(servingVms.length, 1);
+  const resources = { processorMillicores: 500, memoryMegabytes: 10, accelerators: 0 };
+  const filler = createStep({ fills: true, image: 'menu', taskCount: 18, resources });
+  addJob(state, { id: '00000000000000bb', steps: [filler] });
+  const { started } = placeTasks(state, 10);
+  assert.equal(started.length, 18);
+  assert.ok(started.every(({ vm }) => vm.servingCount === 0));
+});
--- a/packages/scheduling/src/placement-rules.ts
+++ b/packages/scheduling/src/placement-rules.ts
@@ -19,8 +19,6 @@
 const UNPROVEN_VM_COST = 300;
 /** For each unit of pressure; also a fixed cost for other tasks on VMs that are kept for filler tasks. */
 const INTERFERENCE_COST = 2_000;
-/** For placing a filler task on a VM without serving tasks. */
-const NON_SERVING_VM_COST = 400;
 const COST_SCALE = 1_000;
 /** Limit on the pressure of filler tasks until the runner reports one. */
 const DEFAULT_PRESSURE_ALLOWANCE = 0.3;
@@ -133,10 +131,11 @@
   const hasServingTasks = vm.servingCount > 0;
   let cost = (free / capacity) * COST_SCALE;
   if (specification.fills) {
-    // Filler tasks with high pressure go to VMs without serving tasks.
+    // Filler tasks go to VMs without serving tasks, where nothing slows them, until most of these is taken. The
+    // rest is left to those with high pressure.
     const unused = (estimateUnusedMillicores(vm, freeCapacity) / capacity) * COST_SCALE;
     const pressure = state.estimatePressure(task.step) * INTERFERENCE_COST;
-    cost = (hasServingTasks ? pressure : NON_SERVING_VM_COST) - unused;
+    cost = (hasServingTasks ? pressure : 0) - unused;
   } else if (!hasServingTasks) {
     // Other tasks avoid VMs without serving tasks, which are preferred for filler tasks.
     cost += INTERFERENCE_COST + state.estimateTotalPressure(vm) * INTERFERENCE_COST;
