Refuse reports that were built for another scheduler

Cause: a report leaves out the ends that the scheduler has received. When the scheduler was killed and a new process at the same address took over, the next report of a runner that did not know of it yet was built for the earlier epoch, and held the full list of runs, since its session was unknown. The new scheduler opened a session with it: ends that the earlier one had received but not stored were missing, and when they came with the next report their sequence numbers counted as applied.

Ruled out: the stored row (it named the runner), the lease (not expired).

Change: a report names its epoch; a scheduler of another epoch refuses it, which makes the runner follow it and send everything.

--- a/packages/runner/src/report-builder.ts
+++ b/packages/runner/src/report-builder.ts
@@ -38,6 +38,7 @@
 
   build(vmSession: VmSession | null, epoch: number, session: number): ReportedChanges {
     const common = {
+      epoch,
       session,
       vm: vmSession?.announcement ?? null,
       answers: this.answers,
--- /dev/null
+++ b/packages/scheduler/src/runner-sessions.test.ts
@@ -0,0 +1,77 @@
+/**
+ * Guards against a report that was built for an earlier scheduler at the same address. It leaves out the ends
+ * that this scheduler had received but not stored, so their tasks would run a second time.
+ */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { placeTasks } from '@figjunction/scheduling';
+import type { CellState } from '@figjunction/scheduling';
+import {
+  addJob,
+  createAnnouncement,
+  createState,
+  createStep,
+} from '@figjunction/scheduling/cell-fixture';
+import { ManualClock } from '@figjunction/time';
+import { RunEnding } from '@figjunction/types';
+import type { ReportParameters } from '@figjunction/types';
+import { createCellContext } from './cell-context-fixture.js';
+import { RunnerSessions } from './runner-sessions.js';
+
+const JOB = '00000000000000aa';
+const ADDRESS = 'http://127.0.0.1:1';
+const DONE = { run: 1, ending: RunEnding.Done, checkpoint: '' };
+
+function createReport(changes: Partial<ReportParameters>): ReportParameters {
+  return {
+    agentId: 'vm-1',
+    address: ADDRESS,
+    processId: 'process-1',
+    epoch: 2,
+    session: 0,
+    vm: createAnnouncement(),
+    running: [],
+    ended: [],
+    answers: [],
+    pressureAllowance: null,
+    vanished: [],
+    ...changes,
+  };
+}
+
+/** A scheduler of epoch 2 that has loaded a job of which vm-1 may hold runs. */
+function createSuccessor(): { state: CellState; sessions: RunnerSessions } {
+  const state = createState();
+  state.addVm('vm-1', ADDRESS);
+  state.unreportedVms.set('vm-1', 10_000);
+  addJob(state, { id: JOB, steps: [createStep({ taskCount: 2 })], storedVms: ['vm-1'] });
+  const sessions = new RunnerSessions({
+    context: createCellContext(new ManualClock(1_000)),
+    state,
+    lease: { epoch: 2, isHeld: () => true },
+    writer: { registerRunner: () => {} },
+    wake: () => {},
+  });
+  return { state, sessions };
+}
+
+test('refuses a report that was built for the scheduler before', () => {
+  const { state, sessions } = createSuccessor();
+  // The earlier scheduler has received the end of task 0, sequence 1, so this report leaves it out.
+  const laterEnd = { sequence: 2, taskId: `${JOB}.0.0.1`, ...DONE };
+  const result = sessions.handleReport(createReport({ epoch: 1, session: 1, ended: [laterEnd] }));
+  assert.deepEqual([result.epoch, result.session], [2, 0]);
+  assert.ok(state.unreportedVms.has('vm-1'));
+  assert.equal(placeTasks(state, 1_000).started.length, 0);
+});
+
+test('applies all ends of the report that follows, and starts no done task again', () => {
+  const { state, sessions } = createSuccessor();
+  const laterEnd = { sequence: 2, taskId: `${JOB}.0.0.1`, ...DONE };
+  sessions.handleReport(createReport({ epoch: 1, session: 1, ended: [laterEnd] }));
+  const firstEnd = { sequence: 1, taskId: `${JOB}.0.0.0`, ...DONE };
+  const result = sessions.handleReport(createReport({ ended: [firstEnd, laterEnd] }));
+  assert.equal(result.session, 1);
+  assert.equal(placeTasks(state, 1_000).started.length, 0);
+  assert.equal(state.jobs.get(JOB)?.occurrences.get(0)?.steps[0]?.doneCount, 2);
+});
--- a/packages/scheduler/src/runner-sessions.ts
+++ b/packages/scheduler/src/runner-sessions.ts
@@ -12,8 +12,8 @@
 export interface RunnerSessionsOptions {
   context: CellContext;
   state: CellState;
-  lease: CellLease;
-  writer: ProgressWriter;
+  lease: Pick<CellLease, 'epoch' | 'isHeld'>;
+  writer: Pick<ProgressWriter, 'registerRunner'>;
   /** Requests a tick after a change of the tables. */
   wake: () => void;
 }
@@ -38,12 +38,16 @@
 
   constructor(private readonly options: RunnerSessionsOptions) {}
 
-  /** Applies a report. A session of 0 in the response makes the runner send all its runs, or retry later. */
+  /**
+   * Applies a report. One that was built for another scheduler is refused: it may leave out ends that only that
+   * scheduler has received, as happens when a new process follows at the same address. A session of 0 in the
+   * response makes the runner send all its runs, or retry later.
+   */
   handleReport(report: ReportParameters): ReportResult {
     const { context, state, lease, writer, wake } = this.options;
     const refusal = createReportRefusal(lease.epoch);
     const vm = state.vms.get(report.agentId);
-    if (!lease.isHeld()) {
+    if (!lease.isHeld() || report.epoch !== lease.epoch) {
       return refusal;
     }
     if (vm === undefined || vm.address !== report.address) {
--- a/packages/scheduling/src/cell-fixture.ts
+++ b/packages/scheduling/src/cell-fixture.ts
@@ -96,6 +96,7 @@
     agentId: 'vm-1',
     address: 'http://127.0.0.1:1',
     processId: 'process-1',
+    epoch: 1,
     session: 0,
     vm: createAnnouncement(),
     running: [],
--- a/packages/types/src/cell/cell-messages.ts
+++ b/packages/types/src/cell/cell-messages.ts
@@ -52,6 +52,8 @@
   address: string;
   /** Changes with each start of the runner process. */
   processId: string;
+  /** The scheduler that the report is for: it leaves out the ends that this scheduler has received. */
+  epoch: number;
   /** The session that the scheduler has opened; 0 for none. */
   session: number;
   vm: VmAnnouncement | null;
