Limit the size of a job, and skip rows that cannot be read

Cause: a job could be submitted with any number of runs (times) and 100 steps of 10,000 tasks. The scheduler creates all runs that are due at once: with times 1e15 and a start in the past it never left that loop, and each successor met the same row, so one message of a caller stopped the whole cell for good. A stored row with missing fields made the load of the cell fail in the same way, and a row that failed in the watch lost the rows delivered with it, since the watch had already moved on. Found by a property test over damaged rows, which hung.

--- a/packages/scheduler/src/job-intake.ts
+++ b/packages/scheduler/src/job-intake.ts
@@ -1,9 +1,11 @@
 /**
  * Adds accepted and cancelled jobs from the store to the tables of the cell.
  */
+import { ErrorCode, toError } from '@figjunction/errors';
 import {
   createJob,
   createOccurrence,
+  findJobLimitViolation,
   isFinished,
   countOccurrences,
   restoreProgress,
@@ -16,6 +18,7 @@
 import type { JobRow, ProgressRow } from '@figjunction/types';
 import type { CellContext } from './cell-context.js';
 import { parseProgressKey } from './cell-collections.js';
+import { SchedulerError } from './scheduler-error.js';
 
 /** Each epoch numbers its runs from its own range of this size, so that a later epoch uses higher numbers. */
 const RUN_NUMBERS_PER_EPOCH = 1_000;
@@ -58,28 +61,39 @@
     const { state, context } = this.options;
     for (const { key, value } of rows) {
       if (value !== null && !state.jobs.has(key)) {
-        const ageMs = Math.max(0, context.storeClock.earliest() - value.submittedAtStoreMs);
-        const submittedAt = now - ageMs;
-        const { policy, specification } = value;
-        const job = createJob({ id: key, policy, specification, submittedAt });
-        state.jobs.set(key, job);
-        this.addOccurrences(job, now);
-        if (this.unmatchedCancellations.delete(key)) {
-          this.cancelJob(job, now);
-        }
-        if (!isInherited) {
-          const steps = specification.steps.length;
-          context.events.write('job-admitted', {
-            job: key,
-            queue: policy.name,
-            steps,
-            ageMs: Math.round(ageMs),
-          });
+        try {
+          this.addJob(key, value, isInherited, now);
+        } catch (error) {
+          // One row that cannot be read must not keep the scheduler from the other jobs.
+          state.jobs.delete(key);
+          const { message } = toError(error);
+          context.events.write('job-unreadable', { job: key, error: message });
         }
       }
     }
   }
 
+  private addJob(key: string, value: JobRow, isInherited: boolean, now: Instant): void {
+    const { state, context } = this.options;
+    const ageMs = Math.max(0, context.storeClock.earliest() - value.submittedAtStoreMs);
+    const { policy, specification } = value;
+    const violation = findJobLimitViolation(specification);
+    if (violation !== null) {
+      throw new SchedulerError(violation, { code: ErrorCode.InvalidInput });
+    }
+    const job = createJob({ id: key, policy, specification, submittedAt: now - ageMs });
+    state.jobs.set(key, job);
+    this.addOccurrences(job, now);
+    if (this.unmatchedCancellations.delete(key)) {
+      this.cancelJob(job, now);
+    }
+    if (!isInherited) {
+      const steps = specification.steps.length;
+      const fields = { job: key, queue: policy.name, steps, ageMs: Math.round(ageMs) };
+      context.events.write('job-admitted', fields);
+    }
+  }
+
   cancelJobs(rows: FeedRow[], now: Instant): void {
     for (const { key, value } of rows) {
       const job = this.options.state.jobs.get(key);
--- /dev/null
+++ b/packages/scheduler/src/scheduler-error.ts
@@ -0,0 +1,6 @@
+/**
+ * Errors of the scheduler.
+ */
+import { FigjunctionError } from '@figjunction/errors';
+
+export class SchedulerError extends FigjunctionError {}
--- a/packages/scheduler/src/scheduling-term.ts
+++ b/packages/scheduler/src/scheduling-term.ts
@@ -154,18 +154,11 @@
       if (value !== null) {
         this.state.addVm(key, value.address);
         this.state.unreportedVms.set(key, now + leaseExpiryDelayMs(context.grantMs));
-        this.adoptRunner(key, value.address);
+        this.announcer.announceTo(key, value.address);
       }
     }
   }
 
-  private adoptRunner(id: string, address: string): void {
-    this.announcer.announceTo(id, address).catch((error: unknown) => {
-      const fields = { vm: id, error: toError(error).message };
-      this.options.context.events.write('adopt-failed', fields);
-    });
-  }
-
   private addOrUpdateVm(id: string, address: string): void {
     const vm = this.state.vms.get(id);
     if (vm === undefined) {
--- a/packages/scheduler/src/takeover-announcer.test.ts
+++ b/packages/scheduler/src/takeover-announcer.test.ts
@@ -46,7 +46,7 @@
   const announcer = new TakeoverAnnouncer({ context, state, lease });
   for (let index = 0; index < RUNNER_COUNT; index += 1) {
     state.unreportedVms.set(`vm-${index}`, Number.POSITIVE_INFINITY);
-    announcer.announceTo(`vm-${index}`, `http://vm-${index}`).catch(assert.fail);
+    announcer.announceTo(`vm-${index}`, `http://vm-${index}`);
   }
   await sleep(OBSERVATION_MS);
   lease.epoch = 0;
--- a/packages/scheduler/src/takeover-announcer.ts
+++ b/packages/scheduler/src/takeover-announcer.ts
@@ -29,7 +29,14 @@
   constructor(private readonly options: TakeoverAnnouncerOptions) {}
 
   /** Calls the runner until it reports, the lease of its VM must have expired, or this scheduler is deposed. */
-  async announceTo(runnerId: string, address: string): Promise<void> {
+  announceTo(runnerId: string, address: string): void {
+    this.callUntilReported(runnerId, address).catch((error: unknown) => {
+      const fields = { vm: runnerId, error: toError(error).message };
+      this.options.context.events.write('adopt-failed', fields);
+    });
+  }
+
+  private async callUntilReported(runnerId: string, address: string): Promise<void> {
     const { state, lease } = this.options;
     const { epoch } = lease;
     const isNeeded = (): boolean => state.unreportedVms.has(runnerId) && lease.epoch === epoch;
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -3,6 +3,7 @@
  */
 export * from './cell-state.js';
 export * from './evacuate.js';
+export * from './job-limits.js';
 export * from './job-table.js';
 export * from './lease-expiry.js';
 export * from './place.js';
--- a/packages/scheduling/src/place.test.ts
+++ b/packages/scheduling/src/place.test.ts
@@ -178,7 +178,7 @@
   const resources = { processorMillicores: 500, memoryMegabytes: 10, accelerators: 0 };
   const filler = createStep({ fills: true, image: 'menu', taskCount: 18, resources });
   addJob(state, { id: '00000000000000bb', steps: [filler] });
-  const { started } = placeTasks(state, 10);
-  assert.equal(started.length, 18);
-  assert.ok(started.every(({ vm }) => vm.servingCount === 0));
+  const fillerRuns = started(state, 10);
+  assert.equal(fillerRuns.length, 18);
+  assert.ok(fillerRuns.every(({ vm }) => vm.servingCount === 0));
 });
