Wait longer for the answer to the report that opens a session

Cause: after a take-over all runners report at once, and the scheduler needs more than 1.5 s for 208 first reports.

Change: a report without a session waits 3 s.

The new test fails with equal timeouts.

--- a/packages/runner/src/reporter.test.ts
+++ b/packages/runner/src/reporter.test.ts
@@ -8,6 +8,7 @@
 import { RpcClient } from '@figjunction/rpc';
 import { OwnerDirectory } from '@figjunction/scheduler';
 import type { OwnerView } from '@figjunction/scheduler';
+import type { RpcCallOptions } from '@figjunction/rpc';
 import { SystemClock, sleep } from '@figjunction/time';
 import type { Clock } from '@figjunction/time';
 import type { CellOwnerRow } from '@figjunction/types';
@@ -76,3 +77,48 @@
   await sleep(0);
   assert.equal(takeOvers, 0);
 });
+
+/** Opens a session with the first report and records the timeouts of all reports. */
+class SessionRpcClient extends RpcClient {
+  readonly timeoutsMs: number[] = [];
+
+  onSecondCall: () => void = () => {};
+
+  override call<Result>(
+    _address: string,
+    _method: string,
+    _parameters: unknown,
+    options: RpcCallOptions = {},
+  ): Promise<Result> {
+    this.timeoutsMs.push(options.timeoutMs ?? 0);
+    if (this.timeoutsMs.length === 2) {
+      this.onSecondCall();
+    }
+    const pace = { pauseMs: 0, listIntervalMs: 10 };
+    const result = { epoch: 1, session: 7, grantMs: 5_000, ...pace, settledThrough: 0, known: [] };
+    return Promise.resolve(result as Result);
+  }
+}
+
+test('waits longer for the answer to the report that opens a session', async () => {
+  const clock = new SystemClock();
+  const logger = createLogger({ name: 'test', level: 'silent' });
+  const directory = new FixedDirectory(clock);
+  directory.updateOwner(BEFORE);
+  const rpc = new SessionRpcClient({ sharedToken: 'token' });
+  const reporter = new Reporter({
+    clock,
+    events: new EventLog({ logger, now: () => clock.now() }),
+    rpc,
+    directory,
+    runnerId: 'vm-1',
+    address: 'http://mine',
+    processId: 'mine',
+    session: () => null,
+    takeOver: () => Promise.resolve(),
+  });
+  rpc.onSecondCall = () => reporter.stop();
+  await reporter.run();
+  const [first = 0, second = 0] = rpc.timeoutsMs;
+  assert.ok(first > second, `${first} ms is not longer than ${second} ms`);
+});
--- a/packages/runner/src/reporter.ts
+++ b/packages/runner/src/reporter.ts
@@ -33,6 +33,11 @@
 /** Interval of reports while no list is due, because there is no VM or it does not respond. */
 const REPORT_INTERVAL_MS = 500;
 const REPORT_TIMEOUT_MS = 1_500;
+/**
+ * For a report that opens a session. After a take-over all runners send one at the same time, and a repeated one
+ * makes the scheduler do the same work again.
+ */
+const SESSION_TIMEOUT_MS = 3_000;
 const RETRY_DELAY_MS = 120;
 
 export class Reporter {
@@ -153,7 +158,7 @@
     const report = this.reportBuilder.build(vmSession, this.epoch, this.session);
     const parameters = { ...this.identity, ...report };
     const result = await this.options.rpc.call(address, RpcMethod.RunnerReport, parameters, {
-      timeoutMs: REPORT_TIMEOUT_MS,
+      timeoutMs: this.session === 0 ? SESSION_TIMEOUT_MS : REPORT_TIMEOUT_MS,
       newConnection: this.useNewConnection,
     });
     this.useNewConnection = false;
