--- a/packages/scheduling/src/job-table.ts
+++ b/packages/scheduling/src/job-table.ts
@@ -1,7 +1,6 @@
 /**
  * Creates the records of jobs and restores their progress from stored rows.
  */
-import { createHash } from 'node:crypto';
 import type { Instant } from '@figjunction/time';
 import { JobState } from '@figjunction/types';
 import type {
@@ -17,8 +16,6 @@
 const DONE_MARK = '1';
 const UNFINISHED_MARK = '0';
 
-/** One more than the largest 32-bit number. */
-const LOT_RANGE = 2 ** 32;
 const MILLICORES_PER_CORE = 1_000;
 /** Weight of an accelerator in sums of work, in cores. */
 const CORES_PER_ACCELERATOR = 8;
@@ -31,12 +28,7 @@
 }
 
 export function createJob(options: NewJob): JobRecord {
-  const lot = drawLot(options.id);
-  return { ...options, lot, occurrences: new Map(), cancelled: false, finishedAt: null };
-}
-
-function drawLot(id: JobId): number {
-  return createHash('sha256').update(id).digest().readUInt32BE(0) / LOT_RANGE;
+  return { ...options, occurrences: new Map(), cancelled: false, finishedAt: null };
 }
 
 /**
--- a/packages/scheduling/src/rank.ts
+++ b/packages/scheduling/src/rank.ts
@@ -1,14 +1,10 @@
 /**
- * Ranks the steps with waiting tasks for placement. Answers a load that does not fit for seconds at a time: jobs
- * that can still end in time go first, jobs that have begun are finished, and every size of job gets a share.
+ * Ranks the steps with waiting tasks for placement.
  */
 import type { Instant } from '@figjunction/time';
 import type { CellState } from './cell-state.js';
 import type { OccurrenceRecord, StepRecord } from './records.js';
 
-/** Before all batch work. */
-const LONG_RUNNING_PRIORITY = -1;
-
 /** A late job still has value if it ends within this multiple of its objective. */
 const LATE_VALUE_FACTOR = 3;
 
@@ -26,12 +22,18 @@
   timeliness: Timeliness;
   /** Lower values are placed first. */
   priority: number;
-  /** Jobs of the same timeliness and priority that have begun are placed before those that have not. */
-  hasBegun: boolean;
-  /** Order among these, highest first. */
-  preference: number;
+  /** Value of the job per core-millisecond of its remaining work. */
+  valueDensity: number;
 }
 
+/**
+ * The value of a job is a base value plus a weight times its work relative to the mean of its queue, up to a
+ * maximum.
+ */
+const BASE_VALUE = 0.3;
+const SIZE_VALUE_WEIGHT = 0.7;
+const VALUE_MAXIMUM = 4;
+
 /** The ready steps with waiting tasks, in the order of placement. */
 export function rankSteps(state: CellState, now: Instant): RankedStep[] {
   const ranked: RankedStep[] = [];
@@ -47,11 +49,10 @@
 
 function rankStep(state: CellState, step: StepRecord, now: Instant): RankedStep {
   const { occurrence, specification } = step;
+  const { priority } = state.getPolicy(occurrence.job);
   if (specification.longRunning) {
-    const priority = LONG_RUNNING_PRIORITY;
-    return { step, timeliness: Timeliness.OnTime, priority, hasBegun: false, preference: 0 };
+    return { step, timeliness: Timeliness.OnTime, priority: -1, valueDensity: 0 };
   }
-  const { priority } = state.getPolicy(occurrence.job);
   const objectiveMs = computeObjectiveMs(state, occurrence);
   const latestOnTimeStart = occurrence.dueAt + objectiveMs - step.criticalPathMs;
   const latestUsefulStart =
@@ -62,20 +63,17 @@
   } else if (now > latestOnTimeStart) {
     timeliness = Timeliness.Late;
   }
-  const hasBegun = occurrence.startedAt !== null || occurrence.remainingWork < occurrence.work;
-  const preference = hasBegun
-    ? 1 / Math.max(1, occurrence.remainingWork)
-    : computeChance(state, occurrence);
-  return { step, timeliness, priority, hasBegun, preference };
+  return { step, timeliness, priority, valueDensity: computeValueDensity(state, occurrence) };
 }
 
-/**
- * A weighted lottery among the jobs that have not begun. Smaller jobs are preferred, because more of them can be
- * served; a strict order by size would never serve the largest jobs of a queue whose load does not fit.
- */
-function computeChance(state: CellState, { job, work }: OccurrenceRecord): number {
+/** Highest for small and nearly finished jobs, which yield the most value for the capacity they use. */
+function computeValueDensity(
+  state: CellState,
+  { job, work, remainingWork }: OccurrenceRecord,
+): number {
   const meanWork = state.meanWork.get(job.policy.name)?.mean ?? work;
-  return Math.sqrt(meanWork / Math.max(1, work)) * job.lot;
+  const value = BASE_VALUE + SIZE_VALUE_WEIGHT * (meanWork === 0 ? 1 : work / meanWork);
+  return Math.min(VALUE_MAXIMUM, value) / Math.max(1, remainingWork);
 }
 
 /** The queue's objective for the time from the due time of an occurrence to its end, in milliseconds. */
@@ -89,7 +87,6 @@
   return (
     left.timeliness - right.timeliness ||
     left.priority - right.priority ||
-    Number(right.hasBegun) - Number(left.hasBegun) ||
-    right.preference - left.preference
+    right.valueDensity - left.valueDensity
   );
 }
--- a/packages/scheduling/src/records.ts
+++ b/packages/scheduling/src/records.ts
@@ -115,8 +115,6 @@
   policy: QueuePolicy;
   specification: JobSpecification;
   submittedAt: Instant;
-  /** A number from 0 to 1 that depends on the id alone, so that later schedulers draw the same one. */
-  lot: number;
   occurrences: Map<number, OccurrenceRecord>;
   cancelled: boolean;
   /** When the last occurrence ended; null while the job is unfinished. */
