Spread the repeats of unanswered reports and accept more connections

Cause: reports that had timed out were repeated at the same moment by all runners, on new connections. About 100 of 208 failed every 1.5 s in step, which fits a full queue of new connections, while handling 208 reports takes about 40 ms of processor time by itself (measured in a script of its own).

Change: a repeat waits up to one second more, drawn for each runner, unless a new scheduler is known; servers let 2,048 connections wait.

The new test fails without the spread.

--- a/packages/http/src/http-server.ts
+++ b/packages/http/src/http-server.ts
@@ -36,6 +36,8 @@
 }
 
 const DEFAULT_CONNECTIONS_MAXIMUM = 4096;
+/** Connections that may wait to be accepted, as when hundreds of peers reconnect at once. */
+const BACKLOG = 2_048;
 const DEFAULT_HEADERS_MAXIMUM = 64;
 const DEFAULT_HEADER_BYTES_MAXIMUM = 16 * 1024;
 const DEFAULT_REQUEST_TIMEOUT_MS = 30_000;
@@ -66,7 +68,7 @@
     const { host = '127.0.0.1', port = 0 } = this.options;
     return new Promise((resolve, reject) => {
       this.server.once('error', reject);
-      this.server.listen(port, host, () => {
+      this.server.listen({ port, host, backlog: BACKLOG }, () => {
         const { address, port: boundPort } = this.server.address() as AddressInfo;
         resolve(`http://${address}:${boundPort}`);
       });
--- a/packages/runner/src/reporter.test.ts
+++ b/packages/runner/src/reporter.test.ts
@@ -4,17 +4,21 @@
  */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { ErrorCode } from '@figjunction/errors';
 import { EventLog, createLogger } from '@figjunction/logger';
 import { RpcClient } from '@figjunction/rpc';
 import { OwnerDirectory } from '@figjunction/scheduler';
 import type { OwnerView } from '@figjunction/scheduler';
 import type { RpcCallOptions } from '@figjunction/rpc';
-import { SystemClock, sleep } from '@figjunction/time';
+import { RandomSource, SystemClock, sleep } from '@figjunction/time';
 import type { Clock } from '@figjunction/time';
 import type { CellOwnerRow } from '@figjunction/types';
 import { Reporter } from './reporter.js';
+import { RunnerError } from './runner-error.js';
 
 const BEFORE: CellOwnerRow = { epoch: 1, address: 'http://before', processId: 'before' };
+/** Far apart, because close seeds begin with nearly the same number. */
+const SEEDS = [123_456_789, 987_654_321, 1_234_567_890, 2_000_000_001];
 const AFTER: CellOwnerRow = { epoch: 2, address: 'http://after', processId: 'after' };
 
 /** Always returns the successor, with a valid lease. */
@@ -67,6 +71,7 @@
     runnerId: 'vm-1',
     address: 'http://mine',
     processId: 'mine',
+    random: new RandomSource(1),
     session: () => null,
     takeOver: () => {
       takeOvers += 1;
@@ -114,6 +119,7 @@
     runnerId: 'vm-1',
     address: 'http://mine',
     processId: 'mine',
+    random: new RandomSource(1),
     session: () => null,
     takeOver: () => Promise.resolve(),
   });
@@ -122,3 +128,53 @@
   const [first = 0, second = 0] = rpc.timeoutsMs;
   assert.ok(first > second, `${first} ms is not longer than ${second} ms`);
 });
+
+/** Answers no report; records when each was sent. */
+class SilentRpcClient extends RpcClient {
+  readonly sentAt: number[] = [];
+
+  onThirdCall: () => void = () => {};
+
+  constructor(private readonly clock: Clock) {
+    super({ sharedToken: 'token' });
+  }
+
+  override call<Result>(): Promise<Result> {
+    this.sentAt.push(this.clock.now());
+    if (this.sentAt.length === 3) {
+      this.onThirdCall();
+    }
+    return Promise.reject(new RunnerError('no answer', { code: ErrorCode.TimedOut }));
+  }
+}
+
+test('spreads the repeats of reports that got no answer, although the VM has news', async () => {
+  const clock = new SystemClock();
+  const logger = createLogger({ name: 'test', level: 'silent' });
+  const pauses = await Promise.all(
+    SEEDS.map(async (seed) => {
+      const directory = new FixedDirectory(clock);
+      directory.updateOwner(AFTER);
+      const rpc = new SilentRpcClient(clock);
+      const reporter = new Reporter({
+        clock,
+        events: new EventLog({ logger, now: () => clock.now() }),
+        rpc,
+        directory,
+        runnerId: 'vm-1',
+        address: 'http://mine',
+        processId: 'mine',
+        random: new RandomSource(seed),
+        session: () => null,
+        takeOver: () => Promise.resolve(),
+      });
+      rpc.onThirdCall = () => reporter.stop();
+      const news = setInterval(() => reporter.wake(), 20);
+      await reporter.run();
+      clearInterval(news);
+      return (rpc.sentAt[1] ?? 0) - (rpc.sentAt[0] ?? 0);
+    }),
+  );
+  const spread = Math.max(...pauses) - Math.min(...pauses);
+  assert.ok(spread > 200, `the repeats lie within ${spread} ms`);
+});
--- a/packages/runner/src/reporter.ts
+++ b/packages/runner/src/reporter.ts
@@ -2,12 +2,12 @@
  * Periodically reports the VM's runs to the cell's scheduler and switches to the new one after a takeover.
  * If no scheduler is available, this process takes the cell over.
  */
-import { toError } from '@figjunction/errors';
+import { ErrorCode, errorCodeOf, toError } from '@figjunction/errors';
 import type { EventLog } from '@figjunction/logger';
 import type { RpcClient } from '@figjunction/rpc';
 import type { OwnerDirectory, OwnerView } from '@figjunction/scheduler';
 import { sleep } from '@figjunction/time';
-import type { Clock, Instant } from '@figjunction/time';
+import type { Clock, Instant, RandomSource } from '@figjunction/time';
 import { RpcMethod } from '@figjunction/types';
 import type { CellOwnerRow, ReportResult, RunAnswer } from '@figjunction/types';
 import { ReportBuilder } from './report-builder.js';
@@ -24,6 +24,8 @@
   address: string;
   processId: string;
   session: () => VmSession | null;
+  /** Spreads the reports of all runners after a take-over or an outage. */
+  random: RandomSource;
   /** Takes the cell over; the reason is logged. */
   takeOver: (view: OwnerView, reason: string) => Promise<void>;
 }
@@ -39,6 +41,11 @@
  */
 const SESSION_TIMEOUT_MS = 3_000;
 const RETRY_DELAY_MS = 120;
+/**
+ * A report without an answer in time is repeated after up to this long. Runners that repeat at the same moment
+ * overflow the queue of new connections of the scheduler again and again.
+ */
+const REPEAT_SPREAD_MS = 1_000;
 
 export class Reporter {
   /** Number of the session with the scheduler; 0 for none. */
@@ -131,7 +138,7 @@
 
   /** Returns the delay until the next report, in milliseconds. */
   private async reportOnce(): Promise<number> {
-    const { directory, events } = this.options;
+    const { directory, events, random } = this.options;
     const { owner } = directory;
     try {
       if (owner === null) {
@@ -143,7 +150,12 @@
       this.useNewConnection = true;
       const { message } = toError(error);
       events.write('report-failed', { owner: owner?.address, epoch: this.epoch, error: message });
-      return this.tryRefreshOwner(SchedulerFailure.NoResponse, owner?.epoch ?? null);
+      const delayMs = await this.tryRefreshOwner(SchedulerFailure.NoResponse, owner?.epoch ?? null);
+      const hasNewOwner = directory.owner?.epoch !== owner?.epoch;
+      if (errorCodeOf(error) === ErrorCode.TimedOut && !hasNewOwner) {
+        this.notBefore = this.options.clock.now() + random.fraction() * REPEAT_SPREAD_MS;
+      }
+      return delayMs;
     }
   }
 
--- a/packages/runner/src/runner.test.ts
+++ b/packages/runner/src/runner.test.ts
@@ -7,7 +7,7 @@
 import { EventLog, createLogger } from '@figjunction/logger';
 import { RpcClient } from '@figjunction/rpc';
 import { OwnerDirectory } from '@figjunction/scheduler';
-import { ManualClock } from '@figjunction/time';
+import { ManualClock, RandomSource } from '@figjunction/time';
 import { RpcMethod, StartRefusal } from '@figjunction/types';
 import type { OrdersParameters, OrdersResult } from '@figjunction/types';
 import { FakeVmHost } from './fake-vm-host.js';
@@ -44,6 +44,7 @@
     runnerId: 'vm-1',
     address: 'http://127.0.0.1:1',
     processId: 'process-2',
+    random: new RandomSource(1),
     grantMs: 5_000,
     takeOver: () => Promise.resolve(),
   });
--- a/packages/runner/src/runner.ts
+++ b/packages/runner/src/runner.ts
@@ -6,7 +6,7 @@
 import { toError } from '@figjunction/errors';
 import type { RpcClient, RpcHandlers } from '@figjunction/rpc';
 import type { OwnerDirectory, OwnerView } from '@figjunction/scheduler';
-import type { Clock, Instant } from '@figjunction/time';
+import type { Clock, Instant, RandomSource } from '@figjunction/time';
 import { RpcMethod, StartRefusal } from '@figjunction/types';
 import type { OrdersParameters, OrdersResult, RunAnswer, VmAnnouncement } from '@figjunction/types';
 import { OrderExecutor } from './order-executor.js';
@@ -24,6 +24,7 @@
   /** Address at which the scheduler reaches this process. */
   address: string;
   processId: string;
+  random: RandomSource;
   /** How long the scheduler extends the VM's lease after a report. */
   grantMs: number;
   takeOver: (view: OwnerView, reason: string) => Promise<void>;
