Move the search for the scheduler and the types of a session out

The search for the owner and the decision to take over are a module of their own now; the options and request types of a VM session stand beside it.

--- a/packages/runner/src/reporter.ts
+++ b/packages/runner/src/reporter.ts
@@ -10,9 +10,10 @@
 import type { Clock, Instant, RandomSource } from '@figjunction/time';
 import { RpcMethod } from '@figjunction/types';
 import type { CellOwnerRow, ReportResult, RunAnswer } from '@figjunction/types';
+import { OWNER_RETRY_DELAY_MS, OwnerSearch } from './owner-search.js';
 import { ReportBuilder } from './report-builder.js';
 import type { ReportedChanges } from './report-builder.js';
-import { SchedulerFailure, TakeoverPolicy } from './takeover-policy.js';
+import { SchedulerFailure } from './takeover-policy.js';
 import type { VmSession } from './vm-session.js';
 
 export interface ReporterOptions {
@@ -40,7 +41,6 @@
  * makes the scheduler do the same work again.
  */
 const SESSION_TIMEOUT_MS = 3_000;
-const RETRY_DELAY_MS = 120;
 /**
  * A report without an answer in time is repeated after up to this long. Runners that repeat at the same moment
  * overflow the queue of new connections of the scheduler again and again.
@@ -72,10 +72,10 @@
 
   private withoutSessionSince: Instant | null = null;
 
-  private readonly takeoverPolicy: TakeoverPolicy;
+  private readonly ownerSearch: OwnerSearch;
 
   constructor(private readonly options: ReporterOptions) {
-    this.takeoverPolicy = new TakeoverPolicy(options);
+    this.ownerSearch = new OwnerSearch({ ...options, onSearched: () => this.wake() });
     this.reportBuilder = new ReportBuilder(options.clock);
   }
 
@@ -142,7 +142,7 @@
     const { owner } = directory;
     try {
       if (owner === null) {
-        return await this.refreshOwner(SchedulerFailure.NoneKnown, null);
+        return await this.ownerSearch.search(SchedulerFailure.NoneKnown, null);
       }
       this.follow(owner.epoch);
       return await this.sendReport(owner);
@@ -150,7 +150,10 @@
       this.useNewConnection = true;
       const { message } = toError(error);
       events.write('report-failed', { owner: owner?.address, epoch: this.epoch, error: message });
-      const delayMs = await this.tryRefreshOwner(SchedulerFailure.NoResponse, owner?.epoch ?? null);
+      const delayMs = await this.ownerSearch.trySearch(
+        SchedulerFailure.NoResponse,
+        owner?.epoch ?? null,
+      );
       const hasNewOwner = directory.owner?.epoch !== owner?.epoch;
       if (errorCodeOf(error) === ErrorCode.TimedOut && !hasNewOwner) {
         this.notBefore = this.options.clock.now() + random.fraction() * REPEAT_SPREAD_MS;
@@ -175,11 +178,11 @@
     });
     this.useNewConnection = false;
     if (result.epoch === 0) {
-      return this.tryRefreshOwner(SchedulerFailure.NotScheduling, epoch);
+      return this.ownerSearch.trySearch(SchedulerFailure.NotScheduling, epoch);
     }
     if (result.epoch !== this.epoch) {
       this.follow(result.epoch);
-      return RETRY_DELAY_MS;
+      return OWNER_RETRY_DELAY_MS;
     }
     if (result.session === 0) {
       this.session = 0;
@@ -204,9 +207,9 @@
     const now = this.options.clock.now();
     this.withoutSessionSince ??= now;
     if (now - this.withoutSessionSince < NO_SESSION_TIMEOUT_MS) {
-      return RETRY_DELAY_MS;
+      return OWNER_RETRY_DELAY_MS;
     }
-    return this.tryRefreshOwner(SchedulerFailure.NoSession, epoch);
+    return this.ownerSearch.trySearch(SchedulerFailure.NoSession, epoch);
   }
 
   private applyResult(
@@ -225,40 +228,4 @@
       result.known.forEach((attributes) => vmSession.runs.setAttributes(attributes));
     }
   }
-
-  private async tryRefreshOwner(
-    failure: SchedulerFailure,
-    requestedEpoch: number | null,
-  ): Promise<number> {
-    try {
-      return await this.refreshOwner(failure, requestedEpoch);
-    } catch (error) {
-      this.options.events.write('owner-unknown', {
-        silence: failure,
-        error: toError(error).message,
-      });
-      return RETRY_DELAY_MS;
-    }
-  }
-
-  /**
-   * Reads the owner from the store and takes the cell over if the policy allows it. `requestedEpoch` is the
-   * epoch of the scheduler that failed; another scheduler may have announced itself since.
-   * Returns the delay until the next report, in milliseconds.
-   */
-  private async refreshOwner(
-    failure: SchedulerFailure,
-    requestedEpoch: number | null,
-  ): Promise<number> {
-    const { directory, clock, takeOver } = this.options;
-    const view = await directory.refresh();
-    if (view === null) {
-      return RETRY_DELAY_MS;
-    }
-    if (this.takeoverPolicy.mayTakeOver(view, failure, requestedEpoch, clock.now())) {
-      await takeOver(view, failure);
-      this.wake();
-    }
-    return RETRY_DELAY_MS;
-  }
 }
--- a/packages/runner/src/vm-session.ts
+++ b/packages/runner/src/vm-session.ts
@@ -4,9 +4,8 @@
  */
 import { toError } from '@figjunction/errors';
 import { Outage } from '@figjunction/logger';
-import type { EventLog } from '@figjunction/logger';
 import { sleep } from '@figjunction/time';
-import type { Clock, Instant } from '@figjunction/time';
+import type { Instant } from '@figjunction/time';
 import type { RunReference, VmAnnouncement } from '@figjunction/types';
 import { FillerPacer } from './filler-pacer.js';
 import { LeaseExpiryDetector, lastEndSequence } from './lease-expiry-detector.js';
@@ -14,37 +13,10 @@
 import { RunTable } from './run-table.js';
 import { VmClock } from './vm-clock.js';
 import { VmLease } from './vm-lease.js';
+import { ListOutcome } from './vm-session-options.js';
+import type { ListRequest, VmSessionOptions } from './vm-session-options.js';
 import { HoldRefusal } from './vm-host.js';
-import type { HoldResult, VmHost } from './vm-host.js';
-
-export interface VmSessionOptions {
-  host: VmHost;
-  clock: Clock;
-  events: EventLog;
-  announcement: VmAnnouncement;
-  /** Epoch of the scheduler that this process follows; 0 while none is known. */
-  epoch: () => number;
-  /** Until when an earlier process may have extended the lease of the VM, on this process's clock. */
-  inheritedLeaseUntil: Instant;
-  /** Called when a report is due: new ends, vanished runs, the first list of an epoch or a refusal. */
-  onChange: () => void;
-}
-
-/** State at the time of a request for a list. */
-interface ListRequest {
-  requestedAt: Instant;
-  requestedEpoch: number;
-  /** The lease was already marked as expired, so all ends in the list precede the expiry. */
-  clearsExpiry: boolean;
-}
-
-enum ListOutcome {
-  /** The VM refused the request, or its list does not count. */
-  NotApplied = 'not-applied',
-  Unchanged = 'unchanged',
-  /** The list contained new ends. */
-  NewEnds = 'new-ends',
-}
+import type { HoldResult } from './vm-host.js';
 
 /** Longest wait of a long poll. */
 const HOLD_WAIT_MS = 900;
