--- a/packages/runner/src/reporter.test.ts
+++ b/packages/runner/src/reporter.test.ts
@@ -42,9 +42,7 @@
 
 /** Responds that no scheduler runs at the address, and lets the successor announce itself during the call. */
 class AnnouncingRpcClient extends RpcClient {
-  constructor(private readonly onCall: () => void) {
-    super({ sharedToken: 'token' });
-  }
+  onCall: () => void = () => {};
 
   override call<Result>(): Promise<Result> {
     this.onCall();
@@ -54,30 +52,46 @@
   }
 }
 
-test('does not take over from a successor when its predecessor has stopped scheduling', async () => {
-  const clock = new SystemClock();
+interface ReporterChanges {
+  clock: Clock;
+  directory: OwnerDirectory;
+  rpc: RpcClient;
+  seed?: number;
+  takeOver?: () => Promise<void>;
+}
+
+function createReporter(changes: ReporterChanges): Reporter {
+  const { clock, directory, rpc, seed = 1, takeOver = () => Promise.resolve() } = changes;
   const logger = createLogger({ name: 'test', level: 'silent' });
-  const directory = new FixedDirectory(clock);
-  directory.updateOwner(BEFORE);
-  let takeOvers = 0;
-  const reporter = new Reporter({
+  return new Reporter({
     clock,
     events: new EventLog({ logger, now: () => clock.now() }),
-    rpc: new AnnouncingRpcClient(() => {
-      directory.updateOwner(AFTER);
-      reporter.stop();
-    }),
+    rpc,
     directory,
     runnerId: 'vm-1',
     address: 'http://mine',
     processId: 'mine',
-    random: new RandomSource(1),
+    random: new RandomSource(seed),
     session: () => null,
-    takeOver: () => {
-      takeOvers += 1;
-      return Promise.resolve();
-    },
+    takeOver,
   });
+}
+
+test('does not take over from a successor when its predecessor has stopped scheduling', async () => {
+  const clock = new SystemClock();
+  const directory = new FixedDirectory(clock);
+  directory.updateOwner(BEFORE);
+  let takeOvers = 0;
+  const rpc = new AnnouncingRpcClient({ sharedToken: 'token' });
+  const takeOver = (): Promise<void> => {
+    takeOvers += 1;
+    return Promise.resolve();
+  };
+  const reporter = createReporter({ clock, directory, rpc, takeOver });
+  rpc.onCall = () => {
+    directory.updateOwner(AFTER);
+    reporter.stop();
+  };
   await reporter.run();
   await sleep(0);
   assert.equal(takeOvers, 0);
@@ -107,22 +121,10 @@
 
 test('waits longer for the answer to the report that opens a session', async () => {
   const clock = new SystemClock();
-  const logger = createLogger({ name: 'test', level: 'silent' });
   const directory = new FixedDirectory(clock);
   directory.updateOwner(BEFORE);
   const rpc = new SessionRpcClient({ sharedToken: 'token' });
-  const reporter = new Reporter({
-    clock,
-    events: new EventLog({ logger, now: () => clock.now() }),
-    rpc,
-    directory,
-    runnerId: 'vm-1',
-    address: 'http://mine',
-    processId: 'mine',
-    random: new RandomSource(1),
-    session: () => null,
-    takeOver: () => Promise.resolve(),
-  });
+  const reporter = createReporter({ clock, directory, rpc });
   rpc.onSecondCall = () => reporter.stop();
   await reporter.run();
   const [first = 0, second = 0] = rpc.timeoutsMs;
@@ -150,24 +152,12 @@
 
 test('spreads the repeats of reports that got no answer, although the VM has news', async () => {
   const clock = new SystemClock();
-  const logger = createLogger({ name: 'test', level: 'silent' });
   const pauses = await Promise.all(
     SEEDS.map(async (seed) => {
       const directory = new FixedDirectory(clock);
       directory.updateOwner(AFTER);
       const rpc = new SilentRpcClient(clock);
-      const reporter = new Reporter({
-        clock,
-        events: new EventLog({ logger, now: () => clock.now() }),
-        rpc,
-        directory,
-        runnerId: 'vm-1',
-        address: 'http://mine',
-        processId: 'mine',
-        random: new RandomSource(seed),
-        session: () => null,
-        takeOver: () => Promise.resolve(),
-      });
+      const reporter = createReporter({ clock, directory, rpc, seed });
       rpc.onThirdCall = () => reporter.stop();
       const news = setInterval(() => reporter.wake(), 20);
       await reporter.run();
--- a/packages/scheduling/src/load-simulation.ts
+++ b/packages/scheduling/src/load-simulation.ts
@@ -18,7 +18,7 @@
   /** Time from one job to the next. */
   intervalMs: number;
   vmCount: number;
-  /** Mean number of tasks of a step; the largest steps have six times as many. */
+  /** Mean number of tasks of a step; the largest steps have `LARGEST_STEP_FACTOR` times as many. */
   meanTaskCount: number;
   policy: QueuePolicy;
 }
@@ -33,6 +33,8 @@
 }
 
 const TICK_MS = 25;
+const LARGEST_STEP_FACTOR = 6;
+const PERCENT_CUBED = 1e6;
 /** Time that the simulation goes on after the last job, so that jobs in time can end. */
 const CLOSING_MS = 5_000;
 const VM_CAPACITY = { processorMillicores: 16_000, memoryMegabytes: 64_000, accelerators: 0 };
@@ -44,19 +46,23 @@
     fc.array(
       fc
         .record({
-          // The product of two uniform numbers gives many small and few large steps.
+          // In percent; their product gives many small and few large steps.
           first: fc.integer({ min: 1, max: 100 }),
           second: fc.integer({ min: 1, max: 100 }),
           estimateMs: fc.integer({ min: 300, max: 1_300 }),
         })
         .map(({ first, second, estimateMs }) => ({
-          taskCount: Math.max(1, Math.round((first * second * second * 6 * meanTaskCount) / 1e6)),
+          taskCount: countTasks((first * second * second) / PERCENT_CUBED, meanTaskCount),
           estimateMs,
         })),
       { minLength: 1, maxLength: 2 },
     ),
   );
 
+function countTasks(shareOfLargest: number, meanTaskCount: number): number {
+  return Math.max(1, Math.round(shareOfLargest * LARGEST_STEP_FACTOR * meanTaskCount));
+}
+
 interface SimulatedRun {
   run: RunRecord;
   endsAt: number;
