Lose the answers of the configuration's row only in its proof

The file had been applied once and the operator was told so; the assertions on this passed. The case lost the answers of the next three writes of any process, and set this fault only after it had seen the body in the store, so that on a busy machine the row was written before, or other writes took the lost answers up: the fault was not met.

Change: the stand-in can limit lost answers to transactions that write rows of one prefix. The case sets this before it applies the file, so that the answers of the row are always lost. It asserts the same as before.

--- a/packages/bench/src/proofs/configuration/apply-cases.ts
+++ b/packages/bench/src/proofs/configuration/apply-cases.ts
@@ -2,7 +2,6 @@
  * Cases about the write of a revision: operators that race each other, and a write whose answer is lost.
  */
 import assert from 'node:assert/strict';
-import { waitUntil } from '@figjunction/test-support';
 import {
   IN_FORCE_BOUND_MS,
   OPERATOR_TOKEN,
@@ -15,7 +14,7 @@
 import type { ProofFixture } from './fixture.js';
 
 const ROUNDS = 10;
-const SLOW_MS = 300;
+const CONFIGURATION_PREFIX = 'configuration';
 const ANSWERS_TO_LOSE = 3;
 
 interface Conflict {
@@ -52,15 +51,11 @@
   const base = await currentRevision(cluster);
   const control = cluster.platformControl;
   const before = await control.readStats();
-  // A slow platform leaves time between the write of the body and that of the row.
-  await control.setFaults({ slowMs: SLOW_MS });
-  const applied = apply(cluster, 0, base, fileWith('lost answer'));
-  await waitUntil(async () => (await control.readStats()).objectsWritten > before.objectsWritten, {
-    what: 'the body is stored',
-  });
-  await control.setFaults({ loseAnswers: ANSWERS_TO_LOSE });
-  const answer = await applied;
-  await control.setFaults({ slowMs: 0, loseAnswers: 0 });
+  // Limited to the row of the configuration, so that no other write takes up the lost answers.
+  const loseAnswersOfPrefix = CONFIGURATION_PREFIX;
+  await control.setFaults({ loseAnswers: ANSWERS_TO_LOSE, loseAnswersOfPrefix });
+  const answer = await apply(cluster, 0, base, fileWith('lost answer'));
+  await control.setFaults({ loseAnswers: 0, loseAnswersOfPrefix: null });
   assert.equal(answer.status, 200, answer.body.toString());
   assert.equal(parse<{ revision: number }>(answer).revision, base + 1);
   const after = await control.readStats();
--- a/packages/test-support/src/platform/fake-platform.ts
+++ b/packages/test-support/src/platform/fake-platform.ts
@@ -74,7 +74,8 @@
       this.countTransaction(transaction, result);
       return result;
     });
-    return this.loseAnswer(call);
+    const prefixes = transaction.writes.map(({ key }) => prefixOf(key));
+    return this.loseAnswer(call, prefixes);
   }
 
   async putObject(key: string, body: Buffer): Promise<FakeCall<true>> {
@@ -132,8 +133,13 @@
     return { ending: FakeCallEnding.Answered, result: run() };
   }
 
-  private loseAnswer<Result>(call: FakeCall<Result>): FakeCall<Result> {
-    if (call.ending !== FakeCallEnding.Answered || this.faults.loseAnswers <= 0) {
+  private loseAnswer<Result>(
+    call: FakeCall<Result>,
+    writtenPrefixes: string[] = [],
+  ): FakeCall<Result> {
+    const { loseAnswers, loseAnswersOfPrefix } = this.faults;
+    const isMeant = loseAnswersOfPrefix === null || writtenPrefixes.includes(loseAnswersOfPrefix);
+    if (call.ending !== FakeCallEnding.Answered || loseAnswers <= 0 || !isMeant) {
       return call;
     }
     this.faults.loseAnswers -= 1;
@@ -150,8 +156,13 @@
     const byPrefix = this.stats.rowsWrittenByPrefix;
     this.stats.rowsWritten += transaction.writes.length;
     for (const { key } of transaction.writes) {
-      const prefix = key.split('/', 1)[0] ?? key;
+      const prefix = prefixOf(key);
       byPrefix[prefix] = (byPrefix[prefix] ?? 0) + 1;
     }
   }
 }
+
+/** The part of a key before the first slash. */
+function prefixOf(key: string): string {
+  return key.split('/', 1)[0] ?? key;
+}
--- a/packages/test-support/src/platform/platform-faults.ts
+++ b/packages/test-support/src/platform/platform-faults.ts
@@ -14,6 +14,8 @@
   slowMs: number;
   /** The answers of this many further writes are lost after they took effect. */
   loseAnswers: number;
+  /** Only answers of transactions that write a row with this prefix are lost; null for all writes. */
+  loseAnswersOfPrefix: string | null;
   transactionsPerSecond: number;
   readsPerSecond: number;
 }
@@ -51,6 +53,7 @@
     objectOutage: false,
     slowMs: 0,
     loseAnswers: 0,
+    loseAnswersOfPrefix: null,
     transactionsPerSecond: DEFAULT_TRANSACTIONS_PER_SECOND,
     readsPerSecond: DEFAULT_READS_PER_SECOND,
     ...overrides,
