Log what keeps the tasks of each queue from starting

Change: queue-summary, a line a second for each queue, tells the waiting tasks by what their jobs can still achieve, the resources of the runs, starts and stops, the mean wait, the pace of ended runs against their estimates, and the obstacles of the first waiting steps: no eligible VM, processor, memory, both on different VMs, accelerators, pressure of fillers, or none. cell-summary tells the ticks since the last line, the longest one and the time by phase; the metric tick_ms has the distribution. The lines of a term are written by TermLog, which takes them out of SchedulingTerm.

--- a/packages/scheduler/src/runner-session-log.ts
+++ b/packages/scheduler/src/runner-session-log.ts
@@ -12,9 +12,13 @@
 import { RunEnding } from '@figjunction/types';
 import type { ReportParameters } from '@figjunction/types';
 import type { CellContext } from './cell-context.js';
+import type { QueueActivity } from './queue-activity.js';
 
 export class RunnerSessionLog {
-  constructor(private readonly context: Pick<CellContext, 'events' | 'metrics'>) {}
+  constructor(
+    private readonly context: Pick<CellContext, 'events' | 'metrics'>,
+    private readonly activity: QueueActivity,
+  ) {}
 
   recordOvertakenReport(
     report: ReportParameters,
@@ -97,8 +101,10 @@
     this.context.events.write('run-stopped', fields);
   }
 
-  recordEnd(vm: string, { task, record, run, ending }: TaskEnd, now: Instant): void {
+  recordEnd(vm: string, end: TaskEnd, now: Instant): void {
     const { events, metrics } = this.context;
+    const { task, record, run, ending } = end;
+    this.activity.recordEnd(end, now);
     const { occurrence, specification } = task.step;
     const tookMs = record === null ? undefined : Math.round(now - record.runningSince);
     metrics.count('runs_ended_total', { queue: occurrence.job.policy.name, ending });
--- a/packages/scheduler/src/runner-sessions.ts
+++ b/packages/scheduler/src/runner-sessions.ts
@@ -8,6 +8,7 @@
 import type { CellContext } from './cell-context.js';
 import type { CellLease } from './cell-lease.js';
 import type { ProgressWriter } from './progress-writer.js';
+import { QueueActivity } from './queue-activity.js';
 import { ReportSequences } from './report-sequences.js';
 import { RunnerSessionLog } from './runner-session-log.js';
 import { SessionOffers } from './session-offers.js';
@@ -19,6 +20,8 @@
   writer: Pick<ProgressWriter, 'registerRunner'>;
   /** Requests a tick after a change of the tables. */
   wake: () => void;
+  /** Counts the ends of runs for the summaries of the queues. */
+  activity?: QueueActivity;
 }
 
 /** Lower bound of the rate of a VM's clock, relative to the clock of this process. */
@@ -52,7 +55,7 @@
   private readonly log: RunnerSessionLog;
 
   constructor(private readonly options: RunnerSessionsOptions) {
-    this.log = new RunnerSessionLog(options.context);
+    this.log = new RunnerSessionLog(options.context, options.activity ?? new QueueActivity());
   }
 
   /**
--- a/packages/scheduler/src/scheduling-term.ts
+++ b/packages/scheduler/src/scheduling-term.ts
@@ -11,7 +11,6 @@
   stopStalledRuns,
   deriveVisibleState,
 } from '@figjunction/scheduling';
-import type { RunRecord } from '@figjunction/scheduling';
 import { toError } from '@figjunction/errors';
 import { WakeLoop } from '@figjunction/time';
 import type { Instant } from '@figjunction/time';
@@ -23,12 +22,13 @@
 import type { LoadedCell } from './cell-loader.js';
 import { CellCollection } from './cell-collections.js';
 import { CollectionWatch } from './collection-watch.js';
-import { summarizeCell } from './cell-summary.js';
 import { JobIntake } from './job-intake.js';
 import { OrderSender } from './order-sender.js';
 import { ProgressWriter } from './progress-writer.js';
 import { RunnerSessions, leaseExpiryDelayMs } from './runner-sessions.js';
 import { TakeoverAnnouncer } from './takeover-announcer.js';
+import { TermLog } from './term-log.js';
+import { TickPhase } from './tick-times.js';
 
 export interface SchedulingTermOptions {
   context: CellContext;
@@ -39,7 +39,6 @@
 }
 
 const HOUSEKEEPING_INTERVAL_MS = 200;
-const SUMMARY_INTERVAL_MS = 1_000;
 
 export class SchedulingTerm {
   readonly state = new CellState();
@@ -60,9 +59,9 @@
 
   private readonly watches: CollectionWatch<never>[];
 
-  private housekeepingAt: Instant = 0;
+  private readonly log: TermLog;
 
-  private summaryAt: Instant = 0;
+  private housekeepingAt: Instant = 0;
 
   constructor(private readonly options: SchedulingTermOptions) {
     const { context, lease, loaded, onDeposed } = options;
@@ -77,7 +76,16 @@
       onRunnerRegistered: (id, address) => this.addOrUpdateVm(id, address),
       onStored: wake,
     });
-    this.sessions = new RunnerSessions({ context, state, lease, writer: this.writer, wake });
+    this.log = new TermLog(context, state);
+    const { activity } = this.log;
+    this.sessions = new RunnerSessions({
+      context,
+      state,
+      lease,
+      writer: this.writer,
+      wake,
+      activity,
+    });
     this.announcer = new TakeoverAnnouncer({ context, state, lease });
     this.sender = new OrderSender({ context, state, epoch: lease.epoch, onCallFinished: wake });
     this.adviceRequester = new AdviceRequester(context, state, wake);
@@ -192,55 +200,47 @@
   }
 
   private tick(now: Instant): void {
-    const { context, lease } = this.options;
-    if (!lease.isHeld()) {
+    const { state, log } = this;
+    const { tickTimes } = log;
+    if (!this.options.lease.isHeld()) {
       return;
     }
-    this.sessions.expireLeases(now);
-    this.intake.activateDueOccurrences(now);
+    tickTimes.measure(TickPhase.Expire, () => {
+      this.sessions.expireLeases(now);
+      this.intake.activateDueOccurrences(now);
+    });
+    tickTimes.measure(TickPhase.Housekeeping, () => this.runDueHousekeeping(now));
+    tickTimes.measure(TickPhase.Summary, () => log.summarize(now));
+    const unplaced = tickTimes.measure(TickPhase.Place, () => {
+      const placement = placeTasks(state, now);
+      placement.started.forEach((run) => log.recordStart(run, now));
+      return placement.unplaced;
+    });
+    tickTimes.measure(TickPhase.Preempt, () =>
+      preemptBatchRuns(state, unplaced, now).forEach((run) => log.recordStop(run, 'preempted')),
+    );
+    tickTimes.measure(TickPhase.Advise, () => this.adviceRequester.requestForWaitingSteps(now));
+    tickTimes.measure(TickPhase.Send, () => this.sender.sendDueOrders(now));
+    tickTimes.measure(TickPhase.Store, () => this.writer.flush(now));
+    tickTimes.endTick();
+  }
+
+  private runDueHousekeeping(now: Instant): void {
     if (now >= this.housekeepingAt) {
       this.housekeepingAt = now + HOUSEKEEPING_INTERVAL_MS;
       this.runHousekeeping(now);
     }
-    if (now >= this.summaryAt) {
-      this.summaryAt = now + SUMMARY_INTERVAL_MS;
-      context.events.write('cell-summary', summarizeCell(this.state));
-    }
-    const { started, unplaced } = placeTasks(this.state, now);
-    started.forEach((run) => this.logStart(run, now));
-    preemptBatchRuns(this.state, unplaced, now).forEach((run) => this.logStop(run, 'preempted'));
-    this.adviceRequester.requestForWaitingSteps(now);
-    this.sender.sendDueOrders(now);
-    this.writer.flush(now);
   }
 
   private runHousekeeping(now: Instant): void {
     const { context } = this.options;
-    stopStalledRuns(this.state, now).forEach((run) => this.logStop(run, 'stalled'));
-    evacuateDrainingVms(this.state, now).forEach((run) => this.logStop(run, 'vm-leaves'));
-    relocateSlowRuns(this.state, now).forEach((run) => this.logStop(run, 'slowed-down'));
+    stopStalledRuns(this.state, now).forEach((run) => this.log.recordStop(run, 'stalled'));
+    evacuateDrainingVms(this.state, now).forEach((run) => this.log.recordStop(run, 'vm-leaves'));
+    relocateSlowRuns(this.state, now).forEach((run) => this.log.recordStop(run, 'slowed-down'));
     for (const job of this.state.jobs.values()) {
       if (job.finishedAt !== null && now - job.finishedAt > context.finishedJobRetentionMs) {
         this.writer.removeJob(job);
       }
     }
   }
-
-  private logStart({ task, run, vm, ticket }: RunRecord, now: Instant): void {
-    const waitedMs = Math.round(now - task.waitingSince);
-    this.options.context.metrics.recordLatency('start_wait_ms', waitedMs);
-    this.options.context.events.write('run-ordered', {
-      task: task.id,
-      run,
-      vm: vm.id,
-      waitedMs,
-      resumed: task.checkpoint !== '',
-      ticket: ticket ?? undefined,
-    });
-  }
-
-  private logStop({ task, run, vm, percent }: RunRecord, reason: string): void {
-    const fields = { task: task.id, run, vm: vm.id, reason, percent };
-    this.options.context.events.write('run-stopped', fields);
-  }
 }
--- /dev/null
+++ b/packages/scheduling/src/placement-obstacle.ts
@@ -0,0 +1,65 @@
+/**
+ * Tells why a waiting task is placed on no VM, for the log of a cell.
+ */
+import type { Instant } from '@figjunction/time';
+import type { CellState } from './cell-state.js';
+import { computeFreeCapacity, fitsOnVm, isEligibleVm } from './placement-rules.js';
+import type { StepRecord, TaskRecord, VmRecord } from './records.js';
+
+export enum PlacementObstacle {
+  /** No VM of the service may start the task: sessions, health, labels or the limit on tasks per VM. */
+  NoEligibleVm = 'noEligibleVm',
+  Processor = 'processor',
+  Memory = 'memory',
+  /** Some VMs have the processor capacity and others the memory, but none has both. */
+  ProcessorBesideMemory = 'processorBesideMemory',
+  Accelerators = 'accelerators',
+  /** A filler task would slow the serving tasks of each VM, or finds no unused processor time. */
+  FillerPressure = 'fillerPressure',
+  /** The task fits on a VM: it waits for the next placement, a trial or a ticket of the adviser. */
+  None = 'none',
+}
+
+/** Returns what keeps the task from starting now. */
+export function findPlacementObstacle(
+  state: CellState,
+  task: TaskRecord,
+  now: Instant,
+): PlacementObstacle {
+  const vms = listEligibleVms(state, task.step, now);
+  if (vms.length === 0) {
+    return PlacementObstacle.NoEligibleVm;
+  }
+  if (vms.some((vm) => fitsOnVm(state, vm, task))) {
+    return PlacementObstacle.None;
+  }
+  return findMissingResource(vms, task);
+}
+
+function listEligibleVms(state: CellState, step: StepRecord, now: Instant): VmRecord[] {
+  const { service } = state.getPolicy(step.occurrence.job);
+  return [...state.vms.values()].filter(
+    (vm) => vm.announcement?.service === service && isEligibleVm(vm, step, now),
+  );
+}
+
+function findMissingResource(vms: VmRecord[], task: TaskRecord): PlacementObstacle {
+  const { resources, fills } = task.step.specification;
+  const free = vms.map((vm) => computeFreeCapacity(vm, task));
+  const hasProcessor = free.some(
+    ({ processorMillicores }) => fills || processorMillicores >= resources.processorMillicores,
+  );
+  const hasMemory = free.some(
+    ({ memoryMegabytes }) => memoryMegabytes >= resources.memoryMegabytes,
+  );
+  if (!free.some(({ accelerators }) => accelerators >= resources.accelerators)) {
+    return PlacementObstacle.Accelerators;
+  }
+  if (!hasProcessor) {
+    return PlacementObstacle.Processor;
+  }
+  if (!hasMemory) {
+    return PlacementObstacle.Memory;
+  }
+  return fills ? PlacementObstacle.FillerPressure : PlacementObstacle.ProcessorBesideMemory;
+}
