Send orders as soon as their VMs are stored

Cause: a start order waits until the store names its VM, and was then sent by the next tick, which comes after a rest of three times the last one. So each start waited for two ticks, and an order that arose during a call to the same runner for another one.

Change: orders are sent when a transaction of progress has committed, and to a runner when a call to it has ended. Nothing is sent by a process that doesn't hold the cell, or once the term has stopped. The watches of jobs are created in a module of their own. cell-summary tells the utilization of the event loop.

order-sender.test.ts: three new tests; the one on orders that arose during a call failed before.

--- a/packages/scheduler/src/order-sender.test.ts
+++ b/packages/scheduler/src/order-sender.test.ts
@@ -44,10 +44,11 @@
   const rpc = new DeferredRpcClient();
   const state = createState();
   addVm(state);
+  const lease = { epoch: 1, isHeld: () => true };
   const sender = new OrderSender({
     context: createCellContext(clock, { rpc }),
     state,
-    epoch: 1,
+    lease,
     onCallFinished: () => {},
   });
   const startJob = (id: string, storedVms = ['vm-1']): OccurrenceRecord => {
@@ -56,7 +57,7 @@
     sender.sendDueOrders(clock.now());
     return job.occurrences.get(0) as OccurrenceRecord;
   };
-  return { clock, rpc, state, sender, startJob };
+  return { clock, rpc, state, sender, startJob, lease };
 }
 
 test('batches the orders that arise during a call into the next call', async () => {
@@ -106,3 +107,31 @@
   assert.equal(first?.attempt, 1);
   assert.deepEqual(rpc.calls[1]?.starts, [{ ...first, attempt: 2, mayHaveReachedVm: true }]);
 });
+
+test('sends the orders that arose during a call when it ends, without a wait for the next tick', async () => {
+  const { rpc, state, startJob } = createSender();
+  startJob('00000000000000aa');
+  startJob('00000000000000bb');
+  await rpc.respondToNext({ answers: [] });
+  assert.equal(rpc.calls.length, 2);
+  assert.equal(state.vms.get('vm-1')?.runs.size, 2);
+});
+
+test('sends no orders once it is stopped', async () => {
+  const { rpc, sender, startJob } = createSender();
+  startJob('00000000000000aa');
+  startJob('00000000000000bb');
+  sender.stop();
+  await rpc.respondToNext({ answers: [] });
+  assert.equal(rpc.calls.length, 1);
+});
+
+test('sends no orders once the lease on the cell is lost', async () => {
+  const { rpc, sender, startJob, lease, clock } = createSender();
+  startJob('00000000000000aa');
+  startJob('00000000000000bb');
+  lease.isHeld = () => false;
+  await rpc.respondToNext({ answers: [] });
+  sender.sendDueOrders(clock.now() + 5_000);
+  assert.equal(rpc.calls.length, 1);
+});
--- a/packages/scheduler/src/order-sender.ts
+++ b/packages/scheduler/src/order-sender.ts
@@ -9,12 +9,13 @@
 import { RpcMethod } from '@figjunction/types';
 import type { JobId, OrdersParameters, StartOrder, StopOrder } from '@figjunction/types';
 import type { CellContext } from './cell-context.js';
+import type { CellLease } from './cell-lease.js';
 
 export interface OrderSenderOptions {
   context: CellContext;
   state: CellState;
-  epoch: number;
-  /** Called when a call has ended: its response may have changed the tables, and the runner can be called again. */
+  lease: Pick<CellLease, 'epoch' | 'isHeld'>;
+  /** Called when a call has ended, since its response may have changed the tables. */
   onCallFinished: () => void;
 }
 
@@ -24,19 +25,34 @@
 const RETRY_DELAY_MS = 150;
 
 export class OrderSender {
+  private isStopped = false;
+
   private readonly vmsWithOpenCall = new Set<VmRecord>();
 
   constructor(private readonly options: OrderSenderOptions) {}
 
+  /** Sends no further orders. Open calls go on. */
+  stop(): void {
+    this.isStopped = true;
+  }
+
+  /** Sends nothing while this process doesn't hold the cell. */
   sendDueOrders(now: Instant): void {
-    for (const vm of this.options.state.vms.values()) {
-      if (vm.session !== 0 && vm.announcement !== null && !this.vmsWithOpenCall.has(vm)) {
+    if (this.maySend()) {
+      for (const vm of this.options.state.vms.values()) {
         this.sendOrdersTo(vm, now);
       }
     }
   }
 
+  private maySend(): boolean {
+    return !this.isStopped && this.options.lease.isHeld();
+  }
+
   private sendOrdersTo(vm: VmRecord, now: Instant): void {
+    if (vm.session === 0 || vm.announcement === null || this.vmsWithOpenCall.has(vm)) {
+      return;
+    }
     const dueRuns = [...vm.runs.values()].filter((run) => isDue(run, now));
     const dueOrphans = [...vm.orphans.values()].filter(({ sendAt }) => sendAt <= now);
     if (dueRuns.length + dueOrphans.length === 0) {
@@ -54,7 +70,7 @@
     stops.push(...dueOrphans.map(({ taskId, run }) => ({ taskId, run, attempt: 0 })));
     this.vmsWithOpenCall.add(vm);
     this.callRunner(vm, {
-      epoch: this.options.epoch,
+      epoch: this.options.lease.epoch,
       session: vm.session,
       instanceId: vm.announcement?.instanceId ?? '',
       settledThrough: vm.settledThrough,
@@ -65,10 +81,18 @@
       .catch((error: unknown) => this.handleFailure(vm, items, toError(error)))
       .finally(() => {
         this.vmsWithOpenCall.delete(vm);
+        this.sendNextOrdersTo(vm);
         this.options.onCallFinished();
       });
   }
 
+  /** Sends what has become due during the call, without a wait for the next tick. */
+  private sendNextOrdersTo(vm: VmRecord): void {
+    if (this.maySend()) {
+      this.sendOrdersTo(vm, this.options.context.clock.now());
+    }
+  }
+
   /** Numbers the next sending of a start order, which counts as sent from now on. */
   private prepareSending(run: RunRecord): StartOrder {
     const mayHaveReachedVm = run.isSent;
--- a/packages/scheduler/src/scheduling-term.ts
+++ b/packages/scheduler/src/scheduling-term.ts
@@ -15,14 +15,14 @@
 import { WakeLoop } from '@figjunction/time';
 import type { Instant } from '@figjunction/time';
 import { JobState } from '@figjunction/types';
-import type { FleetConfiguration, JobRow } from '@figjunction/types';
+import type { FleetConfiguration } from '@figjunction/types';
 import { AdviceRequester } from './advice-requester.js';
 import type { CellContext } from './cell-context.js';
 import type { CellLease } from './cell-lease.js';
 import type { LoadedCell } from './cell-loader.js';
-import { CellCollection } from './cell-collections.js';
-import { CollectionWatch } from './collection-watch.js';
+import type { CollectionWatch } from './collection-watch.js';
 import { JobIntake } from './job-intake.js';
+import { createJobWatches } from './job-watches.js';
 import { OrderSender } from './order-sender.js';
 import { ProgressWriter } from './progress-writer.js';
 import { RunnerSessions, leaseExpiryDelayMs } from './runner-sessions.js';
@@ -74,7 +74,7 @@
       lease,
       onDeposed,
       onRunnerRegistered: (id, address) => this.addOrUpdateVm(id, address),
-      onStored: wake,
+      onStored: () => this.handleStored(),
     });
     this.log = new TermLog(context, state);
     const { activity } = this.log;
@@ -87,7 +87,7 @@
       activity,
     });
     this.announcer = new TakeoverAnnouncer({ context, state, lease });
-    this.sender = new OrderSender({ context, state, epoch: lease.epoch, onCallFinished: wake });
+    this.sender = new OrderSender({ context, state, lease, onCallFinished: wake });
     this.adviceRequester = new AdviceRequester(context, state, wake);
     this.tickLoop = new WakeLoop({
       clock: context.clock,
@@ -99,7 +99,7 @@
     });
     this.applyConfiguration(options.configuration);
     this.restore(loaded);
-    this.watches = this.createWatches(loaded);
+    this.watches = createJobWatches({ context, loaded, intake: this.intake, wake });
   }
 
   start(): void {
@@ -113,6 +113,7 @@
 
   stop(): void {
     this.tickLoop.stop();
+    this.sender.stop();
     this.watches.forEach((watch) => watch.stop());
   }
 
@@ -176,27 +177,10 @@
     }
   }
 
-  private createWatches(loaded: LoadedCell): CollectionWatch<never>[] {
-    const { context } = this.options;
-    const jobs = new CollectionWatch<JobRow>({
-      context,
-      collection: CellCollection.Jobs,
-      afterVersion: loaded.jobsVersion,
-      onRows: (rows) => {
-        this.intake.addJobs(rows, false, context.clock.now());
-        this.tickLoop.wake();
-      },
-    });
-    const cancellations = new CollectionWatch({
-      context,
-      collection: CellCollection.Cancellations,
-      afterVersion: loaded.cancellationsVersion,
-      onRows: (rows) => {
-        this.intake.cancelJobs(rows, context.clock.now());
-        this.tickLoop.wake();
-      },
-    });
-    return [jobs, cancellations] as CollectionWatch<never>[];
+  /** Sends the orders that waited for their VMs to be stored, without a wait for the next tick. */
+  private handleStored(): void {
+    this.sender.sendDueOrders(this.options.context.clock.now());
+    this.tickLoop.wake();
   }
 
   private tick(now: Instant): void {
@@ -216,9 +200,9 @@
       placement.started.forEach((run) => log.recordStart(run, now));
       return placement.unplaced;
     });
-    tickTimes.measure(TickPhase.Preempt, () =>
-      preemptBatchRuns(state, unplaced, now).forEach((run) => log.recordStop(run, 'preempted')),
-    );
+    tickTimes.measure(TickPhase.Preempt, () => {
+      preemptBatchRuns(state, unplaced, now).forEach((run) => log.recordStop(run, 'preempted'));
+    });
     tickTimes.measure(TickPhase.Advise, () => this.adviceRequester.requestForWaitingSteps(now));
     tickTimes.measure(TickPhase.Send, () => this.sender.sendDueOrders(now));
     tickTimes.measure(TickPhase.Store, () => this.writer.flush(now));
--- a/packages/scheduler/src/term-log.ts
+++ b/packages/scheduler/src/term-log.ts
@@ -19,7 +19,7 @@
   private summaryAt: Instant = 0;
 
   constructor(
-    private readonly context: Pick<CellContext, 'clock' | 'events' | 'metrics'>,
+    private readonly context: Pick<CellContext, 'clock' | 'events' | 'metrics' | 'processorLoad'>,
     private readonly state: CellState,
   ) {
     this.tickTimes = new TickTimes(context);
@@ -54,7 +54,9 @@
     }
     this.summaryAt = now + SUMMARY_INTERVAL_MS;
     const { events } = this.context;
-    events.write('cell-summary', { ...summarizeCell(this.state), ...this.tickTimes.take() });
+    const utilization = Number(this.context.processorLoad.utilization().toFixed(2));
+    const tickTimes = this.tickTimes.take();
+    events.write('cell-summary', { ...summarizeCell(this.state), ...tickTimes, utilization });
     for (const summary of summarizeQueues(this.state, this.activity.take(), now)) {
       events.write('queue-summary', summary);
     }
--- a/packages/scheduling/src/placement-work.test.ts
+++ b/packages/scheduling/src/placement-work.test.ts
@@ -21,12 +21,12 @@
 
 /** The runs of a VM, which count how many of them are looked at. */
 class CountingRuns extends Map<string, RunRecord> {
-  constructor(private readonly onLook: (runs: number) => void) {
+  constructor(private readonly looks: { runs: number }) {
     super();
   }
 
   override values(): MapIterator<RunRecord> {
-    this.onLook(this.size);
+    this.looks.runs += this.size;
     return super.values();
   }
 }
@@ -39,13 +39,11 @@
 
 /** A cell with serving tasks and fillers on each VM, which hold nearly all processor capacity. */
 function createBusyCell(waiting: Partial<StepSpecification>): Cell {
-  let looks = 0;
+  const looks = { runs: 0 };
   const state = createState();
   for (let index = 0; index < VM_COUNT; index += 1) {
     const vm = addVm(state, `vm-${index}`, { capacity: CAPACITY });
-    vm.runs = new CountingRuns((runs) => {
-      looks += runs;
-    });
+    vm.runs = new CountingRuns(looks);
   }
   const size = (processorMillicores: number, memoryMegabytes: number) => ({
     resources: { processorMillicores, memoryMegabytes, accelerators: 0 },
@@ -64,8 +62,8 @@
   for (let index = 0; index < WAITING_STEPS; index += 1) {
     addJob(state, { id: `a${index}`, steps: [createStep(waiting)] });
   }
-  looks = 0;
-  return { state, countLooks: () => looks };
+  looks.runs = 0;
+  return { state, countLooks: () => looks.runs };
 }
 
 function countLooksOfPlacement(waiting: Partial<StepSpecification>): number {
