Read no stored row before its schema has accepted it

Cause: what another writer may have stored was believed by its type. FeedStore cast rows to the type that the caller named.

An occurrence whose progress can't be read is kept on hold, since a done task must not run again. The epoch after an unreadable owner row follows the highest known one, and a valid lease is waited for. A job that can't be added leaves nothing in the tables.

--- a/packages/gateway/src/job-queries.ts
+++ b/packages/gateway/src/job-queries.ts
@@ -3,7 +3,14 @@
  * not know the job yet.
  */
 import { ErrorCode, toError } from '@figjunction/errors';
-import { CELL_PARTITION, CellCollection, jobPartition } from '@figjunction/scheduler';
+import {
+  CELL_PARTITION,
+  CellCollection,
+  StoredRows,
+  jobPartition,
+  jobRowSchema,
+  progressRowSchema,
+} from '@figjunction/scheduler';
 import { sleep } from '@figjunction/time';
 import type { Instant } from '@figjunction/time';
 import { JobState, RpcMethod } from '@figjunction/types';
@@ -36,7 +43,11 @@
   /** Set after a failed call, so that the next one does not reuse a broken connection. */
   private useNewConnection = false;
 
-  constructor(private readonly context: GatewayContext) {}
+  private readonly storedRows: StoredRows;
+
+  constructor(private readonly context: GatewayContext) {
+    this.storedRows = new StoredRows(context.events);
+  }
 
   /** Returns null when no such job exists. Throws when neither the scheduler nor the store responds. */
   async getState(jobId: JobId): Promise<JobState | null> {
@@ -140,13 +151,15 @@
   }
 
   private async readJobRow(jobId: JobId): Promise<JobRow | null> {
-    const { rows } = await this.context.store.readRange<JobRow>({
-      collection: CellCollection.Jobs,
+    const collection = CellCollection.Jobs;
+    const { rows } = await this.context.store.readRange({
+      collection,
       partition: jobPartition(jobId),
       from: jobId,
       until: `${jobId}~`,
     });
-    return rows.find(({ key }) => key === jobId)?.value ?? null;
+    const row = rows.find(({ key }) => key === jobId);
+    return this.storedRows.decodeValue(collection, row, jobRowSchema);
   }
 
   private async readStateFromStore(jobId: JobId): Promise<JobState | null> {
@@ -155,15 +168,17 @@
     if (job === null) {
       return null;
     }
-    const { rows } = await store.readRange<ProgressRow>({
-      collection: CellCollection.Progress,
+    const collection = CellCollection.Progress;
+    const { rows } = await store.readRange({
+      collection,
       partition: CELL_PARTITION,
       from: `${jobId}.`,
       until: `${jobId}.~`,
     });
+    const progressRows = this.storedRows.decode(collection, rows, progressRowSchema);
     const state = deriveState(
       job,
-      rows.flatMap(({ value }) => (value === null ? [] : [value])),
+      progressRows.flatMap(({ value }) => (value === null ? [] : [value])),
     );
     events.write('state-from-store', { job: jobId, state, rows: rows.length });
     return state;
--- a/packages/runner/src/reporter.test.ts
+++ b/packages/runner/src/reporter.test.ts
@@ -5,6 +5,7 @@
  */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { RecordingEventLog } from '@figjunction/logger/recording-event-log';
 import { ErrorCode } from '@figjunction/errors';
 import { EventLog, createLogger } from '@figjunction/logger';
 import { RpcClient } from '@figjunction/rpc';
@@ -28,7 +29,7 @@
 class FixedDirectory extends OwnerDirectory {
   constructor(clock: Clock) {
     // Nothing is read from the store, because `refresh` is replaced.
-    super({ store: {} as never, storeClock: {} as never, clock });
+    super({ store: {} as never, storeClock: {} as never, clock, events: new RecordingEventLog() });
   }
 
   override refresh(): Promise<OwnerView> {
@@ -38,6 +39,7 @@
       ownerVersion: 5,
       lease,
       leaseVersion: 6,
+      highestEpoch: 2,
       storeMs: 7_000,
     });
   }
--- a/packages/runner/src/runner-announcement.test.ts
+++ b/packages/runner/src/runner-announcement.test.ts
@@ -4,6 +4,7 @@
  */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { RecordingEventLog } from '@figjunction/logger/recording-event-log';
 import { EventLog, createLogger } from '@figjunction/logger';
 import { RpcClient } from '@figjunction/rpc';
 import { OwnerDirectory } from '@figjunction/scheduler';
@@ -66,7 +67,12 @@
   const clock = new SystemClock();
   const logger = createLogger({ name: 'test', level: 'silent' });
   // Nothing is read from the store.
-  const directory = new OwnerDirectory({ store: {} as never, storeClock: {} as never, clock });
+  const directory = new OwnerDirectory({
+    store: {} as never,
+    storeClock: {} as never,
+    clock,
+    events: new RecordingEventLog(),
+  });
   directory.updateOwner({ epoch: 1, address: 'http://scheduler', processId: 'scheduler' });
   return new Runner({
     host,
--- a/packages/runner/src/runner-fixture.ts
+++ b/packages/runner/src/runner-fixture.ts
@@ -120,7 +120,12 @@
   private createRunner(): Runner {
     const { clock } = this.scheduler;
     // Nothing is read from the store.
-    const directory = new OwnerDirectory({ store: {} as never, storeClock: {} as never, clock });
+    const directory = new OwnerDirectory({
+      store: {} as never,
+      storeClock: {} as never,
+      clock,
+      events: this.events,
+    });
     const owner = { epoch: FIXTURE_EPOCH, address: 'http://scheduler', processId: 'scheduler' };
     directory.updateOwner(owner);
     return new Runner({
--- a/packages/runner/src/runner.test.ts
+++ b/packages/runner/src/runner.test.ts
@@ -45,7 +45,7 @@
     events,
     rpc: new RpcClient({ sharedToken: 'token' }),
     // Nothing is read from the store.
-    directory: new OwnerDirectory({ store: {} as never, storeClock: {} as never, clock }),
+    directory: new OwnerDirectory({ store: {} as never, storeClock: {} as never, clock, events }),
     runnerId: 'vm-1',
     address: 'http://127.0.0.1:1',
     processId: 'process-2',
--- a/packages/runner/src/stale-refusals.test.ts
+++ b/packages/runner/src/stale-refusals.test.ts
@@ -100,7 +100,12 @@
   host = new SlowVmHost();
   const { clock } = scheduler;
   // Nothing is read from the store.
-  const directory = new OwnerDirectory({ store: {} as never, storeClock: {} as never, clock });
+  const directory = new OwnerDirectory({
+    store: {} as never,
+    storeClock: {} as never,
+    clock,
+    events: new RecordingEventLog(),
+  });
   directory.updateOwner({ epoch: FIXTURE_EPOCH, address: 'http://scheduler', processId: 's' });
   runner = new Runner({
     host,
--- a/packages/runner/src/takeover-policy.test.ts
+++ b/packages/runner/src/takeover-policy.test.ts
@@ -13,6 +13,7 @@
     ownerVersion: 10,
     lease: { epoch: 4, leasedUntilStoreMs: 5_000 },
     leaseVersion: 20,
+    highestEpoch: 4,
     storeMs: 6_000,
     ...changes,
   };
--- a/packages/runner/src/takeover-policy.ts
+++ b/packages/runner/src/takeover-policy.ts
@@ -41,13 +41,18 @@
     const isPredecessor = owner?.address === address && owner.processId !== processId;
     // A process without a scheduler at the owner's address proves that the owner has stopped.
     const isReplaced =
-      failure === SchedulerFailure.NotScheduling && owner?.epoch === requestedEpoch;
-    if (owner === null || isPredecessor || isReplaced) {
+      failure === SchedulerFailure.NotScheduling &&
+      owner !== null &&
+      owner.epoch === requestedEpoch;
+    if (isPredecessor || isReplaced) {
       return true;
     }
     if (lease !== null && lease.leasedUntilStoreMs > storeMs) {
       return false;
     }
+    if (owner === null) {
+      return true;
+    }
     return failure !== SchedulerFailure.NoSession || this.isGracePeriodOver(leaseVersion, now);
   }
 
--- a/packages/scheduler/src/cell-lease-pause.test.ts
+++ b/packages/scheduler/src/cell-lease-pause.test.ts
@@ -5,6 +5,7 @@
  */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { RecordingEventLog } from '@figjunction/logger/recording-event-log';
 import { FeedStore, StoreClock } from '@figjunction/store';
 import type {
   ConditionalWrite,
@@ -40,12 +41,12 @@
     return this.passOn(() => this.store.write(write));
   }
 
-  override readRange<Value>(parameters: RangeParameters): Promise<RangeResult<Value>> {
-    return this.passOn(() => this.store.readRange<Value>(parameters));
+  override readRange(parameters: RangeParameters): Promise<RangeResult> {
+    return this.passOn(() => this.store.readRange(parameters));
   }
 
-  override watch<Value>(parameters: WatchParameters): Promise<WatchResult<Value>> {
-    return this.passOn(() => this.store.watch<Value>(parameters));
+  override watch(parameters: WatchParameters): Promise<WatchResult> {
+    return this.passOn(() => this.store.watch(parameters));
   }
 
   private async passOn<Result>(call: () => Promise<Result>): Promise<Result> {
@@ -66,7 +67,13 @@
 
 function createProcess(store: FeedStore, clock: ManualClock, processId: string) {
   const storeClock = new StoreClock(clock);
-  const directory = new OwnerDirectory({ store, storeClock, clock, minimumReadIntervalMs: 0 });
+  const directory = new OwnerDirectory({
+    store,
+    storeClock,
+    clock,
+    events: new RecordingEventLog(),
+    minimumReadIntervalMs: 0,
+  });
   const lease = new CellLease({ store, storeClock, clock, address: processId, processId });
   const takeOver = async (): Promise<boolean> => {
     const view = await directory.refresh();
@@ -106,7 +113,7 @@
     await paused.storeProgress('by paused, second');
   }
   const range = { collection: CellCollection.Progress, partition: CELL_PARTITION };
-  const { rows } = await store.readRange<string>(range);
+  const { rows } = await store.readRange(range);
   const { pointCount } = pausingStore;
   return { paused, rival, rivalHasTakenOver, pointCount, progress: rows[0]?.value };
 }
--- a/packages/scheduler/src/cell-lease.test.ts
+++ b/packages/scheduler/src/cell-lease.test.ts
@@ -4,6 +4,7 @@
  */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { RecordingEventLog } from '@figjunction/logger/recording-event-log';
 import { StoreClock } from '@figjunction/store';
 import { ManualClock } from '@figjunction/time';
 import { CellLease, RenewalOutcome } from './cell-lease.js';
@@ -24,7 +25,13 @@
   const store = new MemoryFeedStore(clock);
   const createProcess = (processId: string) => {
     const storeClock = new StoreClock(clock);
-    const directory = new OwnerDirectory({ store, storeClock, clock, minimumReadIntervalMs: 0 });
+    const directory = new OwnerDirectory({
+      store,
+      storeClock,
+      clock,
+      events: new RecordingEventLog(),
+      minimumReadIntervalMs: 0,
+    });
     const lease = new CellLease({ store, storeClock, clock, address: processId, processId });
     const takeOver = async (): Promise<boolean> => {
       const view = await directory.refresh();
--- a/packages/scheduler/src/cell-lease.ts
+++ b/packages/scheduler/src/cell-lease.ts
@@ -92,7 +92,7 @@
    * store errors.
    */
   async acquire(view: OwnerView): Promise<boolean> {
-    const epoch = (view.owner?.epoch ?? 0) + 1;
+    const epoch = view.highestEpoch + 1;
     const { address, processId } = this.options;
     const owner: CellOwnerRow = { epoch, address, processId };
     const result = await this.writeLease(
--- a/packages/scheduler/src/collection-watch.ts
+++ b/packages/scheduler/src/collection-watch.ts
@@ -10,25 +10,25 @@
 import { readJobPartitions } from './cell-loader.js';
 import type { CellCollection } from './cell-collections.js';
 
-export interface CollectionWatchOptions<Value> {
+export interface CollectionWatchOptions {
   context: Pick<CellContext, 'store' | 'events'>;
   collection: CellCollection;
   afterVersion: number;
-  onRows: (rows: FeedRow<Value>[]) => void;
+  onRows: (rows: FeedRow[]) => void;
 }
 
 /** Long-poll timeout. A broken connection delays changes by at most this plus the timeout of the call. */
 const WATCH_TIMEOUT_MS = 1_500;
 const RETRY_DELAY_MS = 150;
 
-export class CollectionWatch<Value> {
+export class CollectionWatch {
   private isStopped = false;
 
   private afterVersion: number;
 
   private readonly outage = new Outage();
 
-  constructor(private readonly options: CollectionWatchOptions<Value>) {
+  constructor(private readonly options: CollectionWatchOptions) {
     this.afterVersion = options.afterVersion;
   }
 
@@ -54,7 +54,7 @@
   private async pollOnce(): Promise<void> {
     const { context, collection } = this.options;
     const { afterVersion } = this;
-    const change = await context.store.watch<Value>({
+    const change = await context.store.watch({
       collection,
       afterVersion,
       waitMs: WATCH_TIMEOUT_MS,
@@ -64,11 +64,11 @@
       return;
     }
     context.events.write('history-gone', { collection, afterVersion });
-    const snapshot = await readJobPartitions<Value>(context.store, collection);
+    const snapshot = await readJobPartitions(context.store, collection);
     this.deliver(snapshot.rows, snapshot.version);
   }
 
-  private deliver(rows: FeedRow<Value>[], version: number): void {
+  private deliver(rows: FeedRow[], version: number): void {
     this.afterVersion = version;
     if (rows.length > 0 && !this.isStopped) {
       this.options.onRows(rows);
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -9,3 +9,5 @@
 export * from './configuration-feed.js';
 export * from './owner-directory.js';
 export * from './processor-load.js';
+export * from './row-schemas.js';
+export * from './stored-rows.js';
--- a/packages/scheduler/src/job-intake.ts
+++ b/packages/scheduler/src/job-intake.ts
@@ -15,7 +15,7 @@
 import type { FeedRow } from '@figjunction/store';
 import type { Instant } from '@figjunction/time';
 import { JobState } from '@figjunction/types';
-import type { JobRow, ProgressRow } from '@figjunction/types';
+import type { JobId, JobRow, ProgressRow } from '@figjunction/types';
 import type { CellContext } from './cell-context.js';
 import { parseProgressKey } from './cell-collections.js';
 import { SchedulerError } from './scheduler-error.js';
@@ -39,6 +39,12 @@
   /** Stored progress by job id and occurrence, used when the occurrence is created. */
   private readonly progressByJob = new Map<string, Map<number, ProgressRow>>();
 
+  /**
+   * Occurrences whose stored progress can't be read, by job id. Which of their tasks are done is unknown, and a done
+   * task must not run again, so none of them is started.
+   */
+  private readonly occurrencesOnHold = new Map<JobId, Set<number>>();
+
   /** Ids of cancelled jobs whose own row has not been read yet. */
   private readonly unmatchedCancellations = new Set<string>();
 
@@ -59,6 +65,15 @@
     }
   }
 
+  /** Keeps the occurrences from starting whose progress, stored under these keys, can't be read. */
+  holdOccurrences(keys: string[]): void {
+    for (const key of keys) {
+      const { jobId, occurrence } = parseProgressKey(key);
+      const onHold = this.occurrencesOnHold.get(jobId) ?? new Set();
+      this.occurrencesOnHold.set(jobId, onHold.add(occurrence));
+    }
+  }
+
   /** Adds jobs that are not in the tables yet. Jobs of an earlier epoch (`isInherited`) are not logged again. */
   addJobs(rows: FeedRow<JobRow>[], isInherited: boolean, now: Instant): void {
     const { state, context } = this.options;
@@ -67,8 +82,8 @@
         try {
           this.addJob(key, value, isInherited, now);
         } catch (error) {
-          // One row that cannot be read must not keep the scheduler from the other jobs.
-          state.jobs.delete(key);
+          // One job that cannot be added must not keep the scheduler from the other jobs.
+          this.forgetJob(key);
           const { message } = toError(error);
           context.events.write('job-unreadable', { job: key, error: message });
         }
@@ -76,6 +91,20 @@
     }
   }
 
+  private forgetJob(key: JobId): void {
+    const { state } = this.options;
+    const job = state.jobs.get(key);
+    state.jobs.delete(key);
+    if (job !== undefined) {
+      this.jobsWithFutureOccurrences.delete(job);
+      for (const occurrence of job.occurrences.values()) {
+        state.active.delete(occurrence);
+        state.dirty.delete(occurrence);
+        this.occurrencesBeforeDue.delete(occurrence);
+      }
+    }
+  }
+
   private addJob(key: string, value: JobRow, isInherited: boolean, now: Instant): void {
     const { state, context } = this.options;
     const ageMs = Math.max(0, context.storeClock.earliest() - value.submittedAtStoreMs);
@@ -148,7 +177,11 @@
    * may have been ahead of the clock here, and ends and runs can only be applied to occurrences in the tables.
    */
   private addDueOccurrences(job: JobRecord, now: Instant): void {
-    const lastBegun = Math.max(-1, ...(this.progressByJob.get(job.id)?.keys() ?? []));
+    const lastBegun = Math.max(
+      -1,
+      ...(this.progressByJob.get(job.id)?.keys() ?? []),
+      ...(this.occurrencesOnHold.get(job.id) ?? []),
+    );
     for (let index = job.occurrences.size; index < countOccurrences(job); index += 1) {
       const waitMs = this.waitUntilDueMs(job, index);
       if (waitMs > 0 && index > lastBegun) {
@@ -171,6 +204,11 @@
     if (row !== undefined) {
       restoreProgress(occurrence, row);
     }
+    if (this.occurrencesOnHold.get(job.id)?.has(index) === true) {
+      this.options.context.events.write('occurrence-on-hold', { job: job.id, occurrence: index });
+      occurrence.startedAt ??= now;
+      return;
+    }
     if (dueAt > now) {
       this.occurrencesBeforeDue.add(occurrence);
     } else {
--- a/packages/scheduler/src/job-watches.ts
+++ b/packages/scheduler/src/job-watches.ts
@@ -1,12 +1,13 @@
 /**
  * The watches through which a scheduler learns of new and cancelled jobs.
  */
-import type { JobRow } from '@figjunction/types';
 import type { CellContext } from './cell-context.js';
 import { CellCollection } from './cell-collections.js';
 import type { LoadedCell } from './cell-loader.js';
 import { CollectionWatch } from './collection-watch.js';
 import type { JobIntake } from './job-intake.js';
+import { jobRowSchema } from './row-schemas.js';
+import { StoredRows } from './stored-rows.js';
 
 export interface JobWatchesOptions {
   context: Pick<CellContext, 'store' | 'events' | 'clock'>;
@@ -16,14 +17,16 @@
   wake: () => void;
 }
 
-export function createJobWatches(options: JobWatchesOptions): CollectionWatch<never>[] {
+export function createJobWatches(options: JobWatchesOptions): CollectionWatch[] {
   const { context, loaded, intake, wake } = options;
-  const jobs = new CollectionWatch<JobRow>({
+  const storedRows = new StoredRows(context.events);
+  const jobs = new CollectionWatch({
     context,
     collection: CellCollection.Jobs,
     afterVersion: loaded.jobsVersion,
     onRows: (rows) => {
-      intake.addJobs(rows, false, context.clock.now());
+      const jobRows = storedRows.decode(CellCollection.Jobs, rows, jobRowSchema);
+      intake.addJobs(jobRows, false, context.clock.now());
       wake();
     },
   });
@@ -36,5 +39,5 @@
       wake();
     },
   });
-  return [jobs, cancellations] as CollectionWatch<never>[];
+  return [jobs, cancellations];
 }
--- a/packages/scheduler/src/memory-feed-store.ts
+++ b/packages/scheduler/src/memory-feed-store.ts
@@ -63,18 +63,18 @@
     return result;
   }
 
-  override readRange<Value>(parameters: RangeParameters): Promise<RangeResult<Value>> {
+  override readRange(parameters: RangeParameters): Promise<RangeResult> {
     this.throwIfUnavailable();
     const { collection, partition, from = '', until } = parameters;
     const rows = [...this.rows.values()]
       .filter((row) => row.collection === collection && row.partition === partition)
       .filter(({ key }) => key >= from && (until === undefined || key < until))
       .filter(({ value }) => value !== null)
-      .sort((left, right) => left.key.localeCompare(right.key)) as FeedRow<Value>[];
+      .sort((left, right) => left.key.localeCompare(right.key));
     return Promise.resolve({ rows, version: this.version, storeMs: this.clock.now() });
   }
 
-  override watch<Value>(parameters: WatchParameters): Promise<WatchResult<Value>> {
+  override watch(parameters: WatchParameters): Promise<WatchResult> {
     this.throwIfUnavailable();
     const { collection, afterVersion } = parameters;
     const result = { version: this.version, storeMs: this.clock.now() };
@@ -83,7 +83,7 @@
     }
     const rows = [...this.rows.values()].filter(
       (row) => row.collection === collection && row.version > afterVersion,
-    ) as unknown as FeedRow<Value>[];
+    );
     return Promise.resolve({ ...result, rows });
   }
 
--- a/packages/scheduler/src/owner-directory.ts
+++ b/packages/scheduler/src/owner-directory.ts
@@ -1,16 +1,28 @@
 /**
  * Caches the owner of the cell and its lease as last read from the store or announced by a scheduler.
  */
-import type { FeedStore, StoreClock } from '@figjunction/store';
+import type { EventLog } from '@figjunction/logger';
+import type { FeedRow, FeedStore, StoreClock } from '@figjunction/store';
 import type { Clock, Instant } from '@figjunction/time';
 import type { CellLeaseRow, CellOwnerRow } from '@figjunction/types';
-import { CELL_PARTITION, CellCollection, LEASE_KEY, OWNER_KEY } from './cell-collections.js';
+import {
+  CELL_PARTITION,
+  COMMIT_KEY,
+  CellCollection,
+  LEASE_KEY,
+  OWNER_KEY,
+} from './cell-collections.js';
+import { commitRowSchema, leaseRowSchema, ownerRowSchema } from './row-schemas.js';
+import { StoredRows } from './stored-rows.js';
 
 export interface OwnerView {
+  /** Null if there is none, or if its row can't be read. */
   owner: CellOwnerRow | null;
   ownerVersion: number;
   lease: CellLeaseRow | null;
   leaseVersion: number;
+  /** The highest epoch that any row of the cell has named, also before the owner row became unreadable. */
+  highestEpoch: number;
   /** Time on the store's clock when it served the read. */
   storeMs: number;
 }
@@ -19,6 +31,7 @@
   store: FeedStore;
   storeClock: StoreClock;
   clock: Clock;
+  events: Pick<EventLog, 'write'>;
   /** Minimum time between the starts of two reads. */
   minimumReadIntervalMs?: number;
 }
@@ -30,11 +43,16 @@
 
   private lastReadAt: Instant = Number.NEGATIVE_INFINITY;
 
+  private highestEpoch = 0;
+
+  private readonly storedRows: StoredRows;
+
   private pendingRead: Promise<OwnerView | null> | null = null;
 
   private readonly minimumReadIntervalMs: number;
 
   constructor(private readonly options: OwnerDirectoryOptions) {
+    this.storedRows = new StoredRows(options.events);
     this.minimumReadIntervalMs = options.minimumReadIntervalMs ?? DEFAULT_MINIMUM_READ_INTERVAL_MS;
   }
 
@@ -45,7 +63,16 @@
   /** Records a scheduler that announced itself, unless its epoch is not higher than the known one. */
   updateOwner(owner: CellOwnerRow): void {
     if (owner.epoch > (this.owner?.epoch ?? 0)) {
-      this.view = { owner, ownerVersion: 0, lease: null, leaseVersion: 0, storeMs: 0 };
+      this.highestEpoch = Math.max(this.highestEpoch, owner.epoch);
+      const { highestEpoch } = this;
+      this.view = {
+        owner,
+        ownerVersion: 0,
+        lease: null,
+        leaseVersion: 0,
+        highestEpoch,
+        storeMs: 0,
+      };
     }
   }
 
@@ -65,17 +92,24 @@
 
   private async read(): Promise<OwnerView> {
     this.lastReadAt = this.options.clock.now();
-    const { rows, storeMs } = await this.options.store.readRange<CellOwnerRow | CellLeaseRow>({
-      collection: CellCollection.Cells,
-      partition: CELL_PARTITION,
-    });
-    const ownerRow = rows.find(({ key }) => key === OWNER_KEY);
-    const leaseRow = rows.find(({ key }) => key === LEASE_KEY);
+    const collection = CellCollection.Cells;
+    const range = { collection, partition: CELL_PARTITION };
+    const { rows, storeMs } = await this.options.store.readRange(range);
+    const findRow = (wanted: string): FeedRow | undefined => rows.find(({ key }) => key === wanted);
+    const { storedRows } = this;
+    const ownerRow = findRow(OWNER_KEY);
+    const leaseRow = findRow(LEASE_KEY);
+    const owner = storedRows.decodeValue(collection, ownerRow, ownerRowSchema);
+    const lease = storedRows.decodeValue(collection, leaseRow, leaseRowSchema);
+    const commit = storedRows.decodeValue(collection, findRow(COMMIT_KEY), commitRowSchema);
+    const epochs = [owner, lease, commit].map((row) => row?.epoch ?? 0);
+    this.highestEpoch = Math.max(this.highestEpoch, ...epochs);
     const view: OwnerView = {
-      owner: (ownerRow?.value ?? null) as CellOwnerRow | null,
+      owner,
       ownerVersion: ownerRow?.version ?? 0,
-      lease: (leaseRow?.value ?? null) as CellLeaseRow | null,
+      lease,
       leaseVersion: leaseRow?.version ?? 0,
+      highestEpoch: this.highestEpoch,
       storeMs,
     };
     if ((view.owner?.epoch ?? 0) >= (this.owner?.epoch ?? 0)) {
--- a/packages/scheduler/src/progress-writer.test.ts
+++ b/packages/scheduler/src/progress-writer.test.ts
@@ -54,8 +54,8 @@
   };
   const storedDoneMarks = async (): Promise<string | undefined> => {
     const range = { collection: CellCollection.Progress, partition: CELL_PARTITION };
-    const { rows } = await store.readRange<ProgressRow>(range);
-    return rows[0]?.value?.done[0];
+    const { rows } = await store.readRange(range);
+    return (rows[0]?.value as ProgressRow | undefined)?.done[0];
   };
   return {
     store,
--- a/packages/scheduler/src/scheduling-term.ts
+++ b/packages/scheduler/src/scheduling-term.ts
@@ -19,6 +19,7 @@
 import { AdviceRequester } from './advice-requester.js';
 import type { CellContext } from './cell-context.js';
 import type { CellLease } from './cell-lease.js';
+import { listRunnersWithRuns } from './cell-loader.js';
 import type { LoadedCell } from './cell-loader.js';
 import type { CollectionWatch } from './collection-watch.js';
 import { JobIntake } from './job-intake.js';
@@ -57,7 +58,7 @@
 
   private readonly tickLoop: WakeLoop;
 
-  private readonly watches: CollectionWatch<never>[];
+  private readonly watches: CollectionWatch[];
 
   private readonly log: TermLog;
 
@@ -157,12 +158,17 @@
     const { context } = this.options;
     const now = context.clock.now();
     this.intake.cacheProgress(loaded.progress);
+    this.intake.holdOccurrences(loaded.unreadableProgress);
     this.intake.addJobs(loaded.jobs, true, now);
     this.intake.cancelJobs(loaded.cancellations, now);
+    const leaseExpiresAt = now + leaseExpiryDelayMs(context.grantMs);
+    for (const id of listRunnersWithRuns(loaded)) {
+      this.state.unreportedVms.set(id, leaseExpiresAt);
+    }
     for (const { key, value } of loaded.runners) {
       if (value !== null) {
         this.state.addVm(key, value.address);
-        this.state.unreportedVms.set(key, now + leaseExpiryDelayMs(context.grantMs));
+        this.state.unreportedVms.set(key, leaseExpiresAt);
         this.announcer.announceTo(key, value.address);
       }
     }
--- a/packages/store/src/feed-store.ts
+++ b/packages/store/src/feed-store.ts
@@ -6,7 +6,7 @@
   partition: string;
   key: string;
   version: number;
-  /** Null when the row has been deleted. */
+  /** Null when the row has been deleted. Read from the store, it may be anything that another writer has stored. */
   value: Value | null;
 }
 
@@ -47,15 +47,15 @@
       }
   );
 
-export interface RangeResult<Value> extends StoreTime {
-  rows: FeedRow<Value>[];
+export interface RangeResult extends StoreTime {
+  rows: FeedRow[];
   /** The latest version in the store when the first page was read. */
   version: number;
 }
 
-export interface WatchResult<Value> extends StoreTime {
+export interface WatchResult extends StoreTime {
   /** Changed rows. Null when the store no longer has the changes since `afterVersion`: read the range again. */
-  rows: FeedRow<Value>[] | null;
+  rows: FeedRow[] | null;
   version: number;
 }
 
@@ -86,8 +86,8 @@
   abstract write(write: ConditionalWrite): Promise<WriteResult>;
 
   /** Reads all pages of a range. */
-  abstract readRange<Value>(parameters: RangeParameters): Promise<RangeResult<Value>>;
+  abstract readRange(parameters: RangeParameters): Promise<RangeResult>;
 
   /** Returns the rows that changed after a version; waits for a change for up to `waitMs`. */
-  abstract watch<Value>(parameters: WatchParameters): Promise<WatchResult<Value>>;
+  abstract watch(parameters: WatchParameters): Promise<WatchResult>;
 }
