Let long-running tasks leave the room that batch jobs use

Cause: long-running steps came before all others, whatever the priority of their queue, and batch runs were stopped for them. They hold their room for good, while batch jobs leave theirs free for a moment with each end, so they took it piece by piece: from 2,738 to 2,870 of 2,984 cores in ten seconds of traffic, and dish-label was left with 50 to 75 cores of the 150 that it needs. load-simulation.ts played no long-running tasks, so no test showed it.

Change: BatchClaims records what batch jobs with value hold. It preempts only less urgent runs.

The test of preemption and the one of a shrunk VM use a less urgent queue for the runs that are stopped, and one each shows that a run of the same urgency is stopped only for a task that has run before. queue-summary.test.ts places its long-running task first, as it no longer comes before a batch step.

--- a/packages/scheduler/src/queue-summary.test.ts
+++ b/packages/scheduler/src/queue-summary.test.ts
@@ -23,6 +23,7 @@
   const state = createState();
   addVm(state, 'vm-1', { capacity: CAPACITY });
   addJob(state, { id: '0', steps: [createStep({ resources: LARGE, longRunning: true })] });
+  placeTasks(state, 0);
   addJob(state, { id: '1', steps: [createStep(changes)] });
   return state;
 }
--- a/packages/scheduling/src/cell-fixture.ts
+++ b/packages/scheduling/src/cell-fixture.ts
@@ -16,7 +16,7 @@
 import type { ReportOutcome } from './reports.js';
 import type { JobRecord, VmRecord } from './records.js';
 
-const POLICY: QueuePolicy = {
+export const POLICY: QueuePolicy = {
   name: 'labels',
   host: 'labels.example',
   pathPrefix: '/labels/',
@@ -28,6 +28,9 @@
   advice: null,
 };
 
+/** A queue that is less urgent than that of `POLICY`. */
+export const LESS_URGENT_POLICY: QueuePolicy = { ...POLICY, name: 'menus', priority: 2 };
+
 export function createStep(changes: Partial<StepSpecification> = {}): StepSpecification {
   return {
     taskCount: 1,
--- a/packages/scheduling/src/cell-state.ts
+++ b/packages/scheduling/src/cell-state.ts
@@ -4,6 +4,7 @@
 import type { Instant } from '@figjunction/time';
 import { JobState } from '@figjunction/types';
 import type { AgentId, JobId, QueuePolicy, TaskId } from '@figjunction/types';
+import { BatchClaims } from './batch-claims.js';
 import { InterferenceModel } from './interference.js';
 import { isFinished } from './job-table.js';
 import { RunPhase, buildRunKey } from './records.js';
@@ -27,6 +28,8 @@
 
   readonly interference = new InterferenceModel();
 
+  readonly batchClaims = new BatchClaims();
+
   /** By queue: the mean work of its occurrences in core-milliseconds, and their number. */
   readonly meanWork = new Map<string, { mean: number; count: number }>();
 
@@ -141,6 +144,7 @@
       runningSince: now,
     };
     task.runs.push(record);
+    task.hasRun = true;
     task.highestRunNumber = Math.max(task.highestRunNumber, run);
     task.step.waiting.delete(task);
     vm.runs.set(buildRunKey(task.id, run), record);
--- a/packages/scheduling/src/job-table.ts
+++ b/packages/scheduling/src/job-table.ts
@@ -98,6 +98,7 @@
     failedRuns: [],
     crashes: [],
     checkpoint: '',
+    hasRun: false,
     highestRunNumber: runNumberBase,
     runs: [],
     eligibleAt,
@@ -161,6 +162,7 @@
     const marks = row.done[step.index] ?? '';
     for (const task of step.tasks) {
       task.failedRuns = row.failures[`${step.index}.${task.index}`] ?? [];
+      task.hasRun = row.runners.length > 0;
       task.crashes = row.crashes?.[`${step.index}.${task.index}`] ?? [];
       if (marks[task.index] === DONE_MARK) {
         task.done = true;
--- a/packages/scheduling/src/place.test.ts
+++ b/packages/scheduling/src/place.test.ts
@@ -6,7 +6,14 @@
 import { test } from 'node:test';
 import fc from 'fast-check';
 import { RunEnding, VmState } from '@figjunction/types';
-import { addJob, addVm, createState, createStep, sendReport } from './cell-fixture.js';
+import {
+  LESS_URGENT_POLICY,
+  addJob,
+  addVm,
+  createState,
+  createStep,
+  sendReport,
+} from './cell-fixture.js';
 import type { CellState } from './cell-state.js';
 import { placeTasks } from './place.js';
 import { preemptBatchRuns } from './preempt.js';
@@ -149,7 +156,11 @@
 test('preempts a batch run for an unplaced long-running task and reserves the freed capacity', () => {
   const state = createState();
   const vm = addVm(state);
-  addJob(state, { id: 'batch', steps: [createStep({ taskCount: 4 })] });
+  addJob(state, {
+    id: 'batch',
+    steps: [createStep({ taskCount: 4 })],
+    policy: LESS_URGENT_POLICY,
+  });
   started(state).forEach((run) => {
     run.phase = RunPhase.Running;
   });
@@ -167,6 +178,48 @@
   assert.equal(vm.used.processorMillicores, 4_000);
 });
 
+test('preempts no batch run of the same urgency for a long-running task', () => {
+  const state = createState();
+  addVm(state);
+  addJob(state, { id: 'batch', steps: [createStep({ taskCount: 4 })] });
+  started(state).forEach((run) => {
+    run.phase = RunPhase.Running;
+  });
+  addJob(state, { id: 'watch', steps: [createStep({ longRunning: true })] });
+  const { unplaced } = placeTasks(state, 1_000);
+  assert.equal(unplaced.length, 1);
+  assert.deepEqual(preemptBatchRuns(state, unplaced, 1_000), []);
+});
+
+test('preempts a batch run of the same urgency for a long-running task that has run before', () => {
+  const state = createState();
+  addVm(state);
+  addJob(state, { id: 'watch', steps: [createStep({ longRunning: true })] });
+  const [run] = started(state);
+  assert.ok(run);
+  state.removeRun(run, 100);
+  addJob(state, { id: 'batch', steps: [createStep({ taskCount: 4 })] });
+  run.task.eligibleAt = 500;
+  started(state, 400).forEach((batchRun) => {
+    batchRun.phase = RunPhase.Running;
+  });
+  const { unplaced } = placeTasks(state, 1_000);
+  const [victim] = preemptBatchRuns(state, unplaced, 1_000);
+  assert.equal(victim?.task.step.occurrence.job.id, 'batch');
+});
+
+test('starts a long-running task that has run before ahead of batch jobs in time', () => {
+  const state = createState();
+  addVm(state);
+  addJob(state, { id: 'watch', steps: [createStep({ longRunning: true })] });
+  const [run] = started(state);
+  assert.ok(run);
+  addJob(state, { id: 'batch', steps: [createStep({ taskCount: 40 })] });
+  state.removeRun(run, 100);
+  const [first] = started(state, 200);
+  assert.equal(first?.task, run.task);
+});
+
 test('places filler tasks beside serving tasks only when most of the other VMs is taken', () => {
   const state = createState();
   const vms = ['vm-1', 'vm-2', 'vm-3', 'vm-4'].map((id) => addVm(state, id));
--- a/packages/scheduling/src/place.ts
+++ b/packages/scheduling/src/place.ts
@@ -42,12 +42,21 @@
 export function placeTasks(state: CellState, now: Instant): PlacementResult {
   const result: PlacementResult = { started: [], unplaced: [] };
   const unmetDemands = new UnmetDemands(state);
+  let areClaimsObserved = false;
   for (const { step } of rankSteps(state, now).slice(0, STEPS_PER_TICK_MAXIMUM)) {
+    if (step.specification.longRunning && !areClaimsObserved) {
+      // After the batch steps that come first, so that their new runs count.
+      state.batchClaims.observe(state, now);
+      areClaimsObserved = true;
+    }
     const isRuledOut = unmetDemands.rulesOut(step) && !step.tasks.some(needsTrial);
     if (!mayRunOnUnreportedVms(state, step) && !isRuledOut) {
       placeStep({ state, step, unmetDemands, now, result });
     }
   }
+  if (!areClaimsObserved) {
+    state.batchClaims.observe(state, now);
+  }
   return result;
 }
 
@@ -77,6 +86,8 @@
     return;
   }
   const candidates = new PlacementCandidates(state, vms, now);
+  let unclaimedMillicores = computeLimit(state, step);
+  const { processorMillicores } = step.specification.resources;
   for (const task of tasks) {
     if (needsTrial(task)) {
       placeSuspect({ state, candidates, task, now, result });
@@ -87,12 +98,28 @@
         addUnplaced(result, step);
         return;
       }
+      if (processorMillicores > unclaimedMillicores && !mayTakeClaimedRoom(task, vm)) {
+        return;
+      }
+      unclaimedMillicores -= processorMillicores;
       result.started.push(startRun(state, { task, vm }, now));
       candidates.update(vm, task);
     }
   }
 }
 
+/** The millicores that tasks of the step may take: all for batch tasks, and what these leave for long-running ones. */
+function computeLimit(state: CellState, { occurrence, specification }: StepRecord): number {
+  return specification.longRunning && !specification.fills
+    ? state.batchClaims.computeUnclaimed(state, state.getPolicy(occurrence.job))
+    : Number.POSITIVE_INFINITY;
+}
+
+/** A restart takes back the room that the task has left. */
+function mayTakeClaimedRoom(task: TaskRecord, vm: VmRecord): boolean {
+  return task.hasRun || vm.reservations.has(task);
+}
+
 interface SuspectPlacement {
   state: CellState;
   candidates: PlacementCandidates;
--- a/packages/scheduling/src/placement-candidates.ts
+++ b/packages/scheduling/src/placement-candidates.ts
@@ -58,10 +58,11 @@
   private findLowest(costs: number[]): VmRecord | null {
     let best: VmRecord | null = null;
     let lowest = UNUSABLE;
-    costs.forEach((cost, index) => {
+    this.vms.forEach((vm, index) => {
+      const cost = costs[index] ?? UNUSABLE;
       if (cost < lowest) {
         lowest = cost;
-        best = this.vms[index] ?? null;
+        best = vm;
       }
     });
     return best;
--- a/packages/scheduling/src/preempt.ts
+++ b/packages/scheduling/src/preempt.ts
@@ -1,6 +1,6 @@
 /**
- * Frees capacity for long-running tasks by stopping batch runs, which restart later, from their last checkpoint
- * if they have one.
+ * Frees capacity for long-running tasks by stopping batch runs, those of the same urgency only for tasks that have
+ * run before. The stopped tasks restart later, from their last checkpoint if they have one.
  */
 import type { Instant } from '@figjunction/time';
 import type { Resources } from '@figjunction/types';
@@ -62,11 +62,13 @@
 
 /** Returns the runs that were ordered to stop; null if no VM can be freed for the task. */
 function preemptForTask(state: CellState, task: TaskRecord, now: Instant): RunRecord[] | null {
-  const { service } = state.getPolicy(task.step.occurrence.job);
+  const { service, priority } = state.getPolicy(task.step.occurrence.job);
+  const mayStop = (run: RunRecord): boolean =>
+    task.hasRun || state.getPolicy(run.task.step.occurrence.job).priority > priority;
   let best: { vm: VmRecord; victims: RunRecord[]; loss: number } | null = null;
   for (const vm of state.vms.values()) {
     if (vm.announcement?.service === service && isEligibleVm(vm, task.step, now)) {
-      const victims = chooseVictims(vm, task);
+      const victims = chooseVictims(vm, task, mayStop);
       if (victims !== null) {
         const loss = victims.reduce((sum, victim) => sum + estimateLostWork(victim), 0);
         if (best === null || loss < best.loss) {
@@ -84,10 +86,14 @@
 }
 
 /** The runs to stop, least lost work first; null when stopping all candidates would not free enough. */
-function chooseVictims(vm: VmRecord, task: TaskRecord): RunRecord[] | null {
+function chooseVictims(
+  vm: VmRecord,
+  task: TaskRecord,
+  mayStop: (run: RunRecord) => boolean,
+): RunRecord[] | null {
   const required = task.step.specification.resources;
   const free = computeFreeCapacity(vm, task);
-  const candidates = listCandidates(vm);
+  const candidates = listCandidates(vm).filter(mayStop);
   if (!canFreeEnough(free, candidates, required)) {
     return null;
   }
--- a/packages/scheduling/src/progress.ts
+++ b/packages/scheduling/src/progress.ts
@@ -120,7 +120,8 @@
   }
 }
 
-/** Waiting tasks of a ready step whose restart delay has passed. */
+/** Waiting tasks of a ready step whose restart delay has passed; those that have run before come first. */
 export function findStartableTasks(step: StepRecord, now: Instant): TaskRecord[] {
-  return [...step.waiting].filter((task) => task.eligibleAt <= now);
+  const startable = [...step.waiting].filter((task) => task.eligibleAt <= now);
+  return startable.sort((left, right) => Number(right.hasRun) - Number(left.hasRun));
 }
--- a/packages/scheduling/src/rank.ts
+++ b/packages/scheduling/src/rank.ts
@@ -8,6 +8,9 @@
 /** A late job still has value if it ends within this multiple of its objective. */
 const LATE_VALUE_FACTOR = 3;
 
+/** Higher than the priority of any queue. */
+const RESTART_PRIORITY = Number.MIN_SAFE_INTEGER;
+
 export enum Timeliness {
   /** The job can still meet its objective. */
   OnTime = 0,
@@ -51,19 +54,36 @@
   const { occurrence, specification } = step;
   const { priority } = state.getPolicy(occurrence.job);
   if (specification.longRunning) {
-    return { step, timeliness: Timeliness.OnTime, priority: -1, valueDensity: 0 };
+    return {
+      step,
+      timeliness: Timeliness.OnTime,
+      priority: rankLongRunning(step, priority),
+      valueDensity: 0,
+    };
   }
+  const timeliness = computeTimeliness(state, step, now);
+  return { step, timeliness, priority, valueDensity: computeValueDensity(state, occurrence) };
+}
+
+/**
+ * Tasks that have run before come first: callers rely on them. New ones come after the batch jobs of their queue's
+ * priority that can be in time, since they take room for good.
+ */
+function rankLongRunning({ waiting }: StepRecord, priority: number): number {
+  return [...waiting].some(({ hasRun }) => hasRun) ? RESTART_PRIORITY : priority;
+}
+
+/** What the job can still achieve if the step starts now and each task takes as long as estimated. */
+export function computeTimeliness(state: CellState, step: StepRecord, now: Instant): Timeliness {
+  const { occurrence } = step;
   const objectiveMs = computeObjectiveMs(state, occurrence);
   const latestOnTimeStart = occurrence.dueAt + objectiveMs - step.criticalPathMs;
   const latestUsefulStart =
     occurrence.dueAt + LATE_VALUE_FACTOR * objectiveMs - step.criticalPathMs;
-  let timeliness = Timeliness.OnTime;
   if (now > latestUsefulStart) {
-    timeliness = Timeliness.TooLate;
-  } else if (now > latestOnTimeStart) {
-    timeliness = Timeliness.Late;
+    return Timeliness.TooLate;
   }
-  return { step, timeliness, priority, valueDensity: computeValueDensity(state, occurrence) };
+  return now > latestOnTimeStart ? Timeliness.Late : Timeliness.OnTime;
 }
 
 /** Highest for small and nearly finished jobs, which yield the most value for the capacity they use. */
--- a/packages/scheduling/src/records.ts
+++ b/packages/scheduling/src/records.ts
@@ -61,6 +61,8 @@
   crashes: number[];
   /** The last reported checkpoint; empty if there is none. */
   checkpoint: string;
+  /** True once it has had a run, also of an earlier scheduler. */
+  hasRun: boolean;
   /** The highest run number assigned so far. */
   highestRunNumber: number;
   runs: RunRecord[];
