Let ticks take half of the time unless the scheduler is saturated

Cause: after each tick the loop rests for three times its length, a bound from the time when ticks searched the runs of all VMs for each task.

Change: the rest is as long as the tick, and three times as long while the event loop is busy for more than 0.9 of the time. The summaries of the queues go through the runs once for all queues.

--- a/packages/scheduler/src/queue-summary.ts
+++ b/packages/scheduler/src/queue-summary.ts
@@ -3,7 +3,13 @@
  * the runs of the last second were.
  */
 import { Timeliness, findPlacementObstacle, rankSteps } from '@figjunction/scheduling';
-import type { CellState, PlacementObstacle, RankedStep, RunRecord } from '@figjunction/scheduling';
+import type {
+  CellState,
+  OccurrenceRecord,
+  PlacementObstacle,
+  RankedStep,
+  RunRecord,
+} from '@figjunction/scheduling';
 import type { Instant } from '@figjunction/time';
 import type { QueueActivityCounts } from './queue-activity.js';
 
@@ -38,23 +44,37 @@
   activity: ReadonlyMap<string, QueueActivityCounts>,
   now: Instant,
 ): QueueSummary[] {
-  const rankedSteps = rankSteps(state, now);
-  const activeQueues = [...state.active].map(({ job }) => job.policy.name);
-  return [...new Set([...activeQueues, ...activity.keys()])].map((queue) => {
-    const ofQueue = rankedSteps.filter(({ step }) => queueOf(step.occurrence) === queue);
+  const rankedSteps = groupByQueue(rankSteps(state, now), ({ step }) => step.occurrence);
+  const active = groupByQueue([...state.active], (occurrence) => occurrence);
+  const runs = groupByQueue(
+    [...state.vms.values()].flatMap((vm) => [...vm.runs.values()]),
+    ({ task }) => task.step.occurrence,
+  );
+  return [...new Set([...active.keys(), ...activity.keys()])].map((queue) => {
+    const ofQueue = rankedSteps.get(queue) ?? [];
     return {
       queue,
-      activeJobs: activeQueues.filter((name) => name === queue).length,
+      activeJobs: active.get(queue)?.length ?? 0,
       ...countWaiting(ofQueue),
-      ...sumRuns(state, queue),
+      ...sumRuns(runs.get(queue) ?? []),
       ...summarizeActivity(activity.get(queue)),
       obstacles: countObstacles(state, ofQueue.slice(0, STEPS_EXAMINED_MAXIMUM), now),
     };
   });
 }
 
-function queueOf({ job }: { job: { policy: { name: string } } }): string {
-  return job.policy.name;
+function groupByQueue<Item>(
+  items: Item[],
+  occurrenceOf: (item: Item) => OccurrenceRecord,
+): Map<string, Item[]> {
+  const groups = new Map<string, Item[]>();
+  for (const item of items) {
+    const { name } = occurrenceOf(item).job.policy;
+    const group = groups.get(name) ?? [];
+    groups.set(name, group);
+    group.push(item);
+  }
+  return groups;
 }
 
 function countWaiting(rankedSteps: RankedStep[]) {
@@ -69,10 +89,7 @@
   };
 }
 
-function sumRuns({ vms }: CellState, queue: string) {
-  const runs: RunRecord[] = [...vms.values()]
-    .flatMap((vm) => [...vm.runs.values()])
-    .filter(({ task }) => queueOf(task.step.occurrence) === queue);
+function sumRuns(runs: RunRecord[]) {
   const resources = runs.map(({ task }) => task.step.specification.resources);
   return {
     runs: runs.length,
--- a/packages/scheduler/src/scheduling-term.ts
+++ b/packages/scheduler/src/scheduling-term.ts
@@ -29,6 +29,7 @@
 import { RunnerSessions, leaseExpiryDelayMs } from './runner-sessions.js';
 import { TakeoverAnnouncer } from './takeover-announcer.js';
 import { TermLog } from './term-log.js';
+import { computeTickRestFactor } from './tick-rest.js';
 import { TickPhase } from './tick-times.js';
 
 export interface SchedulingTermOptions {
@@ -92,6 +93,7 @@
     this.adviceRequester = new AdviceRequester(context, state, wake);
     this.tickLoop = new WakeLoop({
       clock: context.clock,
+      restFactor: () => computeTickRestFactor(context.processorLoad.utilization()),
       run: (now) => this.tick(now),
       onError: (error) => {
         const { message, stack } = toError(error);
--- a/packages/time/src/wake-loop.ts
+++ b/packages/time/src/wake-loop.ts
@@ -12,12 +12,13 @@
   shortestMs?: number;
   /** Longest time between two runs. */
   longestMs?: number;
+  /** Returns how many times the time that a run took the loop rests after it, at least. */
+  restFactor?: () => number;
 }
 
 const DEFAULT_SHORTEST_MS = 8;
 const DEFAULT_LONGEST_MS = 100;
-/** After a run, the loop rests for at least this many times the time that the run took. */
-const REST_FACTOR = 3;
+const DEFAULT_REST_FACTOR = 3;
 
 export class WakeLoop {
   private readonly options: Required<WakeLoopOptions>;
@@ -36,6 +37,7 @@
     this.options = {
       shortestMs: DEFAULT_SHORTEST_MS,
       longestMs: DEFAULT_LONGEST_MS,
+      restFactor: () => DEFAULT_REST_FACTOR,
       ...options,
     };
   }
@@ -79,7 +81,7 @@
       this.options.onError(error);
     }
     const endedAt = this.options.clock.now();
-    this.restUntil = endedAt + REST_FACTOR * (endedAt - this.lastRunAt);
+    this.restUntil = endedAt + this.options.restFactor() * (endedAt - this.lastRunAt);
     this.schedule(Math.max(this.lastRunAt + this.options.longestMs, this.restUntil));
   }
 }
