--- a/packages/scheduling/src/place.ts
+++ b/packages/scheduling/src/place.ts
@@ -9,7 +9,7 @@
 import { RunPhase } from './records.js';
 import type { RunRecord, StepRecord, TaskRecord, VmRecord } from './records.js';
 import { PlacementCandidates } from './placement-candidates.js';
-import { isEligibleVm } from './placement-rules.js';
+import { listEligibleVms } from './placement-rules.js';
 import {
   endReservation,
   findKeptVm,
@@ -157,13 +157,9 @@
 }
 
 function findEligibleVms(state: CellState, step: StepRecord, now: Instant): VmRecord[] {
-  const queue = state.getPolicy(step.occurrence.job);
-  return [...state.vms.values()].filter(
-    (vm) =>
-      vm.announcement?.service === queue.service &&
-      isEligibleVm(vm, step, now) &&
-      (queue.advice === null || hasTicket(step, vm, now)),
-  );
+  const { advice } = state.getPolicy(step.occurrence.job);
+  const vms = listEligibleVms(state, step, now);
+  return advice === null ? vms : vms.filter((vm) => hasTicket(step, vm, now));
 }
 
 function hasTicket(step: StepRecord, vm: VmRecord, now: Instant): boolean {
--- a/packages/scheduling/src/placement-obstacle.ts
+++ b/packages/scheduling/src/placement-obstacle.ts
@@ -3,8 +3,8 @@
  */
 import type { Instant } from '@figjunction/time';
 import type { CellState } from './cell-state.js';
-import { computeFreeCapacity, fitsOnVm, isEligibleVm } from './placement-rules.js';
-import type { StepRecord, TaskRecord, VmRecord } from './records.js';
+import { computeFreeCapacity, fitsOnVm, listEligibleVms } from './placement-rules.js';
+import type { TaskRecord, VmRecord } from './records.js';
 
 export enum PlacementObstacle {
   /** No VM of the service may start the task: sessions, health, labels or the limit on tasks per VM. */
@@ -36,13 +36,6 @@
   return findMissingResource(vms, task);
 }
 
-function listEligibleVms(state: CellState, step: StepRecord, now: Instant): VmRecord[] {
-  const { service } = state.getPolicy(step.occurrence.job);
-  return [...state.vms.values()].filter(
-    (vm) => vm.announcement?.service === service && isEligibleVm(vm, step, now),
-  );
-}
-
 function findMissingResource(vms: VmRecord[], task: TaskRecord): PlacementObstacle {
   const { resources, fills } = task.step.specification;
   const free = vms.map((vm) => computeFreeCapacity(vm, task));
--- a/packages/scheduling/src/placement-rules.ts
+++ b/packages/scheduling/src/placement-rules.ts
@@ -60,6 +60,14 @@
   return tasksPerVmMaximum === null || countRuns(vm, step) < tasksPerVmMaximum;
 }
 
+/** The VMs of the step's service that are eligible. */
+export function listEligibleVms(state: CellState, step: StepRecord, now: Instant): VmRecord[] {
+  const { service } = state.getPolicy(step.occurrence.job);
+  return [...state.vms.values()].filter(
+    (vm) => vm.announcement?.service === service && isEligibleVm(vm, step, now),
+  );
+}
+
 function countRuns(vm: VmRecord, step: StepRecord): number {
   let count = 0;
   for (const { task } of vm.runs.values()) {
