Send orders only under the epoch of their term

Since orders are also sent when a call or a transaction ends, and they named the epoch that the process held at that moment. A term whose calls end late could have ordered from old tables under the epoch of a later term of the same process; only that each term is stopped kept it from that.

Change: the sender keeps the epoch of its term and sends nothing once the lease has another one. order-sender.test.ts: the new test on an earlier epoch guards this; the check was missing before.

--- a/packages/scheduler/src/order-sender.test.ts
+++ b/packages/scheduler/src/order-sender.test.ts
@@ -135,3 +135,13 @@
   sender.sendDueOrders(clock.now() + 5_000);
   assert.equal(rpc.calls.length, 1);
 });
+
+test('sends no orders of an earlier epoch once the process holds the cell again', async () => {
+  const { rpc, sender, startJob, lease, clock } = createSender();
+  startJob('00000000000000aa');
+  startJob('00000000000000bb');
+  lease.epoch = 2;
+  await rpc.respondToNext({ answers: [] });
+  sender.sendDueOrders(clock.now() + 5_000);
+  assert.equal(rpc.calls.length, 1);
+});
--- a/packages/scheduler/src/order-sender.ts
+++ b/packages/scheduler/src/order-sender.ts
@@ -25,18 +25,23 @@
 const RETRY_DELAY_MS = 150;
 
 export class OrderSender {
+  /** The epoch of the term; the process may hold the cell again under a later one. */
+  private readonly epoch: number;
+
   private isStopped = false;
 
   private readonly vmsWithOpenCall = new Set<VmRecord>();
 
-  constructor(private readonly options: OrderSenderOptions) {}
+  constructor(private readonly options: OrderSenderOptions) {
+    this.epoch = options.lease.epoch;
+  }
 
   /** Sends no further orders. Open calls go on. */
   stop(): void {
     this.isStopped = true;
   }
 
-  /** Sends nothing while this process doesn't hold the cell. */
+  /** Sends nothing while this process doesn't hold the cell under the epoch of the term. */
   sendDueOrders(now: Instant): void {
     if (this.maySend()) {
       for (const vm of this.options.state.vms.values()) {
@@ -46,7 +51,8 @@
   }
 
   private maySend(): boolean {
-    return !this.isStopped && this.options.lease.isHeld();
+    const { lease } = this.options;
+    return !this.isStopped && lease.epoch === this.epoch && lease.isHeld();
   }
 
   private sendOrdersTo(vm: VmRecord, now: Instant): void {
@@ -70,7 +76,7 @@
     stops.push(...dueOrphans.map(({ taskId, run }) => ({ taskId, run, attempt: 0 })));
     this.vmsWithOpenCall.add(vm);
     this.callRunner(vm, {
-      epoch: this.options.lease.epoch,
+      epoch: this.epoch,
       session: vm.session,
       instanceId: vm.announcement?.instanceId ?? '',
       settledThrough: vm.settledThrough,
