Keep the stored failures of a long-running task readable

Found on reading the change again. After 17 minutes of failures, one a second, the next scheduler would have put the running job on hold.

Change: only the ten failures that decide the delay of a restart are kept, and the schema takes 100,000, for queues with many attempts. odd-rows.test.ts: the new test failed before and passes now.

--- a/packages/scheduler/src/odd-rows.test.ts
+++ b/packages/scheduler/src/odd-rows.test.ts
@@ -7,10 +7,11 @@
 import { test } from 'node:test';
 import fc from 'fast-check';
 import { RecordingEventLog } from '@figjunction/logger/recording-event-log';
-import { addJob, createState, createStep } from '@figjunction/scheduling/cell-fixture';
+import { applyEnd, encodeProgress, placeTasks } from '@figjunction/scheduling';
+import { addJob, addVm, createState, createStep } from '@figjunction/scheduling/cell-fixture';
 import type { WatchParameters, WatchResult } from '@figjunction/store';
 import { ManualClock, sleep } from '@figjunction/time';
-import { RpcMethod } from '@figjunction/types';
+import { RpcMethod, RunEnding } from '@figjunction/types';
 import type { JobRow, JobState, ProgressRow } from '@figjunction/types';
 import { createCellContext } from './cell-context-fixture.js';
 import { CELL_PARTITION, CellCollection, jobPartition } from './cell-collections.js';
@@ -18,10 +19,13 @@
 import { loadCell, listRunnersWithRuns } from './cell-loader.js';
 import { MemoryFeedStore } from './memory-feed-store.js';
 import { OwnerDirectory } from './owner-directory.js';
+import { progressRowSchema } from './row-schemas.js';
 
 const GOOD_JOB = '00000000000000aa';
 const ODD_JOB = '00000000000000ba';
 const WATCH_PACE_MS = 5;
+/** A task that has failed again and again restarts after this time. */
+const RESTART_DELAY_MS = 1_000;
 const NESTING_LEVELS = 30_000;
 const { policy, specification } = addJob(createState(), { steps: [createStep({ taskCount: 2 })] });
 const JOB: JobRow = { policy, specification, submittedAtStoreMs: 0 };
@@ -187,6 +191,23 @@
   assert.equal((await directory.refresh())?.lease, null);
 });
 
+test('can read the progress that it stores for a long-running task that fails again and again', () => {
+  const state = createState();
+  const vm = addVm(state);
+  const job = addJob(state, { id: GOOD_JOB, steps: [createStep({ longRunning: true })] });
+  const occurrence = job.occurrences.get(0);
+  assert.ok(occurrence);
+  for (let now = 0; now < 5_000 * RESTART_DELAY_MS; now += RESTART_DELAY_MS) {
+    const [record] = placeTasks(state, now).started;
+    assert.ok(record);
+    const end = { ending: RunEnding.Failed, checkpoint: '' };
+    applyEnd(state, { task: record.task, record, run: record.run, ...end }, now);
+  }
+  assert.equal(vm.runs.size, 0);
+  const row = encodeProgress(occurrence, state.unreportedVms);
+  assert.equal(progressRowSchema.safeParse(row).success, true);
+});
+
 test('schedules the good job beside any row of any collection', async () => {
   const collections = fc.constantFrom(...Object.values(CellCollection));
   const keys = fc.constantFrom(ODD_JOB, `${ODD_JOB}.0`, 'owner', 'lease', 'commit', 'vm-1', 'odd');
--- a/packages/scheduler/src/row-schemas.ts
+++ b/packages/scheduler/src/row-schemas.ts
@@ -26,7 +26,7 @@
 const STEPS_MAXIMUM = 100;
 const TASKS_MAXIMUM = 20_000;
 const RUNNERS_MAXIMUM = 20_000;
-const FAILURES_MAXIMUM = 1_000;
+const FAILURES_MAXIMUM = 100_000;
 
 const text = z.string().check(z.maxLength(TEXT_LENGTH_MAXIMUM));
 const quantity = z.number().check(z.gte(0), z.lte(QUANTITY_MAXIMUM));
--- a/packages/scheduling/src/progress.ts
+++ b/packages/scheduling/src/progress.ts
@@ -10,6 +10,8 @@
 /** A long-running task that ended restarts after this delay, multiplied by the number of its ends. */
 const RESTART_DELAY_MS = 100;
 const RESTART_DELAY_MAXIMUM_MS = 1_000;
+/** Earlier failures of a long-running task make no difference to the delay, and the stored row must stay small. */
+const REMEMBERED_FAILURES_MAXIMUM = RESTART_DELAY_MAXIMUM_MS / RESTART_DELAY_MS;
 
 /** The reported end of a run. */
 export interface TaskEnd {
@@ -75,7 +77,8 @@
 
 function delayRestart(task: TaskRecord, ending: RunEnding, now: Instant): void {
   if (ending === RunEnding.Failed || ending === RunEnding.Done) {
-    task.failedRuns.push(task.highestRunNumber);
+    const failedRuns = [...task.failedRuns, task.highestRunNumber];
+    task.failedRuns = failedRuns.slice(-REMEMBERED_FAILURES_MAXIMUM);
     const delay = Math.min(RESTART_DELAY_MAXIMUM_MS, RESTART_DELAY_MS * task.failedRuns.length);
     task.eligibleAt = now + delay;
   }
