End the suspicion against a VM also when nothing succeeds there

Cause: a suspect VM got a run only while it had none, and only a run that ended as done cleared the suspicion. A long-running task never ends as done, and a long batch task keeps the VM occupied. Failures of runs that were on the VM already prolonged the backoff.

Change: a suspicion has an end. 2 s without runs, then a slow start (1, 2, 4, 8 new runs of ordinary steps, doubling each half second), over after 4 s. A success ends it, only a failure of a run placed since it began renews it. Long-running tasks wait for the 2 s only and prefer other VMs. So nothing is held back for longer than that by what may never happen.

Ruled out: room in pieces and trials of crashed tasks, as no task had crashed.

--- a/packages/scheduling/src/cell-state.ts
+++ b/packages/scheduling/src/cell-state.ts
@@ -8,6 +8,7 @@
 import { InterferenceModel } from './interference.js';
 import { isFinished } from './job-table.js';
 import { RunPhase, buildRunKey } from './records.js';
+import { createVmHealth } from './vm-health.js';
 import type {
   JobRecord,
   OccurrenceRecord,
@@ -112,7 +113,7 @@
       listedAt: 0,
       lastEndSequence: 0,
       settledThrough: 0,
-      health: { failedJobs: new Set(), succeededAt: null, backoffUntil: 0 },
+      health: createVmHealth(),
     };
     this.vms.set(id, vm);
     return vm;
@@ -141,6 +142,7 @@
       percent: 0,
       percentChangedAt: now,
       measurement: 0,
+      placedAt: now,
       runningSince: now,
     };
     task.runs.push(record);
--- a/packages/scheduling/src/ends.ts
+++ b/packages/scheduling/src/ends.ts
@@ -9,7 +9,7 @@
 import { applyEnd } from './progress.js';
 import type { TaskEnd } from './progress.js';
 import { buildRunKey } from './records.js';
-import type { TaskRecord, VmRecord } from './records.js';
+import type { VmRecord } from './records.js';
 import { recordFailure, recordSuccess } from './vm-health.js';
 
 /** Why an end was acknowledged without being applied. */
@@ -59,8 +59,8 @@
         unknown.push(ended);
       } else {
         task.highestRunNumber = Math.max(task.highestRunNumber, run);
-        recordHealth(vm, task, ending, now);
         const end: TaskEnd = { task, record, run, ending, checkpoint };
+        recordHealth(vm, end, now);
         applyEnd(state, end, now);
         applied.push(end);
       }
@@ -74,11 +74,12 @@
   return ends.length > 0 ? [{ reason, ends }] : [];
 }
 
-function recordHealth(vm: VmRecord, task: TaskRecord, ending: RunEnding, now: Instant): void {
+function recordHealth(vm: VmRecord, { task, record, ending }: TaskEnd, now: Instant): void {
   if (ending === RunEnding.Done) {
     recordSuccess(vm, now);
   } else if (ending === RunEnding.Failed && !task.step.specification.longRunning) {
-    recordFailure(vm, task, now);
+    // A run that is not in the tables was placed by an earlier scheduler.
+    recordFailure(vm, task, record?.placedAt ?? Number.NEGATIVE_INFINITY, now);
   }
 }
 
--- a/packages/scheduling/src/gang.ts
+++ b/packages/scheduling/src/gang.ts
@@ -1,6 +1,7 @@
 /**
  * Places all members of a gang at once.
  */
+import type { Instant } from '@figjunction/time';
 import type { CellState } from './cell-state.js';
 import type { Placement } from './place.js';
 import type { StepRecord, VmRecord } from './records.js';
@@ -10,7 +11,12 @@
  * Returns null when the free capacity does not hold all members. A step with `sameRack` runs slower across
  * racks, so each single rack is tried before all VMs together.
  */
-export function planGang(state: CellState, step: StepRecord, vms: VmRecord[]): Placement[] | null {
+export function planGang(
+  state: CellState,
+  step: StepRecord,
+  vms: VmRecord[],
+  now: Instant,
+): Placement[] | null {
   if (step.specification.sameRack) {
     const racks = new Set(vms.map((vm) => vm.announcement?.rack ?? null));
     for (const rack of racks) {
@@ -18,16 +24,22 @@
         state,
         step,
         vms.filter((vm) => (vm.announcement?.rack ?? null) === rack),
+        now,
       );
       if (plan !== null) {
         return plan;
       }
     }
   }
-  return planOnVms(state, step, vms);
+  return planOnVms(state, step, vms, now);
 }
 
-function planOnVms(state: CellState, step: StepRecord, vms: VmRecord[]): Placement[] | null {
+function planOnVms(
+  state: CellState,
+  step: StepRecord,
+  vms: VmRecord[],
+  now: Instant,
+): Placement[] | null {
   const [first] = step.tasks;
   if (first === undefined) {
     return null;
@@ -35,7 +47,8 @@
   const slots = [...vms]
     .sort(
       (left, right) =>
-        computePlacementCost(state, left, first) - computePlacementCost(state, right, first),
+        computePlacementCost(state, left, first, now) -
+        computePlacementCost(state, right, first, now),
     )
     .flatMap((vm) => Array.from({ length: countFittingMembers(step, vm) }, () => vm));
   if (slots.length < step.tasks.length) {
--- a/packages/scheduling/src/place.ts
+++ b/packages/scheduling/src/place.ts
@@ -78,7 +78,7 @@
   const vms = findEligibleVms(state, step, now);
   if (step.specification.gang) {
     const freeVms = vms.filter((vm) => !isKeptFromTask(vm, null, now));
-    const plan = tasks.length === step.tasks.length ? planGang(state, step, freeVms) : null;
+    const plan = tasks.length === step.tasks.length ? planGang(state, step, freeVms, now) : null;
     plan?.forEach((placement) => result.started.push(startRun(state, placement, now)));
     if (plan === null && tasks.length > 0) {
       result.unplaced.push(step);
--- a/packages/scheduling/src/placement-candidates.ts
+++ b/packages/scheduling/src/placement-candidates.ts
@@ -52,7 +52,9 @@
   }
 
   private computeCost(vm: VmRecord, task: TaskRecord): number {
-    return this.isUsable(vm, task) ? computePlacementCost(this.state, vm, task) : UNUSABLE;
+    return this.isUsable(vm, task)
+      ? computePlacementCost(this.state, vm, task, this.now)
+      : UNUSABLE;
   }
 
   private findLowest(costs: number[]): VmRecord | null {
--- a/packages/scheduling/src/placement-rules.ts
+++ b/packages/scheduling/src/placement-rules.ts
@@ -7,7 +7,7 @@
 import type { CellState } from './cell-state.js';
 import type { StepRecord, TaskRecord, VmRecord } from './records.js';
 import { computeUnusedCapacity, isOverCapacity } from './room.js';
-import { isAvailableForRuns } from './vm-health.js';
+import { isAvailableForRuns, isSuspect } from './vm-health.js';
 
 /**
  * Placement costs, in thousandths of the VM's processor capacity. This one applies to VMs outside the rack that
@@ -18,6 +18,8 @@
 const FAILED_VM_COST = 5_000;
 /** For placing a task that failed on a VM without a successful run. */
 const UNPROVEN_VM_COST = 300;
+/** For long-running tasks on suspect VMs. Other tasks go there too, since only they can end the suspicion early. */
+const SUSPECT_VM_COST = 5_000;
 /** For each unit of pressure; also a fixed cost for other tasks on VMs that are kept for filler tasks. */
 const INTERFERENCE_COST = 2_000;
 const COST_SCALE = 1_000;
@@ -47,7 +49,7 @@
   if (vm.session === 0 || announcement === null || announcement.state !== VmState.Ready) {
     return false;
   }
-  if (vm.isSilent || !isAvailableForRuns(vm, now)) {
+  if (vm.isSilent || !isAvailableForRuns(vm, step, now)) {
     return false;
   }
   if (
@@ -128,7 +130,12 @@
 }
 
 /** Lower is better. Prefers VMs with little free capacity, to keep whole VMs free for large tasks. */
-export function computePlacementCost(state: CellState, vm: VmRecord, task: TaskRecord): number {
+export function computePlacementCost(
+  state: CellState,
+  vm: VmRecord,
+  task: TaskRecord,
+  now: Instant,
+): number {
   const { specification } = task.step;
   const capacity = vm.announcement?.capacity.processorMillicores ?? 1;
   const freeCapacity = computeFreeCapacity(vm, task);
@@ -151,6 +158,9 @@
   ) {
     cost += OTHER_RACK_COST;
   }
+  if (specification.longRunning && isSuspect(vm, now)) {
+    cost += SUSPECT_VM_COST;
+  }
   if (task.failedVms.has(vm.id)) {
     cost += FAILED_VM_COST;
   }
--- a/packages/scheduling/src/records.ts
+++ b/packages/scheduling/src/records.ts
@@ -46,6 +46,8 @@
   percentChangedAt: Instant;
   /** Last measurement: tail latency in milliseconds for a serving task, else processor use in millicores. */
   measurement: number;
+  /** When it was placed on the VM or, for an adopted run, first listed. */
+  placedAt: Instant;
   /** When the runner confirmed the start. */
   runningSince: Instant;
 }
@@ -131,12 +133,24 @@
   finishedAt: Instant | null;
 }
 
+/** Suspicion that the VM makes runs fail. It ends by itself, or with a successful run. */
+export interface VmSuspicion {
+  /** Runs that were placed before it say nothing new when they fail. */
+  since: Instant;
+  /** No run is started on the VM before this time. */
+  backoffUntil: Instant;
+  /** Until this time the number of new runs on the VM is limited. */
+  endsAt: Instant;
+}
+
 export interface VmHealth {
   /** Jobs with a run that failed or stalled on the VM since the last successful run there. */
   failedJobs: Set<JobId>;
   /** When a run last succeeded on the VM; null if none has. */
   succeededAt: Instant | null;
-  /** No run is started on the VM before this time. */
+  /** Null until runs of several jobs have failed on the VM; it may have ended. */
+  suspicion: VmSuspicion | null;
+  /** After a refusal, no run is started on the VM before this time. */
   backoffUntil: Instant;
 }
 
--- a/packages/scheduling/src/reports.ts
+++ b/packages/scheduling/src/reports.ts
@@ -14,7 +14,7 @@
 import type { TaskEnd } from './progress.js';
 import { RunPhase, buildInstanceKey, buildRunKey } from './records.js';
 import type { RunRecord, TaskRecord, VmRecord } from './records.js';
-import { recordRefusal } from './vm-health.js';
+import { createVmHealth, recordRefusal } from './vm-health.js';
 import { withdrawExcessOrders } from './withdraw.js';
 
 /** A VM that has left its runner without an answer for this long gets no runs. A single lost answer takes less. */
@@ -111,7 +111,7 @@
   removeAllRuns(state, vm, now);
   vm.lastEndSequence = 0;
   vm.settledThrough = 0;
-  vm.health = { failedJobs: new Set(), succeededAt: null, backoffUntil: 0 };
+  vm.health = createVmHealth();
   return crash;
 }
 
--- a/packages/scheduling/src/stall.ts
+++ b/packages/scheduling/src/stall.ts
@@ -21,7 +21,7 @@
   for (const vm of state.vms.values()) {
     for (const run of vm.runs.values()) {
       if (isStalled(run)) {
-        recordFailure(vm, run.task, now);
+        recordFailure(vm, run.task, run.placedAt, now);
         run.task.failedVms.add(vm.id);
         state.orderStop(run, now);
         stalled.push(run);
--- a/packages/scheduling/src/vm-health.test.ts
+++ b/packages/scheduling/src/vm-health.test.ts
@@ -5,7 +5,7 @@
 import { test } from 'node:test';
 import type { Instant } from '@figjunction/time';
 import { RunEnding } from '@figjunction/types';
-import { addJob, addVm, createState, createStep, sendReport } from './cell-fixture.js';
+import { POLICY, addJob, addVm, createState, createStep, sendReport } from './cell-fixture.js';
 import { placeTasks } from './place.js';
 import { RunPhase } from './records.js';
 import type { RunRecord } from './records.js';
@@ -92,3 +92,96 @@
   assert.equal(stopStalledRuns(state, 5_200).length, 0);
   assert.equal(run.phase, RunPhase.Running);
 });
+
+const POISON_JOBS = 2;
+const BACKOFF_MS = 2_000;
+/** Within this time after the last failure, nothing on a VM may be held back because of failures. */
+const HELD_BACK_MAXIMUM_MS = 4_000;
+
+/** A VM with room for 64 small tasks, on which a long-running task runs and one run of each of some jobs has failed. */
+function createSuspectVm(failedAt: Instant) {
+  const state = createState();
+  const capacity = { processorMillicores: 64_000, memoryMegabytes: 6_400, accelerators: 0 };
+  const vm = addVm(state, 'vm-1', { capacity });
+  addJob(state, { id: 'watch', steps: [createStep({ longRunning: true })] });
+  const policy = { ...POLICY, attemptsMaximum: 1 };
+  for (let index = 0; index < POISON_JOBS; index += 1) {
+    addJob(state, { id: `poison-${index}`, steps: [createStep()], policy });
+  }
+  const poisoned = placeTasks(state, 0).started.filter(({ task }) => task.id.startsWith('poison'));
+  let sequence = 0;
+  const end = (run: RunRecord, ending: RunEnding, now: Instant): void => {
+    sequence += 1;
+    const ended = { sequence, taskId: run.task.id, run: run.run, ending, checkpoint: '' };
+    sendReport(state, vm, { session: 1, ended: [ended] }, now);
+  };
+  poisoned.forEach((run) => end(run, RunEnding.Failed, failedAt));
+  return { state, vm, end };
+}
+
+test('starts tasks on a VM with a long-running task after runs of two jobs failed there', () => {
+  const { state } = createSuspectVm(0);
+  addJob(state, { id: 'ordinary', steps: [createStep()] });
+  assert.equal(placeTasks(state, BACKOFF_MS - 1).started.length, 0);
+  assert.equal(placeTasks(state, BACKOFF_MS).started.length, 1);
+});
+
+for (const taskCount of [1, 2, 7, 63]) {
+  test(`holds no task of ${taskCount} back for long although no run on the VM ends`, () => {
+    const { state } = createSuspectVm(0);
+    addJob(state, { id: 'ordinary', steps: [createStep({ taskCount })] });
+    const started: RunRecord[] = [];
+    for (let now = 0; now <= HELD_BACK_MAXIMUM_MS; now += 100) {
+      started.push(...placeTasks(state, now).started);
+    }
+    assert.equal(started.length, taskCount);
+  });
+}
+
+test('restarts a long-running task beside others on a VM on which runs of jobs failed', () => {
+  const { state, vm, end } = createSuspectVm(0);
+  addJob(state, { id: 'second', steps: [createStep({ longRunning: true })] });
+  addJob(state, { id: 'long', steps: [createStep({ taskCount: 1, estimateMs: 60_000 })] });
+  placeTasks(state, BACKOFF_MS);
+  const watch = [...vm.runs.values()].find(({ task }) => task.id.startsWith('watch')) as RunRecord;
+  end(watch, RunEnding.Failed, BACKOFF_MS);
+  const { started } = placeTasks(state, BACKOFF_MS + 100);
+  assert.deepEqual(
+    started.map(({ task }) => task.id),
+    ['watch.0.0.0'],
+  );
+});
+
+test('prolongs no backoff by failures of runs that were placed before it', () => {
+  const state = createState();
+  const vm = addVm(state);
+  const policy = { ...POLICY, attemptsMaximum: 9 };
+  ['job-a', 'job-b', 'job-c'].forEach((id) => addJob(state, { id, steps: [createStep()], policy }));
+  placeTasks(state, 0).started.forEach(({ task }, index) => {
+    const failed = { taskId: task.id, run: 1, ending: RunEnding.Failed, checkpoint: '' };
+    sendReport(state, vm, { session: 1, ended: [{ sequence: index + 1, ...failed }] }, index * 900);
+  });
+  // The second failure, at 900 ms, made the VM suspect.
+  assert.equal(placeTasks(state, 900 + BACKOFF_MS).started.length, 1);
+});
+
+test('places one run on a suspect VM, and none after that has failed until its backoff ends', () => {
+  const { state, end } = createSuspectVm(0);
+  const policy = { ...POLICY, attemptsMaximum: 9 };
+  addJob(state, { id: 'third', steps: [createStep({ taskCount: 20 })], policy });
+  const [probe] = placeTasks(state, BACKOFF_MS).started as [RunRecord];
+  assert.equal(placeTasks(state, BACKOFF_MS + 100).started.length, 0);
+  end(probe, RunEnding.Failed, BACKOFF_MS + 100);
+  assert.equal(placeTasks(state, 2 * BACKOFF_MS + 99).started.length, 0);
+  const [second] = placeTasks(state, 2 * BACKOFF_MS + 100).started as [RunRecord];
+  end(second, RunEnding.Done, 2 * BACKOFF_MS + 200);
+  assert.equal(placeTasks(state, 2 * BACKOFF_MS + 200).started.length, 19);
+});
+
+test('prefers a VM without failures for a long-running task', () => {
+  const { state } = createSuspectVm(0);
+  addVm(state, 'vm-2');
+  addJob(state, { id: 'second', steps: [createStep({ longRunning: true })] });
+  const [run] = placeTasks(state, BACKOFF_MS).started;
+  assert.equal(run?.vm.id, 'vm-2');
+});
