Ask the VM which incarnation it is before a heartbeat replaces it

Cause: any well-formed heartbeat with a later start time replaced the VM. The runner then ended its session with the true VM, whose lease expired.

Change: HeartbeatReceiver (runner) decides, platform/ only decodes. A heartbeat of another incarnation counts only if the VM answers as that one; one of the current incarnation must agree with it in what cannot change. The order of heartbeats moves to the runner.

--- a/platform/src/heartbeat-order.ts
+++ b/packages/runner/src/heartbeat-order.ts
@@ -1,7 +1,8 @@
 /**
  * Decides which heartbeats of a VM are newer than those received before. A heartbeat that was delayed may arrive
  * after later ones, also of a later incarnation of the VM, and must not replace them. One with a start time or a
- * sequence number that is too high, from another writer, must not shut out the true VM for good.
+ * sequence number that is too high, from another writer, must not shut out the true VM for good; nor must one that
+ * describes the VM wrongly.
  */
 import type { Clock, Instant } from '@figjunction/time';
 
@@ -39,13 +40,17 @@
 
   constructor(private readonly clock: Pick<Clock, 'now'>) {}
 
-  get newestBornWallMs(): number {
-    return this.newest.bornWallMs;
+  /** Compares later heartbeats with this one. */
+  restart(stamp: HeartbeatStamp): void {
+    this.accept(stamp);
   }
 
-  /** Judges a heartbeat that has arrived now; unless it is overtaken, later ones are compared with it. */
-  judge(stamp: HeartbeatStamp): HeartbeatVerdict {
-    if (isAfter(stamp, this.newest)) {
+  /**
+   * Judges a heartbeat that has arrived now; unless it is overtaken, later ones are compared with it. One that is not
+   * consistent with the reference counts as overtaken, until a series of them shows that the reference was wrong.
+   */
+  judge(stamp: HeartbeatStamp, isConsistent = true): HeartbeatVerdict {
+    if (isConsistent && isAfter(stamp, this.newest)) {
       this.accept(stamp);
       return HeartbeatVerdict.Newer;
     }
--- a/packages/runner/src/runner.ts
+++ b/packages/runner/src/runner.ts
@@ -67,9 +67,19 @@
     this.session?.stop();
   }
 
+  /** What the current incarnation of the VM has last announced; null while none is known. */
+  get announcement(): VmAnnouncement | null {
+    return this.session?.announcement ?? null;
+  }
+
+  /** Epoch of the scheduler that this runner follows; 0 before it knows one. */
+  get epoch(): number {
+    return this.reporter.epoch;
+  }
+
   /** Handles the VM's heartbeat. Ignores one from an earlier incarnation. */
   handleAnnouncement(announcement: VmAnnouncement): void {
-    const current = this.session?.announcement ?? null;
+    const current = this.announcement;
     if (current === null || current.bornWallMs < announcement.bornWallMs) {
       this.openSession(announcement);
     } else if (current.bornWallMs === announcement.bornWallMs) {
