Take no run for gone while its VM may hold ends that it has not listed

What callers saw: tasks ran twice.

Cause: a VM lists 500 ends at a time. A new runner process opened its session with the first 500, and the scheduler took each run in neither list for gone.

Change: reports say whether further ends may wait on the VM. Until they do not, the scheduler keeps the runs and counts the VM as unreported for the jobs of an earlier scheduler; ends before an expiry are discarded to the last list, and no stall is counted.

--- a/packages/runner/src/lease-expiry-detector.ts
+++ b/packages/runner/src/lease-expiry-detector.ts
@@ -5,6 +5,7 @@
  */
 import type { Clock, Instant } from '@figjunction/time';
 import { RunEnding } from '@figjunction/types';
+import { mayLeaveOutEnds } from './vm-host.js';
 import type { HoldResult } from './vm-host.js';
 
 export interface EndValidity {
@@ -17,6 +18,9 @@
 export class LeaseExpiryDetector {
   private isDecided = false;
 
+  /** True from an expiry until a list that contains all ends that are left from before it. */
+  private isDiscarding = false;
+
   constructor(
     private readonly clock: Clock,
     private readonly inheritedLeaseUntil: Instant,
@@ -27,6 +31,10 @@
    * later one in the same list was caused by an expiry.
    */
   validateEnds(result: HoldResult): EndValidity {
+    if (this.isDiscarding) {
+      this.isDiscarding = mayLeaveOutEnds(result.ended);
+      return { isConclusive: true, invalidThrough: lastEndSequence(result) };
+    }
     if (this.isDecided) {
       return { isConclusive: true, invalidThrough: lastEndBeforeExpiry(result) };
     }
@@ -43,6 +51,7 @@
     // From `inheritedLeaseUntil` on it must have, so the ends are invalid.
     const hasLeaseExpired = this.clock.now() >= this.inheritedLeaseUntil;
     this.isDecided = hasLeaseExpired;
+    this.isDiscarding = hasLeaseExpired && mayLeaveOutEnds(result.ended);
     return {
       isConclusive: hasLeaseExpired,
       invalidThrough: hasLeaseExpired ? lastEndSequence(result) : 0,
--- a/packages/runner/src/report-builder.ts
+++ b/packages/runner/src/report-builder.ts
@@ -79,7 +79,9 @@
     const isListed =
       vmSession !== null && vmSession.listedEpoch === epoch && !vmSession.lease.isExpired;
     if (!isListed || (session === 0 && !isOpening)) {
-      return { ...common, running: null, crashed: [], ended: [], vanished: [] };
+      const nothing = { running: null, crashed: [], ended: [], vanished: [] };
+      // Without a list, nothing is known about the ends.
+      return { ...common, ...nothing, hasUnlistedEnds: true };
     }
     // Within a session, the scheduler would take the silence that an older list hides for lack of progress.
     const isRecent = now - vmSession.answers.listRequestedAt < LIST_AGE_MAXIMUM_MS;
@@ -91,6 +93,7 @@
       running: isListDue ? runs.toRunningTasks() : null,
       crashed: isOpening ? this.crashed : [],
       ended,
+      hasUnlistedEnds: runs.hasUnlistedEnds,
       vanished: [...vmSession.vanished],
     };
   }
--- a/packages/runner/src/run-table.ts
+++ b/packages/runner/src/run-table.ts
@@ -4,7 +4,7 @@
  */
 import type { Instant } from '@figjunction/time';
 import type { EndedRun, RunAttributes, RunningTask, RunReference } from '@figjunction/types';
-import { LISTED_ENDS_MAXIMUM } from './vm-host.js';
+import { mayLeaveOutEnds } from './vm-host.js';
 
 export interface RunEntry extends RunningTask {
   /** When the start was confirmed or the run was first listed. */
@@ -34,11 +34,15 @@
 
   private lastEndSequence = 0;
 
-  /** True if the VM's last list may have left out ends. */
-  private hasUnlistedEnds = false;
+  private hasListLeftOutEnds = false;
 
   private readonly attributes = new Map<string, RunAttributes>();
 
+  /** True if the VM's last list may have left out ends. */
+  get hasUnlistedEnds(): boolean {
+    return this.hasListLeftOutEnds;
+  }
+
   /** Stores the attributes of a run, which may not be listed yet. */
   setAttributes(attributes: RunAttributes): void {
     const key = keyOf(attributes);
@@ -75,10 +79,10 @@
     ended.forEach((end) => this.remove(keyOf(end)));
     this.lastEndSequence = Math.max(this.lastEndSequence, ...ended.map(({ sequence }) => sequence));
     this.unacknowledged = ended.filter(({ sequence }) => sequence > this.invalidThrough);
-    this.hasUnlistedEnds = ended.length >= LISTED_ENDS_MAXIMUM;
+    this.hasListLeftOutEnds = mayLeaveOutEnds(ended);
     const vanished: RunReference[] = [];
     for (const [key, entry] of this.entries) {
-      if (!this.hasUnlistedEnds && !listed.has(key) && entry.confirmedAt < requestedAt) {
+      if (!this.hasListLeftOutEnds && !listed.has(key) && entry.confirmedAt < requestedAt) {
         this.remove(key);
         vanished.push({ taskId: entry.taskId, run: entry.run });
       }
@@ -98,7 +102,7 @@
   isListed(reference: RunReference): boolean {
     const key = keyOf(reference);
     return (
-      this.hasUnlistedEnds ||
+      this.hasListLeftOutEnds ||
       this.entries.has(key) ||
       this.unacknowledged.some((end) => keyOf(end) === key)
     );
--- a/packages/runner/src/vm-host.ts
+++ b/packages/runner/src/vm-host.ts
@@ -33,14 +33,19 @@
 }
 
 /** A list holds at most this many ends. The VM lists further ones once these are acknowledged. */
-export const LISTED_ENDS_MAXIMUM = 500;
+const LISTED_ENDS_MAXIMUM = 500;
+
+/** True if the VM may hold further ends than those in its list. */
+export function mayLeaveOutEnds(listed: EndedRun[]): boolean {
+  return listed.length >= LISTED_ENDS_MAXIMUM;
+}
 
 export interface HoldResult {
   /** The VM's monotonic clock when it responded. */
   vmClockMs: number;
   bornWallMs: number;
   running: RunningTask[];
-  /** At most `LISTED_ENDS_MAXIMUM`, so a run that has ended may be in neither list. */
+  /** Not all of them if there are many (`mayLeaveOutEnds`), so a run that has ended may be in neither list. */
   ended: EndedRun[];
 }
 
--- a/packages/runner/src/vm-session.ts
+++ b/packages/runner/src/vm-session.ts
@@ -210,7 +210,8 @@
     const { ended, vanished } = this.runs.apply(result.running, result.ended, requestedAt, now);
     this.vanished.push(...vanished);
     this.discardEnds(Math.max(invalidThrough, clearsExpiry ? lastEndSequence(result) : 0));
-    if (clearsExpiry) {
+    // Ends that the list has left out precede the expiry as well.
+    if (clearsExpiry && !this.runs.hasUnlistedEnds) {
       this.lease.clearExpiry();
     }
     const wasSilent = this.answers.recordList(requestedAt, now);
--- a/packages/scheduler/src/takeover-behind-clock.test.ts
+++ b/packages/scheduler/src/takeover-behind-clock.test.ts
@@ -82,6 +82,7 @@
       running: null,
       crashed: [],
       ended: [],
+      hasUnlistedEnds: false,
       vanished: [],
       answers: [],
       pressureAllowance: null,
--- a/packages/scheduling/src/cell-fixture.ts
+++ b/packages/scheduling/src/cell-fixture.ts
@@ -113,6 +113,7 @@
     running: [],
     crashed: [],
     ended: [],
+    hasUnlistedEnds: false,
     answers: [],
     pressureAllowance: null,
     vanished: [],
--- a/packages/scheduling/src/cell-state.ts
+++ b/packages/scheduling/src/cell-state.ts
@@ -111,6 +111,8 @@
       reportedAt: 0,
       isSilent: false,
       listedAt: 0,
+      unlistedRuns: new Set(),
+      skipsEnds: false,
       lastEndSequence: 0,
       settledThrough: 0,
       health: createVmHealth(),
--- a/packages/scheduling/src/lease-expiry.ts
+++ b/packages/scheduling/src/lease-expiry.ts
@@ -12,6 +12,9 @@
   }
   vm.orphans.clear();
   vm.reservations.clear();
+  vm.unlistedRuns.clear();
+  // It has reported to this scheduler, and none of the runs that it may have held is left.
+  state.unreportedVms.delete(vm.id);
 }
 
 /**
--- a/packages/scheduling/src/records.ts
+++ b/packages/scheduling/src/records.ts
@@ -202,6 +202,10 @@
   isSilent: boolean;
   /** When a report last contained the list of its runs. */
   listedAt: Instant;
+  /** Runs that the list at the start of the session left out, but whose ends the VM may not have listed yet. */
+  unlistedRuns: Set<RunRecord>;
+  /** True while the VM may hold ends that precede the last expiry of its lease. They are skipped. */
+  skipsEnds: boolean;
   /** Sequence number of the last end that was applied. */
   lastEndSequence: number;
   /** Ends up to this sequence number are stored and can be acknowledged to the runner. */
--- a/packages/scheduling/src/reports.ts
+++ b/packages/scheduling/src/reports.ts
@@ -14,6 +14,7 @@
 import type { TaskEnd } from './progress.js';
 import { RunPhase, buildInstanceKey, buildRunKey } from './records.js';
 import type { RunRecord, TaskRecord, VmRecord } from './records.js';
+import { reconcileRuns, settleUnlistedRuns } from './unlisted-runs.js';
 import { createVmHealth, recordRefusal } from './vm-health.js';
 import { withdrawExcessOrders } from './withdraw.js';
 
@@ -61,7 +62,10 @@
   // A refusal shows that the run was not on the VM, also if the VM has crashed since.
   applyOrderResponses(state, vm, report, now);
   const crash = updateInstance(state, vm, report, now);
-  const skipped = isOpening ? openSession(vm, report, openedSession) : [];
+  if (isOpening) {
+    openSession(vm, report, openedSession);
+  }
+  const skipped = skipEndsBeforeExpiry(vm, report);
   const { applied, unknown } = applyEnds(state, vm, report, now);
   if (report.running !== null) {
     excludeSilence(vm, state.listIntervalMs, now);
@@ -72,7 +76,7 @@
   if (isOpening) {
     reconcileRuns(state, vm, report, now);
   }
-  state.unreportedVms.delete(vm.id);
+  settleUnlistedRuns(state, vm, report, now);
   const withdrawn = withdrawExcessOrders(state, vm, now);
   const unapplied = [...skipped, ...unknown];
   return { accepted: true, ended: applied, unapplied, crash, withdrawn };
@@ -111,19 +115,27 @@
   removeAllRuns(state, vm, now);
   vm.lastEndSequence = 0;
   vm.settledThrough = 0;
+  vm.skipsEnds = false;
   vm.health = createVmHealth();
   return crash;
 }
 
-/** Returns the ends that are skipped because the lease has expired. */
-function openSession(vm: VmRecord, report: ReportParameters, session: number): UnappliedEnds[] {
+function openSession(vm: VmRecord, report: ReportParameters, session: number): void {
   vm.session = session;
   vm.processId = report.processId;
-  if (!vm.isLeaseExpired) {
+  vm.skipsEnds ||= vm.isLeaseExpired;
+  if (vm.isLeaseExpired) {
+    vm.isLeaseExpired = false;
+    vm.lapsedRuns = [];
+  }
+}
+
+/** Returns the ends that are skipped because the lease has expired since. */
+function skipEndsBeforeExpiry(vm: VmRecord, report: ReportParameters): UnappliedEnds[] {
+  if (!vm.skipsEnds) {
     return [];
   }
-  vm.isLeaseExpired = false;
-  vm.lapsedRuns = [];
+  vm.skipsEnds = report.hasUnlistedEnds;
   return skipEnds(vm, report);
 }
 
@@ -227,23 +239,3 @@
   const isFree = task.runs.length === 0 || specification.duplicatesAllowed;
   return !task.done && !occurrence.job.cancelled && !isFinished(occurrence.state) && isFree;
 }
-
-/**
- * At the start of a session, removes the runs that are not listed and resends unconfirmed orders. A run that is being
- * stopped may not have started yet, and an earlier call can still start it, so the runner has to rule that out.
- */
-function reconcileRuns(
-  state: CellState,
-  vm: VmRecord,
-  report: ReportParameters,
-  now: Instant,
-): void {
-  const listed = new Set((report.running ?? []).map(({ taskId, run }) => buildRunKey(taskId, run)));
-  for (const [key, record] of vm.runs) {
-    if (record.phase !== RunPhase.Running) {
-      record.sendAt = now;
-    } else if (!listed.has(key)) {
-      state.removeRun(record, now);
-    }
-  }
-}
--- a/packages/types/src/cell/cell-messages.ts
+++ b/packages/types/src/cell/cell-messages.ts
@@ -83,6 +83,8 @@
   /** Runs that were on the VM when it crashed. Sent with the report that opens a session, until it is accepted. */
   crashed: CrashedRun[];
   ended: EndedRun[];
+  /** True if the VM may hold further ends, which its last list left out: a run in neither list may have ended. */
+  hasUnlistedEnds: boolean;
   answers: RunAnswer[];
   /** Pressure that filler tasks may put on the serving tasks; null without serving tasks. */
   pressureAllowance: number | null;
