Count a job as begun only once a VM has begun a task of it

Cause: the start of an occurrence was noted when its first run was planned, and after a take-over whenever it had a stored row, which is written before the order is sent. A refusal took nothing back.

Change: an occurrence has begun once a run of it is confirmed, listed or has ended. The row of progress says so whenever it is stored, without a write of its own. Pending jobs are those without evidence; the visible state counts a job as running, too, while its row names a VM that has not reported yet.

--- a/packages/scheduler/src/job-intake.ts
+++ b/packages/scheduler/src/job-intake.ts
@@ -206,7 +206,7 @@
     }
     if (this.occurrencesOnHold.get(job.id)?.has(index) === true) {
       this.options.context.events.write('occurrence-on-hold', { job: job.id, occurrence: index });
-      occurrence.startedAt ??= now;
+      occurrence.hasBegun = true;
       return;
     }
     if (dueAt > now) {
--- a/packages/scheduler/src/row-schemas.ts
+++ b/packages/scheduler/src/row-schemas.ts
@@ -114,6 +114,7 @@
   failures: runNumbersByTask,
   crashes: z.optional(runNumbersByTask),
   runners: z.array(text).check(z.maxLength(RUNNERS_MAXIMUM)),
+  hasBegun: z.optional(z.boolean()),
 });
 
 export const runnerRowSchema: z.ZodMiniType<RunnerRow> = z.object({ address: processAddress });
--- a/packages/scheduler/src/scheduling-term.ts
+++ b/packages/scheduler/src/scheduling-term.ts
@@ -5,6 +5,7 @@
 import {
   CellState,
   evacuateDrainingVms,
+  isPending,
   placeTasks,
   preemptBatchRuns,
   relocateSlowRuns,
@@ -14,8 +15,7 @@
 import { toError } from '@figjunction/errors';
 import { WakeLoop } from '@figjunction/time';
 import type { Instant } from '@figjunction/time';
-import { JobState } from '@figjunction/types';
-import type { FleetConfiguration } from '@figjunction/types';
+import type { FleetConfiguration, JobState } from '@figjunction/types';
 import { AdviceRequester } from './advice-requester.js';
 import type { CellContext } from './cell-context.js';
 import type { CellLease } from './cell-lease.js';
@@ -130,16 +130,14 @@
   jobStates(jobIds: string[]): (JobState | null)[] {
     return jobIds.map((id) => {
       const job = this.state.jobs.get(id);
-      return job === undefined ? null : deriveVisibleState(job);
+      return job === undefined ? null : deriveVisibleState(job, this.state.unreportedVms);
     });
   }
 
   pendingCounts(): Record<string, number> {
     const counts: Record<string, number> = {};
     for (const job of this.state.jobs.values()) {
-      const isPending =
-        job.finishedAt === null && !job.cancelled && deriveVisibleState(job) === JobState.Queued;
-      if (isPending) {
+      if (isPending(job)) {
         const { name } = job.policy;
         counts[name] = (counts[name] ?? 0) + 1;
       }
--- a/packages/scheduler/src/takeover-behind-clock.test.ts
+++ b/packages/scheduler/src/takeover-behind-clock.test.ts
@@ -130,7 +130,7 @@
   const job = state.jobs.get(JOB);
   assert.ok(job !== undefined);
   assert.deepEqual([...job.occurrences.keys()], [0, 1]);
-  assert.equal(deriveVisibleState(job), JobState.Running);
+  assert.equal(deriveVisibleState(job, state.unreportedVms), JobState.Running);
   assert.deepEqual(startWhenDue(), [TASK]);
   assert.deepEqual(startAfter(INTERVAL_MS), []);
   assert.deepEqual(startAfter(INTERVAL_MS), [`${JOB}.2.0.0`]);
--- a/packages/scheduling/src/cell-state.ts
+++ b/packages/scheduling/src/cell-state.ts
@@ -157,7 +157,7 @@
     this.totalPressures.delete(vm);
     const { occurrence } = task.step;
     occurrence.runCount += 1;
-    occurrence.startedAt ??= now;
+    occurrence.hasBegun ||= phase !== RunPhase.Ordered;
     return record;
   }
 
--- a/packages/scheduling/src/job-table.ts
+++ b/packages/scheduling/src/job-table.ts
@@ -50,7 +50,7 @@
     storedState: null,
     storedVms: new Set(),
     dirty: false,
-    startedAt: null,
+    hasBegun: false,
     runCount: 0,
     work: 0,
     remainingWork: 0,
@@ -150,7 +150,8 @@
   for (const { vm } of occurrence.steps.flatMap(({ tasks }) => tasks.flatMap(({ runs }) => runs))) {
     runners.add(vm.id);
   }
-  return { state: occurrence.state, done, failures, crashes, runners: [...runners] };
+  const { state, hasBegun } = occurrence;
+  return { state, done, failures, crashes, runners: [...runners], hasBegun };
 }
 
 /** Applies a stored row to an occurrence that was just created. */
@@ -158,6 +159,7 @@
   occurrence.state = row.state;
   occurrence.storedState = row.state;
   occurrence.storedVms = new Set(row.runners);
+  occurrence.hasBegun = row.hasBegun ?? true;
   for (const step of occurrence.steps) {
     const marks = row.done[step.index] ?? '';
     for (const task of step.tasks) {
@@ -178,8 +180,14 @@
   return state === JobState.Completed || state === JobState.Failed || state === JobState.Cancelled;
 }
 
-/** The state that callers are shown. A final state is shown only once it is stored. */
-export function deriveVisibleState(job: JobRecord): JobState {
+/**
+ * The state that callers are shown. A final state is shown only once it is stored. A job that may run on a VM that has
+ * not reported yet counts as running: callers may have seen that.
+ */
+export function deriveVisibleState(
+  job: JobRecord,
+  unreportedVms: ReadonlyMap<AgentId, unknown>,
+): JobState {
   if (job.cancelled) {
     return areAllStoredAs(job, JobState.Completed) ? JobState.Completed : JobState.Cancelled;
   }
@@ -190,11 +198,17 @@
   if (areAllStoredAs(job, JobState.Completed)) {
     return JobState.Completed;
   }
-  return occurrences.some(
-    ({ startedAt, storedState }) => startedAt !== null || storedState !== null,
-  )
-    ? JobState.Running
-    : JobState.Queued;
+  const mayRun = ({ hasBegun, storedVms }: OccurrenceRecord): boolean =>
+    hasBegun || [...storedVms].some((id) => unreportedVms.has(id));
+  return occurrences.some(mayRun) ? JobState.Running : JobState.Queued;
+}
+
+/** True for an accepted job that is not known to have begun, and that may still begin. */
+export function isPending({ occurrences, cancelled, finishedAt }: JobRecord): boolean {
+  const hasNothingBegun = [...occurrences.values()].every(
+    ({ hasBegun, state }) => !hasBegun && !isFinished(state),
+  );
+  return hasNothingBegun && !cancelled && finishedAt === null;
 }
 
 /** The number of occurrences of a job; 0 in the specification means a single one. */
--- a/packages/scheduling/src/progress.ts
+++ b/packages/scheduling/src/progress.ts
@@ -50,6 +50,7 @@
     state.removeRun(record, now);
   }
   const { occurrence, specification } = task.step;
+  occurrence.hasBegun = true;
   if (task.done || isFinished(occurrence.state)) {
     return;
   }
--- a/packages/scheduling/src/records.ts
+++ b/packages/scheduling/src/records.ts
@@ -112,7 +112,8 @@
   storedVms: Set<AgentId>;
   /** True while it has changes that are not stored. */
   dirty: boolean;
-  startedAt: Instant | null;
+  /** True once a VM has begun a task of it, as far as is known: it has confirmed or listed a run, or told its end. */
+  hasBegun: boolean;
   /** Number of its runs in the tables. */
   runCount: number;
   /** Estimated core-milliseconds of all tasks. */
--- a/packages/scheduling/src/reports.ts
+++ b/packages/scheduling/src/reports.ts
@@ -176,6 +176,7 @@
 }
 
 function confirmRunning(record: RunRecord, now: Instant): void {
+  record.task.step.occurrence.hasBegun = true;
   if (record.phase === RunPhase.Ordered) {
     record.phase = RunPhase.Running;
     record.runningSince = now;
--- a/packages/types/src/cell/job-specification.ts
+++ b/packages/types/src/cell/job-specification.ts
@@ -68,6 +68,11 @@
   crashes?: Record<string, number[]>;
   /** Runners whose VMs may hold runs of the occurrence. Stored before the start order is sent. */
   runners: AgentId[];
+  /**
+   * True if a VM had begun a task of the occurrence when the row was stored. A row with runners and without this says
+   * nothing about now. Rows of earlier versions have none.
+   */
+  hasBegun?: boolean;
 }
 
 export enum JobState {
