Isolate rows that the store refuses, and keep rows of progress small

Cause: its row of progress was larger than the store takes, and the writer repeated the refused transaction of up to 97 rows as it was, for ever. The acknowledgements of ends waited for it too.

Change: a failed transaction is halved until the row at fault stands alone; that one is tried alone, ever less often, and after four refusals nothing waits for it. Failures without a refusal count against a row only while others are stored, so an outage blames none. Rows too large are compressed, then forget numbers of failed runs, never which tasks are done; failures of long-running tasks are not stored. Calls stay below 1 MB.

Rows of up to 20,000 tasks fit into 65,536 bytes of base64 in progress-packing.test.ts.

--- a/packages/scheduler/src/cell-context-fixture.ts
+++ b/packages/scheduler/src/cell-context-fixture.ts
@@ -62,6 +62,7 @@
     address: 'http://127.0.0.1:1',
     processId: 'process-1',
     grantMs: 5_000,
+    rowMaximumBytes: 65_536,
     finishedJobRetentionMs: 60_000,
     ...changes,
   };
--- a/packages/scheduler/src/cell-context.ts
+++ b/packages/scheduler/src/cell-context.ts
@@ -25,6 +25,8 @@
   processId: string;
   /** How long a runner may extend the lease of its VM, counted from when it sent the report. */
   grantMs: number;
+  /** The largest row that the store accepts; it may count its value in base64. */
+  rowMaximumBytes: number;
   /** How long a finished job is kept in the tables and in the store. */
   finishedJobRetentionMs: number;
 }
--- /dev/null
+++ b/packages/scheduler/src/job-removals.ts
@@ -0,0 +1,61 @@
+/**
+ * Removes the rows of finished jobs: first those of the gateways, then the progress, in as many transactions as it
+ * takes. A job without its progress would start again, so its own row has to be gone first.
+ */
+import { toError } from '@figjunction/errors';
+import type { CellState, JobRecord } from '@figjunction/scheduling';
+import type { RowReference } from '@figjunction/store';
+import type { CellContext } from './cell-context.js';
+import { CellCollection, jobPartition } from './cell-collections.js';
+import { progressRowsOf } from './progress-batch.js';
+
+export class JobRemovals {
+  /** Jobs in removal, from the first write until their progress rows are removed too. */
+  private readonly jobs = new Set<JobRecord>();
+
+  /** Progress rows that are left of jobs whose other rows are gone. */
+  private readonly progressRows = new Map<JobRecord, RowReference[]>();
+
+  constructor(
+    private readonly context: Pick<CellContext, 'store' | 'events'>,
+    private readonly state: Pick<CellState, 'jobs'>,
+  ) {}
+
+  /** The rows of progress to remove next. */
+  get rows(): RowReference[] {
+    return [...this.progressRows.values()].flat();
+  }
+
+  begin(job: JobRecord): void {
+    if (this.jobs.has(job)) {
+      return;
+    }
+    this.jobs.add(job);
+    const { store, events } = this.context;
+    const removals = [CellCollection.Jobs, CellCollection.Cancellations].map((collection) => ({
+      collection,
+      key: job.id,
+    }));
+    store.write({ partition: jobPartition(job.id), removals }).then(
+      () => this.progressRows.set(job, progressRowsOf(job)),
+      (error: unknown) => {
+        this.jobs.delete(job);
+        events.write('job-not-removed', { job: job.id, error: toError(error).message });
+      },
+    );
+  }
+
+  /** Forgets the jobs of which these were the last rows. */
+  recordRemoved(removals: RowReference[]): void {
+    const removed = new Set(removals.map(({ key }) => key));
+    for (const [job, rows] of removed.size === 0 ? [] : this.progressRows) {
+      const rest = rows.filter(({ key }) => !removed.has(key));
+      this.progressRows.set(job, rest);
+      if (rest.length === 0) {
+        this.progressRows.delete(job);
+        this.jobs.delete(job);
+        this.state.jobs.delete(job.id);
+      }
+    }
+  }
+}
--- a/packages/scheduler/src/progress-writer.ts
+++ b/packages/scheduler/src/progress-writer.ts
@@ -1,29 +1,26 @@
 /**
  * Stores the progress of occurrences and the registrations of runners, one transaction at a time. Ends of
- * runs are acknowledged only after their effect is stored.
+ * runs are acknowledged only after their effect is stored. A row that the store refuses holds back no others.
  */
-import { toError } from '@figjunction/errors';
-import { encodeProgress, isFinished } from '@figjunction/scheduling';
+import { ErrorCode, errorCodeOf, toError } from '@figjunction/errors';
+import { isFinished } from '@figjunction/scheduling';
 import type { CellState, JobRecord } from '@figjunction/scheduling';
 import type { FeedRow } from '@figjunction/store';
 import type { Instant } from '@figjunction/time';
 import type { CellContext } from './cell-context.js';
 import type { CellLease } from './cell-lease.js';
-import {
-  CELL_PARTITION,
-  COMMIT_KEY,
-  CellCollection,
-  OWNER_KEY,
-  jobPartition,
-} from './cell-collections.js';
+import { CELL_PARTITION, COMMIT_KEY, OWNER_KEY } from './cell-collections.js';
 import {
   COMMIT_ROW,
   createRowWrites,
+  fillBatch,
+  listPendingRows,
   markJobFinished,
   narrowStoredVms,
-  progressRowsOf,
 } from './progress-batch.js';
-import type { ProgressBatch } from './progress-batch.js';
+import type { PendingRow, ProgressBatch } from './progress-batch.js';
+import { JobRemovals } from './job-removals.js';
+import { RefusedRows } from './refused-rows.js';
 
 export interface ProgressWriterOptions {
   context: CellContext;
@@ -36,21 +33,31 @@
   onStored: () => void;
 }
 
+/** The store accepts calls of 1 MB; the rest is for the keys and the other fields. */
+const MAXIMUM_BATCH_BYTES = 900_000;
 /** The store accepts 100 entries per transaction; two conditions and the commit row use three of them. */
 const MAXIMUM_BATCH_ENTRIES = 97;
 const INITIAL_RETRY_DELAY_MS = 50;
 const MAXIMUM_RETRY_DELAY_MS = 800;
 const RETRY_BACKOFF_FACTOR = 2;
 
+/** With these the store says that it never takes the call as it is. */
+const REFUSAL_CODES: (ErrorCode | null)[] = [
+  ErrorCode.InvalidInput,
+  ErrorCode.TooLarge,
+  ErrorCode.Forbidden,
+  ErrorCode.NotFound,
+  ErrorCode.Conflict,
+  ErrorCode.Unauthenticated,
+];
+
 export class ProgressWriter {
   /** Addresses of runners that are not registered yet, by runner id. */
   private readonly pendingRegistrations = new Map<string, string>();
 
-  /** Jobs in removal, from the first write until their progress rows are removed too. */
-  private readonly jobsBeingRemoved = new Set<JobRecord>();
+  private readonly removals: JobRemovals;
 
-  /** Jobs in removal of which only progress rows are left. */
-  private readonly progressRemovals = new Set<JobRecord>();
+  private readonly refusedRows = new RefusedRows(MAXIMUM_BATCH_ENTRIES);
 
   private isWriting = false;
 
@@ -62,33 +69,16 @@
 
   constructor(private readonly options: ProgressWriterOptions) {
     this.commitVersion = options.lease.commitVersion;
+    this.removals = new JobRemovals(options.context, options.state);
   }
 
   registerRunner(runnerId: string, address: string): void {
     this.pendingRegistrations.set(runnerId, address);
   }
 
-  /**
-   * Removes a finished job. The rows of the gateways are removed first: a job without its progress rows would
-   * start again.
-   */
+  /** Removes the rows of a finished job, and the job when they are gone. */
   removeJob(job: JobRecord): void {
-    if (this.jobsBeingRemoved.has(job)) {
-      return;
-    }
-    this.jobsBeingRemoved.add(job);
-    const { context } = this.options;
-    const removals = [CellCollection.Jobs, CellCollection.Cancellations].map((collection) => ({
-      collection,
-      key: job.id,
-    }));
-    context.store.write({ partition: jobPartition(job.id), removals }).then(
-      () => this.progressRemovals.add(job),
-      (error: unknown) => {
-        this.jobsBeingRemoved.delete(job);
-        context.events.write('job-not-removed', { job: job.id, error: toError(error).message });
-      },
-    );
+    this.removals.begin(job);
   }
 
   /** Starts a transaction when there is something to store and none is open. */
@@ -97,52 +87,44 @@
     if (this.isWriting || now < this.retryAt) {
       return;
     }
-    if (state.dirty.size + this.pendingRegistrations.size + this.progressRemovals.size === 0) {
+    const { rows } = this.removals;
+    const pending = listPendingRows(state.dirty, this.pendingRegistrations, rows);
+    if (!this.mustAwait([...pending.keys()])) {
       for (const vm of state.vms.values()) {
         vm.settledThrough = vm.lastEndSequence;
       }
+    }
+    const batch = this.createBatch(pending, now);
+    if (batch.keys.length === 0) {
       return;
     }
     this.isWriting = true;
-    this.writeBatch(this.createBatch())
-      .catch((error: unknown) => this.handleFailure(toError(error)))
+    this.writeBatch(batch)
+      .catch((error: unknown) => this.handleFailure(batch, toError(error)))
       .finally(() => {
         this.isWriting = false;
       });
   }
 
-  private createBatch(): ProgressBatch {
-    const { state } = this.options;
-    const occurrences = [...state.dirty].slice(0, MAXIMUM_BATCH_ENTRIES);
-    const freeEntries = MAXIMUM_BATCH_ENTRIES - occurrences.length;
-    const includesAllDirty = occurrences.length === state.dirty.size;
-    return {
-      occurrences: occurrences.map((occurrence) => ({
-        occurrence,
-        row: encodeProgress(occurrence, state.unreportedVms),
-      })),
-      runners: [...this.pendingRegistrations].slice(0, freeEntries),
-      removedJobs:
-        includesAllDirty && this.pendingRegistrations.size === 0
-          ? this.selectRemovableJobs(freeEntries)
-          : [],
-      appliedEnds: includesAllDirty
-        ? [...state.vms.values()].map((vm) => [vm, vm.lastEndSequence, vm.session])
-        : [],
-    };
+  /** True if the ends of runs must wait until these rows are stored. */
+  private mustAwait(keys: string[]): boolean {
+    return keys.some((key) => !this.refusedRows.isGivenUp(key));
   }
 
-  private selectRemovableJobs(freeEntries: number): JobRecord[] {
-    const jobs: JobRecord[] = [];
-    let entries = 0;
-    for (const job of this.progressRemovals) {
-      entries += progressRowsOf(job).length;
-      if (entries > freeEntries) {
-        break;
-      }
-      jobs.push(job);
+  private createBatch(pending: Map<string, PendingRow>, now: Instant): ProgressBatch {
+    const { state, context } = this.options;
+    const keys = this.refusedRows.select([...pending.keys()], now);
+    const batch = fillBatch(pending, keys, {
+      unreportedVms: state.unreportedVms,
+      rowMaximumBytes: context.rowMaximumBytes,
+      batchMaximumBytes: MAXIMUM_BATCH_BYTES,
+    });
+    const included = new Set(batch.keys);
+    const others = [...pending.keys()].filter((key) => !included.has(key));
+    if (!this.mustAwait(others)) {
+      batch.appliedEnds = [...state.vms.values()].map((vm) => [vm, vm.lastEndSequence, vm.session]);
     }
-    return jobs;
+    return batch;
   }
 
   private async writeBatch(batch: ProgressBatch): Promise<void> {
@@ -156,7 +138,7 @@
         partition: CELL_PARTITION,
         expected: [lease.fencingExpectation(), { ...COMMIT_ROW, version: this.commitVersion }],
         writes: [{ ...COMMIT_ROW, value: { epoch: lease.epoch } }, ...createRowWrites(batch)],
-        removals: batch.removedJobs.flatMap(progressRowsOf),
+        removals: batch.removals,
       });
       isStored = result.committed;
       if (result.committed) {
@@ -173,6 +155,7 @@
       return;
     }
     context.metrics.recordLatency('progress_write_ms', context.clock.now() - sentAt);
+    this.refusedRows.recordStored(batch.keys, context.clock.now());
     this.applyStoredBatch(batch);
   }
 
@@ -220,21 +203,25 @@
       this.pendingRegistrations.delete(id);
       this.options.onRunnerRegistered(id, address);
     }
-    for (const job of batch.removedJobs) {
-      this.progressRemovals.delete(job);
-      this.jobsBeingRemoved.delete(job);
-      state.jobs.delete(job.id);
-    }
+    this.removals.recordRemoved(batch.removals);
     this.options.onStored();
   }
 
-  private handleFailure(error: Error): void {
+  /** After a refusal the rest is tried at once: the store works. */
+  private handleFailure(batch: ProgressBatch, error: Error): void {
     const { context } = this.options;
-    this.retryAt = context.clock.now() + this.retryDelayMs;
+    const now = context.clock.now();
+    const isRefusal = REFUSAL_CODES.includes(errorCodeOf(error));
+    const refusedRow = this.refusedRows.recordFailure(batch.keys, isRefusal, now);
+    const { message } = error;
+    if (refusedRow !== null) {
+      context.events.write('progress-row-refused', { row: refusedRow, error: message });
+    }
+    if (isRefusal || refusedRow !== null) {
+      return;
+    }
+    this.retryAt = now + this.retryDelayMs;
     this.retryDelayMs = Math.min(MAXIMUM_RETRY_DELAY_MS, this.retryDelayMs * RETRY_BACKOFF_FACTOR);
-    context.events.write('progress-write-failed', {
-      error: error.message,
-      retryMs: this.retryDelayMs,
-    });
+    context.events.write('progress-write-failed', { error: message, retryMs: this.retryDelayMs });
   }
 }
--- a/packages/scheduler/src/row-schemas.ts
+++ b/packages/scheduler/src/row-schemas.ts
@@ -13,6 +13,7 @@
   ProgressRow,
   RunnerRow,
 } from '@figjunction/types';
+import { unpackProgressRow } from './progress-packing.js';
 
 const TEXT_LENGTH_MAXIMUM = 4_000;
 /** Run numbers start at a thousand for each epoch and must stay exact. */
@@ -108,7 +109,7 @@
   submittedAtStoreMs: wallTimeMs,
 });
 
-export const progressRowSchema: z.ZodMiniType<ProgressRow> = z.object({
+const unpackedProgressRow = z.object({
   state: z.enum(JobState),
   done: z.array(z.string().check(z.maxLength(TASKS_MAXIMUM))).check(z.maxLength(STEPS_MAXIMUM)),
   failures: runNumbersByTask,
@@ -117,6 +118,11 @@
   hasBegun: z.optional(z.boolean()),
 });
 
+export const progressRowSchema: z.ZodMiniType<ProgressRow> = z.pipe(
+  z.transform(unpackProgressRow),
+  unpackedProgressRow,
+);
+
 export const runnerRowSchema: z.ZodMiniType<RunnerRow> = z.object({ address: processAddress });
 
 export const ownerRowSchema: z.ZodMiniType<CellOwnerRow> = z.object({
--- a/packages/scheduling/src/batch-claims.test.ts
+++ b/packages/scheduling/src/batch-claims.test.ts
@@ -17,7 +17,7 @@
 import type { CellState } from './cell-state.js';
 import { simulateMixedLoad } from './load-simulation.js';
 import type { JobOutcome } from './load-simulation.js';
-import { restoreProgress } from './job-table.js';
+import { restoreProgress } from './progress-row.js';
 import { placeTasks } from './place.js';
 
 const URGENT_POLICY = { ...POLICY, priority: 0, slackFactor: 1.5, objectiveMs: 400 };
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -12,6 +12,7 @@
 export * from './placement-obstacle.js';
 export * from './preempt.js';
 export * from './progress.js';
+export * from './progress-row.js';
 export * from './rank.js';
 export * from './records.js';
 export * from './relocate.js';
--- a/packages/scheduling/src/job-table.ts
+++ b/packages/scheduling/src/job-table.ts
@@ -1,21 +1,11 @@
 /**
- * Creates the records of jobs and restores their progress from stored rows.
+ * Creates the records of jobs and derives their states.
  */
 import type { Instant } from '@figjunction/time';
 import { JobState } from '@figjunction/types';
-import type {
-  AgentId,
-  JobId,
-  JobSpecification,
-  ProgressRow,
-  QueuePolicy,
-} from '@figjunction/types';
+import type { AgentId, JobId, JobSpecification, QueuePolicy } from '@figjunction/types';
 import type { JobRecord, OccurrenceRecord, StepRecord, TaskRecord } from './records.js';
 
-/** A stored row holds one of these characters for each task of a step. */
-const DONE_MARK = '1';
-const UNFINISHED_MARK = '0';
-
 const MILLICORES_PER_CORE = 1_000;
 /** Weight of an accelerator in sums of work, in cores. */
 const CORES_PER_ACCELERATOR = 8;
@@ -125,57 +115,6 @@
   }
 }
 
-/**
- * Builds the stored row of an occurrence. `unreportedVms` may still hold runs of an earlier scheduler, so the
- * row continues to list them as runners.
- */
-export function encodeProgress(
-  occurrence: OccurrenceRecord,
-  unreportedVms: ReadonlyMap<AgentId, unknown>,
-): ProgressRow {
-  const failures: Record<string, number[]> = {};
-  const crashes: Record<string, number[]> = {};
-  const done = occurrence.steps.map((step) =>
-    step.tasks.map((task) => (task.done ? DONE_MARK : UNFINISHED_MARK)).join(''),
-  );
-  for (const task of occurrence.steps.flatMap(({ tasks }) => tasks)) {
-    if (task.failedRuns.length > 0) {
-      failures[`${task.step.index}.${task.index}`] = task.failedRuns;
-    }
-    if (task.crashes.length > 0) {
-      crashes[`${task.step.index}.${task.index}`] = task.crashes;
-    }
-  }
-  const runners = new Set([...occurrence.storedVms].filter((id) => unreportedVms.has(id)));
-  for (const { vm } of occurrence.steps.flatMap(({ tasks }) => tasks.flatMap(({ runs }) => runs))) {
-    runners.add(vm.id);
-  }
-  const { state, hasBegun } = occurrence;
-  return { state, done, failures, crashes, runners: [...runners], hasBegun };
-}
-
-/** Applies a stored row to an occurrence that was just created. */
-export function restoreProgress(occurrence: OccurrenceRecord, row: ProgressRow): void {
-  occurrence.state = row.state;
-  occurrence.storedState = row.state;
-  occurrence.storedVms = new Set(row.runners);
-  occurrence.hasBegun = row.hasBegun ?? true;
-  for (const step of occurrence.steps) {
-    const marks = row.done[step.index] ?? '';
-    for (const task of step.tasks) {
-      task.failedRuns = row.failures[`${step.index}.${task.index}`] ?? [];
-      task.hasRun = row.runners.length > 0;
-      task.crashes = row.crashes?.[`${step.index}.${task.index}`] ?? [];
-      if (marks[task.index] === DONE_MARK) {
-        task.done = true;
-        occurrence.remainingWork -= estimateTaskWork(step);
-        step.doneCount += 1;
-        step.waiting.delete(task);
-      }
-    }
-  }
-}
-
 export function isFinished(state: JobState): boolean {
   return state === JobState.Completed || state === JobState.Failed || state === JobState.Cancelled;
 }
--- a/packages/scheduling/src/reports.test.ts
+++ b/packages/scheduling/src/reports.test.ts
@@ -13,7 +13,8 @@
   createStep,
   sendReport,
 } from './cell-fixture.js';
-import { createOccurrence, encodeProgress, restoreProgress } from './job-table.js';
+import { createOccurrence } from './job-table.js';
+import { encodeProgress, restoreProgress } from './progress-row.js';
 import { expireVmLeases } from './lease-expiry.js';
 import { placeTasks } from './place.js';
 import { RunPhase } from './records.js';
--- a/packages/types/src/cell/job-specification.ts
+++ b/packages/types/src/cell/job-specification.ts
@@ -73,6 +73,8 @@
    * nothing about now. Rows of earlier versions have none.
    */
   hasBegun?: boolean;
+  /** Base64 of the compressed `done`, `failures` and `crashes`, which are empty then; only in rows that are large. */
+  packed?: string;
 }
 
 export enum JobState {
