--- a/packages/scheduler/src/progress-packing.test.ts
+++ b/packages/scheduler/src/progress-packing.test.ts
@@ -30,7 +30,10 @@
   for (const step of occurrence.steps) {
     for (const task of step.tasks) {
       task.done = random.below(2) === 0;
-      task.failedRuns = Array.from({ length: failures }, (_, run) => firstRun + 3 * run + random.below(3));
+      task.failedRuns = Array.from(
+        { length: failures },
+        (_, run) => firstRun + 3 * run + random.below(3),
+      );
     }
   }
   return occurrence;
