Renew a suspicion only by jobs that had not failed on the VM before

Cause: each failure of a new run renewed the suspicion, also of a job that was known to fail there, which tells nothing new about the VM.

Change: only a failure of a job that is not part of the evidence renews the suspicion. Tried first and dropped: not counting the third failure of a task, which failed the same test, since each further task began anew.

--- a/packages/scheduling/src/vm-health.test.ts
+++ b/packages/scheduling/src/vm-health.test.ts
@@ -185,3 +185,25 @@
   const [run] = placeTasks(state, BACKOFF_MS).started;
   assert.equal(run?.vm.id, 'vm-2');
 });
+
+test('starts tasks beside a job that may fail again and again and is placed first', () => {
+  const { state, end } = createSuspectVm(0);
+  const policy = { ...POLICY, attemptsMaximum: 1_000, priority: 0 };
+  addJob(state, { id: 'stubborn', steps: [createStep({ taskCount: 40 })], policy });
+  addJob(state, { id: 'ordinary', steps: [createStep()] });
+  let startedAt: Instant | null = null;
+  for (let now = 0; now <= 30_000; now += 100) {
+    for (const run of placeTasks(state, now).started) {
+      if (run.task.id.startsWith('ordinary')) {
+        startedAt ??= now;
+      } else {
+        end(run, RunEnding.Failed, now + 50);
+      }
+    }
+  }
+  // Two failures of a task are evidence against the VM, each followed by a backoff.
+  assert.ok(
+    startedAt !== null && startedAt <= 3 * BACKOFF_MS + HELD_BACK_MAXIMUM_MS,
+    `${startedAt}`,
+  );
+});
--- a/packages/scheduling/src/vm-health.ts
+++ b/packages/scheduling/src/vm-health.ts
@@ -39,8 +39,8 @@
 }
 
 /**
- * Records a failed or stalled run that was placed at `placedAt`. Only one that was placed since the VM became suspect
- * renews the suspicion: the others were part of the evidence for it.
+ * Records a failed or stalled run that was placed at `placedAt`. Only one that was placed since the VM became suspect, of
+ * a job that had not failed there before, renews the suspicion: the others were part of the evidence for it.
  */
 export function recordFailure(
   vm: VmRecord,
@@ -52,8 +52,10 @@
   if (health.suspicion !== null && health.suspicion.endsAt <= now) {
     clearSuspicion(vm);
   }
-  health.failedJobs.add(task.step.occurrence.job.id);
-  const isRenewal = health.suspicion === null || placedAt >= health.suspicion.since;
+  const { id } = task.step.occurrence.job;
+  const isRenewal =
+    health.suspicion === null || (placedAt >= health.suspicion.since && !health.failedJobs.has(id));
+  health.failedJobs.add(id);
   if (health.failedJobs.size >= SUSPECT_FAILED_JOBS && isRenewal) {
     const backoffUntil = now + SUSPECT_BACKOFF_MS;
     health.suspicion = { since: now, backoffUntil, endsAt: backoffUntil + SLOW_START_MS };
