--- a/packages/runner/src/heartbeat-receiver.ts
+++ b/packages/runner/src/heartbeat-receiver.ts
@@ -70,27 +70,32 @@
 
   private receiveFromCurrent(heartbeat: Heartbeat): void {
     const isConsistent = this.accepted === null || describesSameVm(this.accepted, heartbeat);
+    const { events } = this.options;
     const verdict = this.order.judge(stampOf(heartbeat), isConsistent);
     if (verdict === HeartbeatVerdict.Overtaken) {
-      this.logIgnored(isConsistent ? 'heartbeat-overtaken' : 'heartbeat-inconsistent', heartbeat);
+      events.write(
+        isConsistent ? 'heartbeat-overtaken' : 'heartbeat-inconsistent',
+        fieldsOf(heartbeat),
+      );
       return;
     }
     if (verdict === HeartbeatVerdict.Reinstated) {
-      this.logIgnored('heartbeat-reinstated', heartbeat);
+      events.write('heartbeat-reinstated', fieldsOf(heartbeat));
     }
     this.accept(heartbeat);
   }
 
   private receiveFromOther(heartbeat: Heartbeat, verdict: IncarnationVerdict): void {
+    const { runner, events } = this.options;
     if (verdict === IncarnationVerdict.Refuted) {
-      this.logIgnored('heartbeat-refuted', heartbeat);
+      events.write('heartbeat-refuted', fieldsOf(heartbeat));
     } else if (verdict === IncarnationVerdict.Confirmed) {
       this.order.restart(stampOf(heartbeat));
       this.changeIncarnation(heartbeat);
-    } else if (this.options.runner.announcement !== null) {
-      this.logIgnored('heartbeat-unconfirmed', heartbeat);
+    } else if (runner.announcement !== null) {
+      events.write('heartbeat-unconfirmed', fieldsOf(heartbeat));
     } else if (this.order.judge(stampOf(heartbeat)) === HeartbeatVerdict.Overtaken) {
-      this.logIgnored('heartbeat-overtaken', heartbeat);
+      events.write('heartbeat-overtaken', fieldsOf(heartbeat));
     } else {
       this.changeIncarnation(heartbeat);
     }
@@ -112,12 +117,12 @@
     this.accepted = heartbeat;
     this.options.runner.handleAnnouncement(heartbeat.announcement);
   }
+}
 
-  private logIgnored(event: string, { announcement, address, sequence }: Heartbeat): void {
-    const { instanceId, bornWallMs, service } = announcement;
-    const fields = { instance: instanceId, born: bornWallMs, service, address, sequence };
-    this.options.events.write(event, fields);
-  }
+/** What a log line tells of a heartbeat. */
+function fieldsOf({ announcement, address, sequence }: Heartbeat) {
+  const { instanceId, bornWallMs, service } = announcement;
+  return { instance: instanceId, born: bornWallMs, service, address, sequence };
 }
 
 function stampOf({ announcement, sequence }: Heartbeat) {
--- a/packages/runner/src/vm-session.ts
+++ b/packages/runner/src/vm-session.ts
@@ -178,9 +178,7 @@
       return ListOutcome.NotApplied;
     }
     this.lease.confirm(untilVmMs);
-    const request = { requestedAt, requestedEpoch, expiryCount };
-    const hasNewEnds = this.applyList(result, validity, request);
-    return hasNewEnds ? ListOutcome.NewEnds : ListOutcome.Unchanged;
+    return this.applyList(result, validity, { requestedAt, requestedEpoch, expiryCount });
   }
 
   private async callHold(waitMs: number, requestedAt: Instant, epoch: number) {
@@ -198,12 +196,11 @@
     }
   }
 
-  /** Returns true if the list contained new ends. */
   private applyList(
     result: HoldResult,
     { invalidThrough }: EndValidity,
     { requestedAt, requestedEpoch, expiryCount }: ListRequest,
-  ): boolean {
+  ): ListOutcome {
     const { clock, announcement, epoch } = this.options;
     const now = clock.now();
     const clearsExpiry = this.lease.isExpired && this.lease.expiryCount === expiryCount;
@@ -221,7 +218,7 @@
     if (ended.length > 0 || vanished.length > 0 || isFirstOfEpoch || wasSilent) {
       this.options.onChange();
     }
-    return ended.length > 0;
+    return ended.length > 0 ? ListOutcome.NewEnds : ListOutcome.Unchanged;
   }
 
   /** True if a later list has been applied, as the clock of the VM in both shows. */
