Let no late heartbeat bring back a VM that has left and still answers

What callers would see: a VM that has deregistered is used again until its calls fail, and its last work starts elsewhere only when its lease expires.

Cause: asks the VM which incarnation it is, and a VM that ends may still answer; the comparison of sequence numbers was passed over then.

Evidence: "does not bring a VM back by a late heartbeat after it has left (it answers: true)" failed before, found by reading the change again.

Change: a heartbeat of the last accepted incarnation must be newer than the last accepted one, also after the VM has left. One that is newer counts, so a deregistration of another writer does not end the VM for good.

--- a/packages/runner/src/heartbeat-receiver.test.ts
+++ b/packages/runner/src/heartbeat-receiver.test.ts
@@ -196,14 +196,25 @@
   });
 }
 
-test('does not bring a VM back by a late heartbeat after it has left', async () => {
+for (const isAnswering of [true, false]) {
+  test(`does not bring a VM back by a late heartbeat after it has left (it answers: ${isAnswering})`, async () => {
+    const scene = new Scene();
+    await scene.beat({ state: VmState.Draining });
+    await scene.beat({ state: VmState.Draining });
+    scene.leave(BORN);
+    scene.isAnswering = isAnswering;
+    await scene.send({ sequence: 1 });
+    await scene.send({ sequence: 2 });
+    assert.equal(scene.announcement, null);
+  });
+}
+
+test('uses a VM again that goes on after a deregistration of another writer', async () => {
   const scene = new Scene();
-  await scene.beat({ state: VmState.Draining });
-  await scene.beat({ state: VmState.Draining });
-  scene.leave(BORN);
-  scene.isAnswering = false;
-  await scene.send({ sequence: 1 });
-  assert.equal(scene.announcement, null);
+  await scene.beat();
+  scene.leave(null);
+  await scene.beat();
+  assert.deepEqual(scene.announcement, TRUE_VM);
 });
 
 test('ignores the late deregistration of an earlier incarnation', async () => {
--- a/packages/runner/src/heartbeat-receiver.ts
+++ b/packages/runner/src/heartbeat-receiver.ts
@@ -50,6 +50,10 @@
       this.receiveFromCurrent(heartbeat);
       return;
     }
+    if (this.isOvertakenByDeparture(heartbeat)) {
+      this.options.events.write('heartbeat-overtaken', fieldsOf(heartbeat));
+      return;
+    }
     const { changeCount } = this;
     const verdict = await this.check.confirm(heartbeat.announcement);
     // If the incarnation has changed meanwhile, the verdict may be out of date. The next heartbeat is checked again.
@@ -68,6 +72,16 @@
     runner.handleDeregistration(instanceId);
   }
 
+  /** True for a late heartbeat of an incarnation that has left; for some time it may answer calls. */
+  private isOvertakenByDeparture({ announcement, sequence }: Heartbeat): boolean {
+    const { accepted } = this;
+    return (
+      accepted !== null &&
+      isSameIncarnation(accepted.announcement, announcement) &&
+      sequence <= accepted.sequence
+    );
+  }
+
   private receiveFromCurrent(heartbeat: Heartbeat): void {
     const isConsistent = this.accepted === null || describesSameVm(this.accepted, heartbeat);
     const { events } = this.options;
