--- a/packages/runner/src/order-executor.ts
+++ b/packages/runner/src/order-executor.ts
@@ -4,20 +4,15 @@
  * begin the run afterwards, and after a list that does not contain the run.
  */
 import PQueue from 'p-queue';
-import { Outage } from '@figjunction/logger';
 import type { EventLog } from '@figjunction/logger';
 import { ErrorCode, errorCodeOf, toError } from '@figjunction/errors';
 import { sleep } from '@figjunction/time';
 import type { Clock, Instant } from '@figjunction/time';
 import { StartRefusal } from '@figjunction/types';
-import type {
-  OrdersParameters,
-  RunAnswer,
-  RunReference,
-  StartOrder,
-  StopOrder,
-} from '@figjunction/types';
-import { StopOutcome } from './vm-host.js';
+import type { RunAnswer, RunReference, StartOrder, StopOrder } from '@figjunction/types';
+import { buildKey } from './order-execution.js';
+import type { OrderExecution } from './order-execution.js';
+import { RunStopper } from './run-stopper.js';
 import type { VmHost } from './vm-host.js';
 import type { VmSession } from './vm-session.js';
 
@@ -29,13 +24,6 @@
   onLateResult: (result: RunAnswer) => void;
 }
 
-export interface OrderExecution {
-  orders: OrdersParameters;
-  session: VmSession;
-  /** False once the scheduler's session or its grant has ended: the task may be started elsewhere from then on. */
-  isCurrent: () => boolean;
-}
-
 /** The start of a run, which answers all sendings of its order that arrive meanwhile. */
 interface StartInProgress {
   /** The sending with the highest number. */
@@ -62,7 +50,11 @@
   /** Keys of the runs with a stop in progress; a repeated order is ignored meanwhile. */
   private readonly stopsInProgress = new Set<string>();
 
-  constructor(private readonly options: OrderExecutorOptions) {}
+  private readonly stopper: RunStopper;
+
+  constructor(private readonly options: OrderExecutorOptions) {
+    this.stopper = new RunStopper(options);
+  }
 
   /** Executes all orders. Returns the results of the starts that completed within the timeout. */
   async execute(execution: OrderExecution): Promise<RunAnswer[]> {
@@ -120,7 +112,7 @@
           latest.order.mayHaveReachedVm ||
           latest.hadUnansweredCall ||
           refusal === StartRefusal.Superseded;
-        if (!mayHaveBegun || (await this.ruleOut(order, refusal, latest.execution))) {
+        if (!mayHaveBegun || (await this.stopper.ruleOut(order, refusal, latest.execution))) {
           this.options.events.write('start-refused', { task: taskId, run, refusal, mayHaveBegun });
           report({ taskId, run, attempt: latest.order.attempt, refusal });
         }
@@ -130,31 +122,6 @@
     });
   }
 
-  /**
-   * Returns true once the run is neither on the VM nor in its list of ends and no earlier call can start it any
-   * more. Otherwise the outcome stays unknown: the VM's list shows it, or the scheduler repeats the order.
-   */
-  private async ruleOut(
-    reference: RunReference,
-    refusal: StartRefusal,
-    execution: OrderExecution,
-  ): Promise<boolean> {
-    const { session } = execution;
-    try {
-      // The VM itself rules out later starts of a superseded run.
-      const canStillStart = refusal !== StartRefusal.Superseded;
-      if (canStillStart && !(await this.stop(reference, execution))) {
-        return false;
-      }
-      return (await session.refresh()) && !session.runs.isListed(reference);
-    } catch (error) {
-      const { taskId, run } = reference;
-      const fields = { task: taskId, run, error: toError(error).message };
-      this.options.events.write('end-not-confirmed', fields);
-      return false;
-    }
-  }
-
   /** Each call follows the latest sending: the session of an earlier one may have ended since. */
   private async start(latest: StartInProgress): Promise<StartRefusal | null> {
     const deadline: Instant = this.options.clock.now() + START_TIMEOUT_MS;
@@ -207,8 +174,8 @@
   /** Reports a run that never started as refused, since no list will show its end. */
   private async stopRun(order: StopOrder, execution: OrderExecution): Promise<void> {
     if (execution.session.runs.isListed(order)) {
-      await this.stop(order, execution);
-    } else if (await this.ruleOut(order, StartRefusal.Unanswered, execution)) {
+      await this.stopper.stop(order, execution);
+    } else if (await this.stopper.ruleOut(order, StartRefusal.Unanswered, execution)) {
       const { taskId, run, attempt } = order;
       // The VM refuses its start from now on, as it does after an end.
       const refusal = StartRefusal.Superseded;
@@ -217,32 +184,4 @@
       this.options.onLateResult({ taskId, run, attempt, refusal });
     }
   }
-
-  /**
-   * Retries until the VM responds, its session stops or its lease has expired, which ends all its runs. Returns
-   * true if the VM has carried out the stop. Logs the first call without a response.
-   */
-  private async stop(
-    { taskId, run }: RunReference,
-    { orders, session }: OrderExecution,
-  ): Promise<boolean> {
-    const { instanceId, epoch } = orders;
-    const outage = new Outage();
-    while (!session.isStopped && !session.lease.isExpired) {
-      try {
-        const outcome = await this.options.host.stop({ instanceId, epoch, taskId, run });
-        session.wake();
-        return outcome === StopOutcome.Stopped;
-      } catch (error) {
-        const fields = { task: taskId, run, error: toError(error).message };
-        outage.begin(() => this.options.events.write('stop-unanswered', fields));
-        await sleep(RETRY_DELAY_MS);
-      }
-    }
-    return false;
-  }
-}
-
-function buildKey({ taskId, run }: RunReference): string {
-  return `${taskId}#${run}`;
 }
