Log when a stop is ordered, answered, and what a late run is

New lines: stop-ordered, stop-answered, start-waited and run-unexpected of the runner, run-orphaned and run-stopped with the reason job-cancelled of the scheduler; job-cancelled tells the version of its row, its age and how many runs it stops. Only what is logged changes.

--- a/packages/runner/src/filler-pacer.test.ts
+++ b/packages/runner/src/filler-pacer.test.ts
@@ -33,7 +33,7 @@
       reading: taskId === 's.0.0.0' ? latencyMs : 1_000,
     }));
     clock.advance(700);
-    runs.apply(running, [], clock.now(), clock.now());
+    runs.apply({ running, ended: [] }, clock.now(), clock.now());
     pacer.adjust(runs, CALL);
     const paces = [...runs.entries.values()].map((entry) => [entry.taskId, entry.pacePercent]);
     return Object.fromEntries(paces) as Record<string, number>;
--- a/packages/runner/src/order-executor.ts
+++ b/packages/runner/src/order-executor.ts
@@ -40,6 +40,8 @@
 const START_TIMEOUT_MS = 1_200;
 const RETRY_DELAY_MS = 50;
 const CONCURRENT_STARTS_MAXIMUM = 8;
+/** Shorter waits for one of these places are not logged. */
+const LOGGED_WAIT_MINIMUM_MS = 500;
 
 export class OrderExecutor {
   private readonly queue = new PQueue({ concurrency: CONCURRENT_STARTS_MAXIMUM });
@@ -99,7 +101,9 @@
     const latest: StartInProgress = { ...received, hadUnansweredCall: false };
     this.startsInProgress.set(key, latest);
     session.runs.setAttributes(order);
+    const receivedAt = this.options.clock.now();
     return this.queue.add(async () => {
+      this.logWait(order, receivedAt);
       try {
         const refusal = await this.start(latest);
         if (refusal === null) {
@@ -122,6 +126,13 @@
     });
   }
 
+  private logWait({ taskId, run }: StartOrder, receivedAt: Instant): void {
+    const waitedMs = Math.round(this.options.clock.now() - receivedAt);
+    if (waitedMs >= LOGGED_WAIT_MINIMUM_MS) {
+      this.options.events.write('start-waited', { task: taskId, run, waitedMs });
+    }
+  }
+
   /** Each call follows the latest sending: the session of an earlier one may have ended since. */
   private async start(latest: StartInProgress): Promise<StartRefusal | null> {
     const deadline: Instant = this.options.clock.now() + START_TIMEOUT_MS;
@@ -162,6 +173,7 @@
       return;
     }
     this.stopsInProgress.add(key);
+    this.logStopOrder(order, execution);
     this.stopRun(order, execution)
       .finally(() => this.stopsInProgress.delete(key))
       .catch((error: unknown) => {
@@ -184,4 +196,17 @@
       this.options.onLateResult({ taskId, run, attempt, refusal });
     }
   }
+
+  /** `isListed` and `isStarting` tell where the run is when its stop order arrives. */
+  private logStopOrder(order: StopOrder, { orders, session }: OrderExecution): void {
+    const { taskId, run } = order;
+    this.options.events.write('stop-ordered', {
+      task: taskId,
+      run,
+      epoch: orders.epoch,
+      session: orders.session,
+      isListed: session.runs.isListed(order),
+      isStarting: this.startsInProgress.has(buildKey(order)),
+    });
+  }
 }
--- a/packages/runner/src/run-stopper.ts
+++ b/packages/runner/src/run-stopper.ts
@@ -6,6 +6,7 @@
 import { Outage } from '@figjunction/logger';
 import type { EventLog } from '@figjunction/logger';
 import { sleep } from '@figjunction/time';
+import type { Clock } from '@figjunction/time';
 import { StartRefusal } from '@figjunction/types';
 import type { RunReference } from '@figjunction/types';
 import type { OrderExecution } from './order-execution.js';
@@ -14,6 +15,7 @@
 
 export interface RunStopperOptions {
   host: VmHost;
+  clock: Pick<Clock, 'now'>;
   events: EventLog;
 }
 
@@ -49,19 +51,24 @@
 
   /**
    * Retries until the VM responds, its session stops or its lease has expired, which ends all its runs. Returns
-   * true if the VM has carried out the stop. Logs the first call without a response.
+   * true if the VM has carried out the stop. Logs the first call without a
+   * response, and the response.
    */
   async stop({ taskId, run }: RunReference, { orders, session }: OrderExecution): Promise<boolean> {
     const { instanceId, epoch } = orders;
+    const { host, clock, events } = this.options;
     const outage = new Outage();
-    while (!session.isStopped && !session.lease.isExpired) {
+    const requestedAt = clock.now();
+    for (let calls = 1; !session.isStopped && !session.lease.isExpired; calls += 1) {
       try {
-        const outcome = await this.options.host.stop({ instanceId, epoch, taskId, run });
+        const outcome = await host.stop({ instanceId, epoch, taskId, run });
         session.wake();
+        const tookMs = Math.round(clock.now() - requestedAt);
+        events.write('stop-answered', { task: taskId, run, epoch, outcome, calls, tookMs });
         return outcome === StopOutcome.Stopped;
       } catch (error) {
         const fields = { task: taskId, run, error: toError(error).message };
-        outage.begin(() => this.options.events.write('stop-unanswered', fields));
+        outage.begin(() => events.write('stop-unanswered', fields));
         await sleep(RETRY_DELAY_MS);
       }
     }
--- a/packages/runner/src/run-table.ts
+++ b/packages/runner/src/run-table.ts
@@ -5,6 +5,7 @@
 import type { Instant } from '@figjunction/time';
 import type { EndedRun, RunAttributes, RunningTask, RunReference } from '@figjunction/types';
 import { mayLeaveOutEnds } from './vm-host.js';
+import type { HoldResult } from './vm-host.js';
 
 export interface RunEntry extends RunningTask {
   /** When the start was confirmed or the run was first listed. */
@@ -19,6 +20,8 @@
   ended: EndedRun[];
   /** Runs that are no longer listed and have no listed end. None while further ends may wait on the VM. */
   vanished: RunReference[];
+  /** Runs that are listed for the first time and that nothing in this process has ordered. */
+  unexpected: RunReference[];
 }
 
 const FULL_PACE_PERCENT = 100;
@@ -61,15 +64,17 @@
 
   /** Applies a list that was requested at `requestedAt`. An unlisted run confirmed since then is kept. */
   apply(
-    running: RunningTask[],
-    ended: EndedRun[],
+    { running, ended }: Pick<HoldResult, 'running' | 'ended'>,
     requestedAt: Instant,
     now: Instant,
   ): ListChanges {
     const listed = new Set(running.map(keyOf));
+    const unexpected: RunReference[] = [];
     running.forEach((task) => {
       const entry = this.entries.get(keyOf(task));
       if (entry === undefined) {
+        const { taskId, run } = task;
+        unexpected.push(...(this.attributes.has(keyOf(task)) ? [] : [{ taskId, run }]));
         this.add(task, now);
       } else {
         Object.assign(entry, task);
@@ -87,7 +92,7 @@
         vanished.push({ taskId: entry.taskId, run: entry.run });
       }
     }
-    return { ended: newEnds, vanished };
+    return { ended: newEnds, vanished, unexpected };
   }
 
   /** Drops the ends up to a sequence number. Returns their runs, whose tasks have to be started again. */
--- a/packages/runner/src/vm-session-log.ts
+++ b/packages/runner/src/vm-session-log.ts
@@ -41,6 +41,14 @@
     this.events.write('list-overtaken', { instance: this.instance, vmClockMs, lastVmClockMs });
   }
 
+  /** The VM lists runs that this process has not ordered; `listAgeMs` is the age of the list. */
+  recordUnexpectedRuns(runs: RunReference[], epoch: number, listAgeMs: number): void {
+    for (const { taskId, run } of runs) {
+      const fields = { task: taskId, run, epoch, listAgeMs: Math.round(listAgeMs) };
+      this.events.write('run-unexpected', { instance: this.instance, ...fields });
+    }
+  }
+
   recordDiscardedEnds(through: number, discarded: RunReference[]): void {
     this.events.write('ends-void', { instance: this.instance, through, discarded });
   }
--- a/packages/runner/src/vm-session.ts
+++ b/packages/runner/src/vm-session.ts
@@ -139,15 +139,16 @@
     return (await this.requestList(0)) !== ListOutcome.NotApplied;
   }
 
+  private get hasUnsettledEnds(): boolean {
+    return this.runs.unacknowledged.some(({ sequence }) => sequence > this.settledThrough);
+  }
+
   private async poll(): Promise<void> {
     const waitMs = this.pacer.hasServingTask(this.runs) ? PACING_WAIT_MS : HOLD_WAIT_MS;
-    const hadUnacknowledged = this.runs.unacknowledged.some(
-      ({ sequence }) => sequence > this.settledThrough,
-    );
-    const isListAwaited = hadUnacknowledged || this.listedEpoch === 0 || this.answers.isUnanswered;
+    const isListAwaited =
+      this.hasUnsettledEnds || this.listedEpoch === 0 || this.answers.isUnanswered;
     const outcome = await this.requestList(isListAwaited ? 0 : waitMs);
-    const { unacknowledged } = this.runs;
-    if (unacknowledged.some(({ sequence }) => sequence > this.settledThrough)) {
+    if (this.hasUnsettledEnds) {
       await this.pause.waitForAcknowledgement(outcome === ListOutcome.NewEnds);
     }
   }
@@ -204,8 +205,9 @@
     const { clock, announcement, epoch } = this.options;
     const now = clock.now();
     const clearsExpiry = this.lease.isExpired && this.lease.expiryCount === expiryCount;
-    const { ended, vanished } = this.runs.apply(result.running, result.ended, requestedAt, now);
+    const { ended, vanished, unexpected } = this.runs.apply(result, requestedAt, now);
     this.vanished.push(...vanished);
+    this.log.recordUnexpectedRuns(unexpected, requestedEpoch, now - requestedAt);
     this.discardEnds(Math.max(invalidThrough, clearsExpiry ? lastEndSequence(result) : 0));
     // Ends that the list has left out precede the expiry as well.
     if (clearsExpiry && !this.runs.hasUnlistedEnds) {
--- a/packages/scheduler/src/job-intake.test.ts
+++ b/packages/scheduler/src/job-intake.test.ts
@@ -4,7 +4,8 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import fc from 'fast-check';
-import { addJob, createState, createStep } from '@figjunction/scheduling/cell-fixture';
+import { RecordingEventLog } from '@figjunction/logger/recording-event-log';
+import { addJob, addVm, createState, createStep } from '@figjunction/scheduling/cell-fixture';
 import { placeTasks } from '@figjunction/scheduling';
 import { ManualClock } from '@figjunction/time';
 import type { JobRow, ProgressRow } from '@figjunction/types';
@@ -62,3 +63,22 @@
   assert.equal(state.jobs.size, 0);
   assert.equal(state.active.size, 0);
 });
+
+test('tells the age of a cancellation and the runs that it stops', () => {
+  const clock = new ManualClock(1_000);
+  const events = new RecordingEventLog();
+  const context = createCellContext(clock, { events });
+  context.storeClock.observe(5_000, 1_000);
+  const state = createState();
+  addVm(state);
+  const intake = new JobIntake({ context, state, epoch: 1 });
+  intake.addJobs([{ partition: '', key: 'job-1', value: READABLE, version: 1 }], false, 1_000);
+  placeTasks(state, 1_000);
+  clock.advance(250);
+  const value = { requestedAtStoreMs: 5_000 };
+  intake.cancelJobs([{ partition: '', key: 'job-1', value, version: 2 }], 1_250);
+  const [cancelled] = events.fieldsOf('job-cancelled');
+  assert.deepEqual([cancelled?.version, cancelled?.ageMs, cancelled?.runs], [2, 250, 1]);
+  const [stopped] = events.fieldsOf('run-stopped');
+  assert.deepEqual([stopped?.task, stopped?.reason], ['job-1.0.0.0', 'job-cancelled']);
+});
--- a/packages/scheduler/src/job-intake.ts
+++ b/packages/scheduler/src/job-intake.ts
@@ -11,11 +11,12 @@
   restoreProgress,
   updateReadySteps,
 } from '@figjunction/scheduling';
-import type { CellState, JobRecord, OccurrenceRecord } from '@figjunction/scheduling';
+import type { CellState, JobRecord, OccurrenceRecord, RunRecord } from '@figjunction/scheduling';
 import type { FeedRow } from '@figjunction/store';
 import type { Instant } from '@figjunction/time';
 import { JobState } from '@figjunction/types';
 import type { JobId, JobRow, ProgressRow } from '@figjunction/types';
+import { logCancellation } from './cancellation-log.js';
 import type { CellContext } from './cell-context.js';
 import { parseProgressKey } from './cell-collections.js';
 import { SchedulerError } from './scheduler-error.js';
@@ -45,8 +46,8 @@
    */
   private readonly occurrencesOnHold = new Map<JobId, Set<number>>();
 
-  /** Ids of cancelled jobs whose own row has not been read yet. */
-  private readonly unmatchedCancellations = new Set<string>();
+  /** Cancellations of jobs whose own row has not been read yet, by job id. */
+  private readonly unmatchedCancellations = new Map<JobId, FeedRow>();
 
   private readonly runNumberBase: number;
 
@@ -116,8 +117,10 @@
     const job = createJob({ id: key, policy, specification, submittedAt: now - ageMs });
     state.jobs.set(key, job);
     this.addOccurrences(job, now);
-    if (this.unmatchedCancellations.delete(key)) {
-      this.cancelJob(job, now);
+    const cancellation = this.unmatchedCancellations.get(key);
+    if (cancellation !== undefined) {
+      this.unmatchedCancellations.delete(key);
+      this.cancelJob(job, cancellation, now);
     }
     if (!isInherited) {
       const steps = specification.steps.length;
@@ -127,12 +130,12 @@
   }
 
   cancelJobs(rows: FeedRow[], now: Instant): void {
-    for (const { key, value } of rows) {
-      const job = this.options.state.jobs.get(key);
-      if (value !== null && job === undefined) {
-        this.unmatchedCancellations.add(key);
-      } else if (value !== null && job !== undefined && !job.cancelled) {
-        this.cancelJob(job, now);
+    for (const row of rows) {
+      const job = this.options.state.jobs.get(row.key);
+      if (row.value !== null && job === undefined) {
+        this.unmatchedCancellations.set(row.key, row);
+      } else if (row.value !== null && job !== undefined && !job.cancelled) {
+        this.cancelJob(job, row, now);
       }
     }
   }
@@ -150,15 +153,14 @@
     }
   }
 
-  private cancelJob(job: JobRecord, now: Instant): void {
+  private cancelJob(job: JobRecord, cancellation: FeedRow, now: Instant): void {
     const { state, context } = this.options;
+    const unfinished = [...job.occurrences.values()].filter((item) => !isFinished(item.state));
     job.cancelled = true;
     this.jobsWithFutureOccurrences.delete(job);
-    context.events.write('job-cancelled', { job: job.id, queue: job.policy.name });
-    for (const occurrence of job.occurrences.values()) {
-      if (!isFinished(occurrence.state)) {
-        state.finishOccurrence(occurrence, JobState.Cancelled, now);
-      }
+    logCancellation(context, job, cancellation, unfinished.flatMap(listRuns));
+    for (const occurrence of unfinished) {
+      state.finishOccurrence(occurrence, JobState.Cancelled, now);
     }
   }
 
@@ -223,3 +225,7 @@
     }
   }
 }
+
+function listRuns({ steps }: OccurrenceRecord): RunRecord[] {
+  return steps.flatMap(({ tasks }) => tasks.flatMap(({ runs }) => runs));
+}
--- a/packages/scheduler/src/runner-session-log.ts
+++ b/packages/scheduler/src/runner-session-log.ts
@@ -3,6 +3,7 @@
  */
 import type {
   CrashOutcome,
+  OrphanRun,
   RunRecord,
   TaskEnd,
   UnappliedEnds,
@@ -101,6 +102,22 @@
     this.context.events.write('run-stopped', fields);
   }
 
+  /** `listAgeMs` is the age of the list that shows the run; `isKnown` tells whether its task is in the tables. */
+  recordOrphan(
+    { agentId, epoch, session, listAgeMs }: ReportParameters,
+    { taskId, run, specification }: OrphanRun,
+  ): void {
+    this.context.events.write('run-orphaned', {
+      task: taskId,
+      run,
+      vm: agentId,
+      epoch,
+      session,
+      listAgeMs,
+      isKnown: specification !== null,
+    });
+  }
+
   recordEnd(vm: string, end: TaskEnd, now: Instant): void {
     const { events, metrics } = this.context;
     const { task, record, run, ending } = end;
--- a/packages/scheduler/src/runner-sessions.test.ts
+++ b/packages/scheduler/src/runner-sessions.test.ts
@@ -207,3 +207,15 @@
   sessions.expireLeases(clock.now());
   assert.notEqual(vm.session, 0);
 });
+
+test('tells once that a VM lists a run which no job wants', () => {
+  const { sessions, events } = createRunnerSessions();
+  const orphan = { taskId: '00000000000000bb.0.0.0', run: 1 };
+  const running = [{ ...orphan, checkpoint: '', percent: 0, reading: 0 }];
+  const { session } = openSession(sessions, { running, listAgeMs: 40 });
+  sessions.handleReport(createReport({ sequence: 3, session, running }));
+  const lines = events.fieldsOf('run-orphaned');
+  assert.equal(lines.length, 1);
+  assert.equal(lines[0]?.task, orphan.taskId);
+  assert.equal(lines[0]?.listAgeMs, 40);
+});
--- a/packages/scheduler/src/runner-sessions.ts
+++ b/packages/scheduler/src/runner-sessions.ts
@@ -84,7 +84,7 @@
     const { session: sessionBefore, isSilent: wasSilent } = vm;
     const openedSession = this.offers.accept(report, now);
     const outcome = applyReport({ state, vm, report, now, openedSession });
-    const { accepted, ended, unapplied, crash, withdrawn } = outcome;
+    const { accepted, ended, unapplied, crash, withdrawn, orphaned } = outcome;
     if (!accepted) {
       return report.vm === null
         ? refusal
@@ -96,6 +96,7 @@
     ended.forEach((end) => this.log.recordEnd(report.agentId, end, now));
     unapplied.forEach((ends) => this.log.recordUnappliedEnds(report.agentId, ends));
     withdrawn.forEach((run) => this.log.recordWithdrawal(run));
+    orphaned.forEach((orphan) => this.log.recordOrphan(report, orphan));
     const isNew = vm.session !== sessionBefore;
     if (isNew) {
       this.log.recordSession(report, vm.session, sessionBefore);
--- a/packages/scheduling/src/reports.ts
+++ b/packages/scheduling/src/reports.ts
@@ -9,11 +9,11 @@
 import type { CrashOutcome } from './crashes.js';
 import { applyEnds, skipEnds } from './ends.js';
 import type { UnappliedEnds } from './ends.js';
-import { isFinished } from './job-table.js';
 import { removeAllRuns } from './lease-expiry.js';
+import { adoptRun, listNewOrphans, removeUnlistedOrphans } from './orphans.js';
 import type { TaskEnd } from './progress.js';
 import { RunPhase, buildInstanceKey, buildRunKey } from './records.js';
-import type { RunRecord, TaskRecord, VmRecord } from './records.js';
+import type { OrphanRun, RunRecord, VmRecord } from './records.js';
 import { reconcileRuns, settleUnlistedRuns } from './unlisted-runs.js';
 import { createVmHealth, recordRefusal } from './vm-health.js';
 import { withdrawExcessOrders } from './withdraw.js';
@@ -43,6 +43,8 @@
   crash: CrashOutcome | null;
   /** Runs whose start orders the capacity of the VM no longer holds. */
   withdrawn: RunRecord[];
+  /** Runs that the report lists for the first time and that are to be stopped: no job wants them any more. */
+  orphaned: OrphanRun[];
 }
 
 /** Applies one report, which belongs to the current session or opens a session with a list of all runs. */
@@ -53,7 +55,14 @@
   const isOpening = openedSession !== null && report.running !== null;
   if (!isSameSession && !isOpening) {
     clearDepartedVm(options);
-    return { accepted: false, ended: [], unapplied: [], crash: null, withdrawn: [] };
+    return {
+      accepted: false,
+      ended: [],
+      unapplied: [],
+      crash: null,
+      withdrawn: [],
+      orphaned: [],
+    };
   }
   vm.reportedAt = now;
   vm.isSilent = report.silentMs >= SILENCE_MINIMUM_MS;
@@ -66,6 +75,7 @@
     openSession(vm, report, openedSession);
   }
   const skipped = skipEndsBeforeExpiry(vm, report);
+  const knownOrphans = new Set(vm.orphans.keys());
   const { applied, unknown } = applyEnds(state, vm, report, now);
   if (report.running !== null) {
     excludeSilence(vm, state.listIntervalMs, now);
@@ -79,7 +89,8 @@
   settleUnlistedRuns(state, vm, report, now);
   const withdrawn = withdrawExcessOrders(state, vm, now);
   const unapplied = [...skipped, ...unknown];
-  return { accepted: true, ended: applied, unapplied, crash, withdrawn };
+  const orphaned = listNewOrphans(vm, knownOrphans);
+  return { accepted: true, ended: applied, unapplied, crash, withdrawn, orphaned };
 }
 
 /** A runner process that reported its VM and now reports none has seen the VM leave, which ends all its runs. */
@@ -201,42 +212,3 @@
     record.task.checkpoint = running.checkpoint;
   }
 }
-
-/** Adds a run that an earlier scheduler started, or records it as an orphan to be stopped. */
-function adoptRun(
-  state: CellState,
-  vm: VmRecord,
-  { taskId, run }: RunningTask,
-  now: Instant,
-): RunRecord | null {
-  const task = state.findTask(taskId);
-  const key = buildRunKey(taskId, run);
-  if (task === null || !isAdoptable(task)) {
-    if (!vm.orphans.has(key)) {
-      const specification = task?.step.specification ?? null;
-      vm.orphans.set(key, { taskId, run, specification, sendAt: now });
-    }
-    return null;
-  }
-  vm.orphans.delete(key);
-  return state.addRun({ task, vm, run, phase: RunPhase.Running, now });
-}
-
-/** A list contains all runs of the VM, so an orphan that it does not contain has ended. */
-function removeUnlistedOrphans({ orphans }: VmRecord, listed: RunningTask[]): void {
-  if (orphans.size === 0) {
-    return;
-  }
-  const keys = new Set(listed.map(({ taskId, run }) => buildRunKey(taskId, run)));
-  for (const key of orphans.keys()) {
-    if (!keys.has(key)) {
-      orphans.delete(key);
-    }
-  }
-}
-
-function isAdoptable(task: TaskRecord): boolean {
-  const { occurrence, specification } = task.step;
-  const isFree = task.runs.length === 0 || specification.duplicatesAllowed;
-  return !task.done && !occurrence.job.cancelled && !isFinished(occurrence.state) && isFree;
-}
