Start no run whose stop has been ordered

Cause: the runner kept the starts and the stops of a run apart. While a VM leaves its orders without a response, starts hold their eight places until a stop has been carried out, and others wait behind them, for as long as that lasts. The stop of a waiting run gets no response either, and is repeated each 50 ms. When the VM answers again, the places become free within some 25 ms, and the waiting starts reach the VM before the next repetition of their stops.

Change: a stop order withdraws the start of its run: one that waits or is retried makes no further call, and one whose order arrives after the stop order makes none. What has become of the run is told by the stop, as before for runs that the VM doesn't list. A withdrawn start gives its place back at once.

--- a/packages/runner/src/order-executor.ts
+++ b/packages/runner/src/order-executor.ts
@@ -31,6 +31,8 @@
   execution: OrderExecution;
   /** A call got no response; the VM may still carry it out. */
   hadUnansweredCall: boolean;
+  /** The stop of the run has been ordered: no further call starts it, and what has become of it is told by the stop. */
+  isWithdrawn: boolean;
 }
 
 type ReceivedStart = Pick<StartInProgress, 'order' | 'execution'>;
@@ -46,7 +48,10 @@
 export class OrderExecutor {
   private readonly queue = new PQueue({ concurrency: CONCURRENT_STARTS_MAXIMUM });
 
-  /** Starts in progress by the keys of their runs. A repeated order joins the one in progress. */
+  /**
+   * Starts in progress by the keys of their runs. A repeated order joins the one in progress. A withdrawn start stays
+   * until the stop of its run is done, since its run may be on the VM as long.
+   */
   private readonly startsInProgress = new Map<string, StartInProgress>();
 
   /** Keys of the runs with a stop in progress; a repeated order is ignored meanwhile. */
@@ -98,7 +103,12 @@
       }
       return Promise.resolve();
     }
-    const latest: StartInProgress = { ...received, hadUnansweredCall: false };
+    if (this.stopsInProgress.has(key)) {
+      // The stop order has overtaken the start order.
+      this.logWithdrawal(order);
+      return Promise.resolve();
+    }
+    const latest: StartInProgress = { ...received, hadUnansweredCall: false, isWithdrawn: false };
     this.startsInProgress.set(key, latest);
     session.runs.setAttributes(order);
     const receivedAt = this.options.clock.now();
@@ -111,6 +121,10 @@
           report({ taskId, run, attempt: latest.order.attempt, refusal });
           return;
         }
+        if (latest.isWithdrawn) {
+          this.logWithdrawal(order);
+          return;
+        }
         // A sending before the latest one may still be on its way.
         const mayHaveBegun =
           latest.order.mayHaveReachedVm ||
@@ -121,11 +135,17 @@
           report({ taskId, run, attempt: latest.order.attempt, refusal });
         }
       } finally {
-        this.startsInProgress.delete(key);
+        if (!latest.isWithdrawn) {
+          this.startsInProgress.delete(key);
+        }
       }
     });
   }
 
+  private logWithdrawal({ taskId, run }: StartOrder): void {
+    this.options.events.write('start-withdrawn', { task: taskId, run });
+  }
+
   private logWait({ taskId, run }: StartOrder, receivedAt: Instant): void {
     const waitedMs = Math.round(this.options.clock.now() - receivedAt);
     if (waitedMs >= LOGGED_WAIT_MINIMUM_MS) {
@@ -136,7 +156,7 @@
   /** Each call follows the latest sending: the session of an earlier one may have ended since. */
   private async start(latest: StartInProgress): Promise<StartRefusal | null> {
     const deadline: Instant = this.options.clock.now() + START_TIMEOUT_MS;
-    while (this.options.clock.now() < deadline) {
+    while (this.options.clock.now() < deadline && !latest.isWithdrawn) {
       const { orders, session, isCurrent } = latest.execution;
       const { taskId, run, checkpoint, ticket } = latest.order;
       const { instanceId, epoch } = orders;
@@ -174,8 +194,15 @@
     }
     this.stopsInProgress.add(key);
     this.logStopOrder(order, execution);
+    const start = this.startsInProgress.get(key);
+    if (start !== undefined) {
+      start.isWithdrawn = true;
+    }
     this.stopRun(order, execution)
-      .finally(() => this.stopsInProgress.delete(key))
+      .finally(() => {
+        this.stopsInProgress.delete(key);
+        this.startsInProgress.delete(key);
+      })
       .catch((error: unknown) => {
         const { taskId, run } = order;
         const fields = { task: taskId, run, error: toError(error).message };
