Start no run whose order is out of date

A scheduler that stands still or reaches the runner too late can't withdraw it in the 3 s that a cancellation may take.

A start order is valid for 2 s from its last sending now; the scheduler repeats it each second as long as it wants it.

--- a/packages/runner/src/order-executor.ts
+++ b/packages/runner/src/order-executor.ts
@@ -29,17 +29,21 @@
   /** The sending with the highest number. */
   order: StartOrder;
   execution: OrderExecution;
+  /** From then on no call starts the run, unless its order is repeated. */
+  validUntil: Instant;
   /** A call got no response; the VM may still carry it out. */
   hadUnansweredCall: boolean;
   /** The stop of the run has been ordered: no further call starts it, and what has become of it is told by the stop. */
   isWithdrawn: boolean;
 }
 
-type ReceivedStart = Pick<StartInProgress, 'order' | 'execution'>;
+type ReceivedStart = Pick<StartInProgress, 'order' | 'execution' | 'validUntil'>;
 
 /** `execute` waits this long for the results of its starts; later ones go to `onLateResult`. */
 const RESULT_TIMEOUT_MS = 250;
 const START_TIMEOUT_MS = 1_200;
+/** Longer than the scheduler takes to repeat an order, and shorter than a cancellation may take. */
+const START_ORDER_VALIDITY_MS = 2_000;
 const RETRY_DELAY_MS = 50;
 const CONCURRENT_STARTS_MAXIMUM = 8;
 /** Shorter waits for one of these places are not logged. */
@@ -66,6 +70,7 @@
   /** Executes all orders. Returns the results of the starts that completed within the timeout. */
   async execute(execution: OrderExecution): Promise<RunAnswer[]> {
     const { orders } = execution;
+    const validUntil = this.options.clock.now() + START_ORDER_VALIDITY_MS;
     const results: RunAnswer[] = [];
     let hasReturned = false;
     const report = (result: RunAnswer): void => {
@@ -75,7 +80,9 @@
         results.push(result);
       }
     };
-    const starts = orders.starts.map((order) => this.startOrJoin({ order, execution }, report));
+    const starts = orders.starts.map((order) =>
+      this.startOrJoin({ order, execution, validUntil }, report),
+    );
     orders.stops.forEach((order) => this.stopUnlessInProgress(order, execution));
     await Promise.race([Promise.all(starts), sleep(RESULT_TIMEOUT_MS)]);
     hasReturned = true;
@@ -165,6 +172,9 @@
       if (leaseUntilVmMs === null || session.isStopped || !isCurrent()) {
         return StartRefusal.NoSession;
       }
+      if (this.options.clock.now() >= latest.validUntil) {
+        return StartRefusal.OrderExpired;
+      }
       if (!session.incarnation.isConfirmed) {
         await sleep(RETRY_DELAY_MS);
         continue;
--- a/packages/runner/src/withdrawn-starts.test.ts
+++ b/packages/runner/src/withdrawn-starts.test.ts
@@ -5,6 +5,8 @@
  */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { sleep } from '@figjunction/time';
+import { StartRefusal } from '@figjunction/types';
 import type { OrdersParameters } from '@figjunction/types';
 import { FakeResponse } from './fake-vm-host.js';
 import {
@@ -15,6 +17,8 @@
 } from './order-executor-fixture.js';
 
 const WAITING_STARTS = 4;
+/** Longer than a start order stays valid without a repetition. */
+const ORDER_EXPIRY_MS = 2_100;
 
 function createStarts(count: number): OrdersParameters['starts'] {
   return Array.from({ length: count }, (_, index) =>
@@ -90,3 +94,22 @@
   await waitForResults(starts);
   assert.deepEqual(host.starts, []);
 });
+
+test('starts no run that has waited until its order is out of date, and answers for it', async () => {
+  const { host, lateResults, execute, answer, callsOf, waitForResults } =
+    await createSilentExecutor();
+  const starts = createStarts(CONCURRENT_STARTS + 2);
+  const [repeated, expired] = starts.slice(CONCURRENT_STARTS);
+  assert.ok(repeated !== undefined && expired !== undefined);
+  await execute({ ...ORDERS, starts });
+  await sleep(ORDER_EXPIRY_MS / 2);
+  const repetition = { ...repeated, attempt: 2, mayHaveReachedVm: true };
+  await execute({ ...ORDERS, starts: [repetition] });
+  await sleep(ORDER_EXPIRY_MS / 2);
+  answer();
+  await waitForResults([repeated, expired]);
+  assert.equal(callsOf(host.starts, repeated.taskId), 1);
+  assert.equal(callsOf(host.starts, expired.taskId), 0);
+  const result = lateResults.find(({ taskId }) => taskId === expired.taskId);
+  assert.equal(result?.refusal, StartRefusal.OrderExpired);
+});
--- a/packages/scheduling/src/vm-health.ts
+++ b/packages/scheduling/src/vm-health.ts
@@ -22,6 +22,7 @@
   [StartRefusal.Unhealthy]: UNHEALTHY_BACKOFF_MS,
   [StartRefusal.Unanswered]: NO_RESPONSE_BACKOFF_MS,
   [StartRefusal.Unreachable]: NO_RESPONSE_BACKOFF_MS,
+  [StartRefusal.OrderExpired]: NO_RESPONSE_BACKOFF_MS,
   [StartRefusal.NoRoom]: NO_CAPACITY_BACKOFF_MS,
   [StartRefusal.LeaseExpired]: NO_CAPACITY_BACKOFF_MS,
   [StartRefusal.NoSession]: NO_CAPACITY_BACKOFF_MS,
--- a/packages/types/src/cell/cell-messages.ts
+++ b/packages/types/src/cell/cell-messages.ts
@@ -40,6 +40,8 @@
   Unanswered = 'unanswered',
   /** The VM accepts no connections, so the call has not reached it. */
   Unreachable = 'unreachable',
+  /** The order is out of date: the scheduler has not sent it again for seconds, and its job may have been cancelled. */
+  OrderExpired = 'order-expired',
   /** The runner has no lease, or its session is another one. */
   NoSession = 'no-session',
 }
