--- a/packages/runner/src/order-executor.ts
+++ b/packages/runner/src/order-executor.ts
@@ -1,11 +1,11 @@
 /**
- * Executes the scheduler's start and stop orders on the VM and retries calls that get no response. When an
+ * Executes the scheduler's start and stop orders on the VM. A stop order withdraws the start of its run. When an
  * earlier call may have started the run, a refusal is reported only after a stop, so that a delayed call cannot
  * begin the run afterwards, and after a list that does not contain the run.
  */
 import PQueue from 'p-queue';
 import type { EventLog } from '@figjunction/logger';
-import { ErrorCode, errorCodeOf, toError } from '@figjunction/errors';
+import { toError } from '@figjunction/errors';
 import { sleep } from '@figjunction/time';
 import type { Clock, Instant } from '@figjunction/time';
 import { StartRefusal } from '@figjunction/types';
@@ -13,6 +13,8 @@
 import { buildKey } from './order-execution.js';
 import type { OrderExecution } from './order-execution.js';
 import { RunStopper } from './run-stopper.js';
+import { StartCaller } from './start-caller.js';
+import type { StartInProgress } from './start-caller.js';
 import type { VmHost } from './vm-host.js';
 import type { VmSession } from './vm-session.js';
 
@@ -24,27 +26,12 @@
   onLateResult: (result: RunAnswer) => void;
 }
 
-/** The start of a run, which answers all sendings of its order that arrive meanwhile. */
-interface StartInProgress {
-  /** The sending with the highest number. */
-  order: StartOrder;
-  execution: OrderExecution;
-  /** From then on no call starts the run, unless its order is repeated. */
-  validUntil: Instant;
-  /** A call got no response; the VM may still carry it out. */
-  hadUnansweredCall: boolean;
-  /** The stop of the run has been ordered: no further call starts it, and what has become of it is told by the stop. */
-  isWithdrawn: boolean;
-}
-
 type ReceivedStart = Pick<StartInProgress, 'order' | 'execution' | 'validUntil'>;
 
 /** `execute` waits this long for the results of its starts; later ones go to `onLateResult`. */
 const RESULT_TIMEOUT_MS = 250;
-const START_TIMEOUT_MS = 1_200;
 /** Longer than the scheduler takes to repeat an order, and shorter than a cancellation may take. */
 const START_ORDER_VALIDITY_MS = 2_000;
-const RETRY_DELAY_MS = 50;
 const CONCURRENT_STARTS_MAXIMUM = 8;
 /** Shorter waits for one of these places are not logged. */
 const LOGGED_WAIT_MINIMUM_MS = 500;
@@ -61,9 +48,12 @@
   /** Keys of the runs with a stop in progress; a repeated order is ignored meanwhile. */
   private readonly stopsInProgress = new Set<string>();
 
+  private readonly caller: StartCaller;
+
   private readonly stopper: RunStopper;
 
   constructor(private readonly options: OrderExecutorOptions) {
+    this.caller = new StartCaller(options);
     this.stopper = new RunStopper(options);
   }
 
@@ -122,7 +112,7 @@
     return this.queue.add(async () => {
       this.logWait(order, receivedAt);
       try {
-        const refusal = await this.start(latest);
+        const refusal = await this.caller.call(latest);
         if (refusal === null) {
           session.runs.confirmStart(order, this.options.clock.now());
           report({ taskId, run, attempt: latest.order.attempt, refusal });
@@ -160,43 +150,6 @@
     }
   }
 
-  /** Each call follows the latest sending: the session of an earlier one may have ended since. */
-  private async start(latest: StartInProgress): Promise<StartRefusal | null> {
-    const deadline: Instant = this.options.clock.now() + START_TIMEOUT_MS;
-    while (this.options.clock.now() < deadline && !latest.isWithdrawn) {
-      const { orders, session, isCurrent } = latest.execution;
-      const { taskId, run, checkpoint, ticket } = latest.order;
-      const { instanceId, epoch } = orders;
-      const payload = orders.payloads[taskId.slice(0, taskId.indexOf('.'))] ?? '';
-      const leaseUntilVmMs = session.lease.untilVmMs;
-      if (leaseUntilVmMs === null || session.isStopped || !isCurrent()) {
-        return StartRefusal.NoSession;
-      }
-      if (this.options.clock.now() >= latest.validUntil) {
-        return StartRefusal.OrderExpired;
-      }
-      if (!session.incarnation.isConfirmed) {
-        await sleep(RETRY_DELAY_MS);
-        continue;
-      }
-      try {
-        const request = { instanceId, epoch, taskId, run, payload, checkpoint, ticket };
-        return await this.options.host.start({ ...request, leaseUntilVmMs });
-      } catch (error) {
-        const fields = { task: taskId, run, error: toError(error).message };
-        this.options.events.write('start-unanswered', fields);
-        if (errorCodeOf(error) === ErrorCode.Unavailable) {
-          return StartRefusal.Unreachable;
-        }
-        Object.assign(latest, { hadUnansweredCall: true });
-        session.incarnation.recordFailure();
-        session.refreshInBackground();
-        await sleep(RETRY_DELAY_MS);
-      }
-    }
-    return StartRefusal.Unanswered;
-  }
-
   private stopUnlessInProgress(order: StopOrder, execution: OrderExecution): void {
     const key = buildKey(order);
     if (this.stopsInProgress.has(key)) {
--- a/packages/runner/src/vm-session.ts
+++ b/packages/runner/src/vm-session.ts
@@ -158,7 +158,6 @@
     if (this.hasStopped) {
       return ListOutcome.NotApplied;
     }
-    const { announcement } = this.options;
     const requestedAt = this.options.clock.now();
     const requestedEpoch = this.options.epoch();
     const expiryCount = this.lease.isExpired ? this.lease.expiryCount : null;
@@ -169,8 +168,8 @@
       return ListOutcome.NotApplied;
     }
     this.log.recordResponse();
-    if (result.bornWallMs !== announcement.bornWallMs) {
-      this.log.recordRestart(announcement.bornWallMs, result.bornWallMs);
+    if (result.bornWallMs !== this.announcement.bornWallMs) {
+      this.log.recordRestart(this.announcement.bornWallMs, result.bornWallMs);
       this.stop();
       return ListOutcome.NotApplied;
     }
