Store a cancellation also when there is no such job yet

Cause: DELETE looked the job's row up, answered 410 if there was none and stored nothing. A row that a submission on its way stored afterwards made a job that nobody cancelled. Check and effect were two calls to the store.

Change: the cancellation is stored first, then the row is looked up; 410 if there is none. A row that comes later is found cancelled by the scheduler, which keeps cancellations of jobs it does not know. It also finds rows left by a DELETE during the removal of an old job. A failed look-up after the write is answered 200: the cancellation is in force.

Why not a row in place of the job's: GET would have to tell the two apart, and a repeated submission would need its policy. Why not one conditional transaction: two writes for each DELETE of an existing job. Now DELETE costs one write and one read as before; of an unknown id two writes more.

Logs: versions of the rows on job-submitted, cancel-stored, cancel-unknown-job, job-admitted and job-cancelled tell the order.

--- a/packages/gateway/src/job-cancellation.test.ts
+++ b/packages/gateway/src/job-cancellation.test.ts
@@ -68,3 +68,33 @@
   assert.equal(await submit(), SubmitOutcome.Accepted);
   await assertJobIsStoredAsCancelled(context.store);
 });
+
+test('cancels a job that is stored', async () => {
+  const { context, submit, cancel } = createGateway();
+  await submit();
+  assert.equal(await cancel(), true);
+  await assertJobIsStoredAsCancelled(context.store);
+});
+
+test('acknowledges a stored cancellation when the row of the job cannot be read', async () => {
+  const { context, submit, cancel } = createGateway();
+  const { store } = context;
+  await submit();
+  const readRange = store.readRange.bind(store);
+  store.readRange = () => Promise.reject(new Error('no response from the store'));
+  assert.equal(await cancel(), true);
+  store.readRange = readRange;
+  await assertJobIsStoredAsCancelled(store);
+});
+
+test('acknowledges no cancellation that the store may not have', async () => {
+  const { context, cancel } = createGateway();
+  context.store.fault = StoreFault.DelaysWrites;
+  await assert.rejects(cancel());
+});
+
+test('shows no job for a cancellation alone', async () => {
+  const { context, cancel } = createGateway();
+  await cancel();
+  assert.equal(await new JobQueries(context).getState(JOB_ID), null);
+});
--- a/packages/gateway/src/job-queries.ts
+++ b/packages/gateway/src/job-queries.ts
@@ -55,8 +55,9 @@
     return state ?? this.readStateFromStore(jobId);
   }
 
-  async exists(jobId: JobId): Promise<boolean> {
-    return (await this.readJobRow(jobId)) !== null;
+  /** Returns the version of the job's row in the store; null when no such job exists. */
+  async readVersion(jobId: JobId): Promise<number | null> {
+    return (await this.readJobRow(jobId))?.version ?? null;
   }
 
   /**
@@ -150,7 +151,7 @@
     }
   }
 
-  private async readJobRow(jobId: JobId): Promise<JobRow | null> {
+  private async readJobRow(jobId: JobId): Promise<{ value: JobRow; version: number } | null> {
     const collection = CellCollection.Jobs;
     const { rows } = await this.context.store.readRange({
       collection,
@@ -159,7 +160,8 @@
       until: `${jobId}~`,
     });
     const row = rows.find(({ key }) => key === jobId);
-    return this.storedRows.decodeValue(collection, row, jobRowSchema);
+    const value = this.storedRows.decodeValue(collection, row, jobRowSchema);
+    return row === undefined || value === null ? null : { value, version: row.version };
   }
 
   private async readStateFromStore(jobId: JobId): Promise<JobState | null> {
@@ -177,7 +179,7 @@
     });
     const progressRows = this.storedRows.decode(collection, rows, progressRowSchema);
     const state = deriveState(
-      job,
+      job.value,
       progressRows.flatMap(({ value }) => (value === null ? [] : [value])),
     );
     events.write('state-from-store', { job: jobId, state, rows: rows.length });
--- a/packages/gateway/src/job-submission.ts
+++ b/packages/gateway/src/job-submission.ts
@@ -24,6 +24,12 @@
   deadline: Instant;
 }
 
+interface SubmitResult {
+  outcome: SubmitOutcome;
+  /** Version of the job's row, by which its order with a cancellation can be told; null when it is not stored. */
+  version: number | null;
+}
+
 /** Writes of a job are retried for this long after its arrival. */
 const STORE_TIMEOUT_MS = 700;
 const RETRY_INTERVAL_MS = 60;
@@ -41,15 +47,15 @@
     const { clock, events, metrics } = this.context;
     const arrivedAt = clock.now();
     const { jobId, queue } = submission;
-    const outcome = await this.storeJob(submission, arrivedAt);
+    const { outcome, version } = await this.storeJob(submission, arrivedAt);
     const tookMs = Math.round(clock.now() - arrivedAt);
     metrics.count('submissions_total', { outcome });
     metrics.recordLatency('submit_ms', tookMs);
-    events.write('job-submitted', { job: jobId, queue: queue.name, outcome, tookMs });
+    events.write('job-submitted', { job: jobId, queue: queue.name, outcome, version, tookMs });
     return outcome;
   }
 
-  private async storeJob(submission: Submission, arrivedAt: Instant): Promise<SubmitOutcome> {
+  private async storeJob(submission: Submission, arrivedAt: Instant): Promise<SubmitResult> {
     const { clock } = this.context;
     const { jobId } = submission;
     const giveUpAt = Math.min(
@@ -59,9 +65,9 @@
     // A write to an unreachable store might take effect after the caller was told that the job is refused.
     while (!this.context.storeHealth.isUnavailable()) {
       try {
-        await this.writeJobRow(submission);
+        const version = await this.writeJobRow(submission);
         this.unknownOutcomes.delete(jobId);
-        return SubmitOutcome.Accepted;
+        return { outcome: SubmitOutcome.Accepted, version };
       } catch (error) {
         this.recordFailure(jobId, toError(error));
       }
@@ -70,11 +76,15 @@
       }
       await sleep(RETRY_INTERVAL_MS);
     }
-    return this.unknownOutcomes.has(jobId) ? SubmitOutcome.Unknown : SubmitOutcome.Refused;
+    const mayBeStored = this.unknownOutcomes.has(jobId);
+    return { outcome: mayBeStored ? SubmitOutcome.Unknown : SubmitOutcome.Refused, version: null };
   }
 
-  /** A conflict is no error: it means that the row exists because the same job was submitted before. */
-  private async writeJobRow({ jobId, queue, specification }: Submission): Promise<void> {
+  /**
+   * Returns the version of the row. A conflict is no error: it means that the row exists because the same job was
+   * submitted before.
+   */
+  private async writeJobRow({ jobId, queue, specification }: Submission): Promise<number | null> {
     const { store, storeClock } = this.context;
     const row: JobRow = {
       policy: queue,
@@ -82,11 +92,12 @@
       submittedAtStoreMs: Math.floor(storeClock.earliest()),
     };
     const reference = { collection: CellCollection.Jobs, key: jobId };
-    await store.write({
+    const result = await store.write({
       partition: jobPartition(jobId),
       expected: [{ ...reference, version: 0 }],
       writes: [{ ...reference, value: row }],
     });
+    return result.committed ? result.version : (result.current[0]?.version ?? null);
   }
 
   private recordFailure(jobId: JobId, error: Error): void {
--- a/packages/scheduler/src/job-intake.ts
+++ b/packages/scheduler/src/job-intake.ts
@@ -19,6 +19,7 @@
 import type { CellContext } from './cell-context.js';
 import { parseProgressKey } from './cell-collections.js';
 import { SchedulerError } from './scheduler-error.js';
+import { StoredCancellations } from './stored-cancellations.js';
 
 /** Each epoch numbers its runs from its own range of this size, so that a later epoch uses higher numbers. */
 const RUN_NUMBERS_PER_EPOCH = 1_000;
@@ -29,6 +30,14 @@
   epoch: number;
 }
 
+interface NewJobRow {
+  key: JobId;
+  value: JobRow;
+  version: number;
+  /** True for a job that an earlier scheduler has admitted. */
+  isInherited: boolean;
+}
+
 export class JobIntake {
   /** Jobs with a schedule that still have occurrences to create. */
   private readonly jobsWithFutureOccurrences = new Set<JobRecord>();
@@ -45,12 +54,12 @@
    */
   private readonly occurrencesOnHold = new Map<JobId, Set<number>>();
 
-  /** Ids of cancelled jobs whose own row has not been read yet. */
-  private readonly unmatchedCancellations = new Set<string>();
+  private readonly cancellations: StoredCancellations;
 
   private readonly runNumberBase: number;
 
   constructor(private readonly options: JobIntakeOptions) {
+    this.cancellations = new StoredCancellations(options.context, options.state);
     this.runNumberBase = (options.epoch - 1) * RUN_NUMBERS_PER_EPOCH;
   }
 
@@ -77,10 +86,10 @@
   /** Adds jobs that are not in the tables yet. Jobs of an earlier epoch (`isInherited`) are not logged again. */
   addJobs(rows: FeedRow<JobRow>[], isInherited: boolean, now: Instant): void {
     const { state, context } = this.options;
-    for (const { key, value } of rows) {
+    for (const { key, value, version } of rows) {
       if (value !== null && !state.jobs.has(key)) {
         try {
-          this.addJob(key, value, isInherited, now);
+          this.addJob({ key, value, version, isInherited }, now);
         } catch (error) {
           // One job that cannot be added must not keep the scheduler from the other jobs.
           this.forgetJob(key);
@@ -105,7 +114,7 @@
     }
   }
 
-  private addJob(key: string, value: JobRow, isInherited: boolean, now: Instant): void {
+  private addJob({ key, value, version, isInherited }: NewJobRow, now: Instant): void {
     const { state, context } = this.options;
     const ageMs = Math.max(0, context.storeClock.earliest() - value.submittedAtStoreMs);
     const { policy, specification } = value;
@@ -116,27 +125,31 @@
     const job = createJob({ id: key, policy, specification, submittedAt: now - ageMs });
     state.jobs.set(key, job);
     this.addOccurrences(job, now);
-    if (this.unmatchedCancellations.delete(key)) {
-      this.cancelJob(job, now);
-    }
     if (!isInherited) {
       const steps = specification.steps.length;
-      const fields = { job: key, queue: policy.name, steps, ageMs: Math.round(ageMs) };
+      const fields = { job: key, queue: policy.name, steps, version, ageMs: Math.round(ageMs) };
       context.events.write('job-admitted', fields);
     }
+    if (this.cancellations.findVersion(key) !== null) {
+      this.cancelJob(job, now);
+    }
   }
 
+  /** Cancels the jobs of the rows, also those that are added later. */
   cancelJobs(rows: FeedRow[], now: Instant): void {
+    this.cancellations.apply(rows, now);
     for (const { key, value } of rows) {
       const job = this.options.state.jobs.get(key);
-      if (value !== null && job === undefined) {
-        this.unmatchedCancellations.add(key);
-      } else if (value !== null && job !== undefined && !job.cancelled) {
+      if (value !== null && job !== undefined && !job.cancelled) {
         this.cancelJob(job, now);
       }
     }
   }
 
+  removeUnmatchedCancellations(now: Instant): void {
+    this.cancellations.removeUnmatched(now);
+  }
+
   /** Creates and activates the occurrences that are due. */
   activateDueOccurrences(now: Instant): void {
     for (const occurrence of this.occurrencesBeforeDue) {
@@ -154,7 +167,8 @@
     const { state, context } = this.options;
     job.cancelled = true;
     this.jobsWithFutureOccurrences.delete(job);
-    context.events.write('job-cancelled', { job: job.id, queue: job.policy.name });
+    const version = this.cancellations.findVersion(job.id);
+    context.events.write('job-cancelled', { job: job.id, queue: job.policy.name, version });
     for (const occurrence of job.occurrences.values()) {
       if (!isFinished(occurrence.state)) {
         state.finishOccurrence(occurrence, JobState.Cancelled, now);
--- a/packages/scheduler/src/scheduling-term.ts
+++ b/packages/scheduler/src/scheduling-term.ts
@@ -227,6 +227,7 @@
     stopStalledRuns(this.state, now).forEach((run) => this.log.recordStop(run, 'stalled'));
     evacuateDrainingVms(this.state, now).forEach((run) => this.log.recordStop(run, 'vm-leaves'));
     relocateSlowRuns(this.state, now).forEach((run) => this.log.recordStop(run, 'slowed-down'));
+    this.intake.removeUnmatchedCancellations(now);
     for (const job of this.state.jobs.values()) {
       if (job.finishedAt !== null && now - job.finishedAt > context.finishedJobRetentionMs) {
         this.writer.removeJob(job);
