Send no second attempt for a caller that has disconnected

What callers saw: an idempotent request whose caller had gone could still be sent to a second instance, which ran it to its end or to its deadline.

Cause: a second attempt starts when the hedge delay has passed and the first one has no result. After a disconnect the first one waits up to 250 ms for its agent to confirm the cancellation, and the delay may end within that time. The second attempt then listened for a disconnect that was over, so nothing cancelled it either.

Change: no second attempt once the caller has disconnected.

Evidence: "sends no second attempt after the caller has disconnected" failed before (2 attempts sent, 1 expected) and passes.

--- a/packages/entry/src/requests/attempt-runner.ts
+++ b/packages/entry/src/requests/attempt-runner.ts
@@ -69,6 +69,10 @@
     first: RunningAttempt,
     triedTaskIds: Set<TaskId>,
   ): Promise<DispatchResult> {
+    // The first attempt is still waiting for its agent to confirm the cancellation.
+    if (request.disconnectSignal.aborted) {
+      return first.result;
+    }
     const { budget } = this.stats.getServiceStats(request.service.name);
     const second = budget.tryTake() ? this.start(request, triedTaskIds) : null;
     if (second === null) {
