--- a/packages/scheduler/src/job-intake.ts
+++ b/packages/scheduler/src/job-intake.ts
@@ -11,11 +11,12 @@
   restoreProgress,
   updateReadySteps,
 } from '@figjunction/scheduling';
-import type { CellState, JobRecord, OccurrenceRecord } from '@figjunction/scheduling';
+import type { CellState, JobRecord, OccurrenceRecord, RunRecord } from '@figjunction/scheduling';
 import type { FeedRow } from '@figjunction/store';
 import type { Instant } from '@figjunction/time';
 import { JobState } from '@figjunction/types';
 import type { JobId, JobRow, ProgressRow } from '@figjunction/types';
+import { logCancellation } from './cancellation-log.js';
 import type { CellContext } from './cell-context.js';
 import { parseProgressKey } from './cell-collections.js';
 import { SchedulerError } from './scheduler-error.js';
@@ -130,18 +131,19 @@
       const fields = { job: key, queue: policy.name, steps, version, ageMs: Math.round(ageMs) };
       context.events.write('job-admitted', fields);
     }
-    if (this.cancellations.findVersion(key) !== null) {
-      this.cancelJob(job, now);
+    const cancellation = this.cancellations.find(key);
+    if (cancellation !== null) {
+      this.cancelJob(job, cancellation, now);
     }
   }
 
   /** Cancels the jobs of the rows, also those that are added later. */
   cancelJobs(rows: FeedRow[], now: Instant): void {
     this.cancellations.apply(rows, now);
-    for (const { key, value } of rows) {
-      const job = this.options.state.jobs.get(key);
-      if (value !== null && job !== undefined && !job.cancelled) {
-        this.cancelJob(job, now);
+    for (const row of rows) {
+      const job = this.options.state.jobs.get(row.key);
+      if (row.value !== null && job !== undefined && !job.cancelled) {
+        this.cancelJob(job, row, now);
       }
     }
   }
@@ -163,16 +165,14 @@
     }
   }
 
-  private cancelJob(job: JobRecord, now: Instant): void {
+  private cancelJob(job: JobRecord, cancellation: FeedRow, now: Instant): void {
     const { state, context } = this.options;
+    const unfinished = [...job.occurrences.values()].filter((item) => !isFinished(item.state));
     job.cancelled = true;
     this.jobsWithFutureOccurrences.delete(job);
-    const version = this.cancellations.findVersion(job.id);
-    context.events.write('job-cancelled', { job: job.id, queue: job.policy.name, version });
-    for (const occurrence of job.occurrences.values()) {
-      if (!isFinished(occurrence.state)) {
-        state.finishOccurrence(occurrence, JobState.Cancelled, now);
-      }
+    logCancellation(context, job, cancellation, unfinished.flatMap(listRuns));
+    for (const occurrence of unfinished) {
+      state.finishOccurrence(occurrence, JobState.Cancelled, now);
     }
   }
 
@@ -237,3 +237,7 @@
     }
   }
 }
+
+function listRuns({ steps }: OccurrenceRecord): RunRecord[] {
+  return steps.flatMap(({ tasks }) => tasks.flatMap(({ runs }) => runs));
+}
--- a/packages/scheduler/src/stored-cancellations.ts
+++ b/packages/scheduler/src/stored-cancellations.ts
@@ -13,7 +13,7 @@
 import { CellCollection, jobPartition } from './cell-collections.js';
 
 interface StoredCancellation {
-  version: number;
+  row: FeedRow;
   /** When the row was read, or the job was last in the tables. */
   unmatchedSince: Instant;
 }
@@ -29,17 +29,17 @@
     private readonly state: Pick<CellState, 'jobs'>,
   ) {}
 
-  /** Returns the version of the row that cancels the job; null if there is none. */
-  findVersion(jobId: JobId): number | null {
-    return this.cancellations.get(jobId)?.version ?? null;
+  /** Returns the row that cancels the job; null if there is none. */
+  find(jobId: JobId): FeedRow | null {
+    return this.cancellations.get(jobId)?.row ?? null;
   }
 
   apply(rows: FeedRow[], now: Instant): void {
-    for (const { key, version, value } of rows) {
-      if (value === null) {
-        this.cancellations.delete(key);
+    for (const row of rows) {
+      if (row.value === null) {
+        this.cancellations.delete(row.key);
       } else {
-        this.cancellations.set(key, { version, unmatchedSince: now });
+        this.cancellations.set(row.key, { row, unmatchedSince: now });
       }
     }
   }
@@ -66,7 +66,7 @@
   /** The row stays if the job is in the store, where the watch may not have found it yet. */
   private remove(jobId: JobId, cancellation: StoredCancellation): void {
     const { store, events } = this.context;
-    const { version } = cancellation;
+    const { version } = cancellation.row;
     const row = { collection: CellCollection.Cancellations, key: jobId };
     const expected = [
       { collection: CellCollection.Jobs, key: jobId, version: 0 },
