Place no tasks while the store does not tell of cancellations

Found by reading, in the search for work that is withdrawn and still started.

Cause: what keeps a waiting task of a cancelled job from starting is the scheduler's copy of the cancellations, and nothing looked at its age. The scheduler went on as long as it held its lease, while its watch of cancellations got no answer or an error. After a take-over the copy was as old as the wait for the configuration.

Change: no task is placed when the watch has had no answer for 2.4 s, the time after which a poll without a response fails, or none yet since the take-over. The first poll, and one after a failure, asks for an answer at once, so that one lost poll alone holds nothing up. Starts that are placed already are still sent (order-sender).

Price: in an outage of the whole store starts end 2.4 s after the last answer of the watch, before the lease (3 s) does. The effect on a saturated scheduler of a large site is not measured.

--- /dev/null
+++ b/packages/scheduler/src/cancellation-freshness.ts
@@ -0,0 +1,41 @@
+/**
+ * Tells whether the cancellations that this scheduler knows are recent enough for it to start tasks. The store may
+ * take the cancellations of the gateways, and the renewals of the lease, while it leaves the scheduler's watch
+ * without a response.
+ */
+import { Outage } from '@figjunction/logger';
+import type { Instant } from '@figjunction/time';
+import type { CellContext } from './cell-context.js';
+
+/**
+ * A poll of the watch that gets no response fails by then. It leaves 600 ms for the order to start until the time in
+ * which a cancellation has to take effect (3 s).
+ */
+const MAXIMUM_AGE_MS = 2_400;
+
+export class CancellationFreshness {
+  private confirmedAt: Instant = Number.NEGATIVE_INFINITY;
+
+  private readonly outage = new Outage();
+
+  constructor(private readonly context: Pick<CellContext, 'clock' | 'events'>) {}
+
+  /** Records that the store has just answered with all cancellations. */
+  confirm(): void {
+    this.confirmedAt = this.context.clock.now();
+  }
+
+  isRecent(now: Instant): boolean {
+    const { events } = this.context;
+    const ageMs = now - this.confirmedAt;
+    if (ageMs <= MAXIMUM_AGE_MS) {
+      this.outage.end(() => events.write('starts-resumed', {}));
+      return true;
+    }
+    // Before the first response, which comes soon after a take-over, there is no age.
+    if (Number.isFinite(ageMs)) {
+      this.outage.begin(() => events.write('starts-held', { ageMs: Math.round(ageMs) }));
+    }
+    return false;
+  }
+}
--- a/packages/scheduler/src/collection-watch.test.ts
+++ b/packages/scheduler/src/collection-watch.test.ts
@@ -62,3 +62,32 @@
     assert.deepEqual([...(await watchWhile(prepare))], ['job-1']);
   });
 }
+
+test('asks for an answer at once at the start and after a failure, and waits for changes otherwise', async () => {
+  const store = new MemoryFeedStore(new ManualClock());
+  const logger = createLogger({ name: 'test', level: 'silent' });
+  const events = new EventLog({ logger, now: () => 0 });
+  const waits: number[] = [];
+  const answer = store.watch.bind(store);
+  store.watch = (parameters) => {
+    waits.push(parameters.waitMs);
+    return waits.length === 3 ? Promise.reject(new Error('no response')) : answer(parameters);
+  };
+  let confirmations = 0;
+  const watch = new CollectionWatch({
+    context: { store, events },
+    collection,
+    afterVersion: 0,
+    onRows: () => {},
+    onConfirmed: () => {
+      confirmations += 1;
+      if (confirmations === 4) {
+        watch.stop();
+      }
+    },
+  });
+  await watch.run();
+  const [, longPollMs = 0] = waits;
+  assert.ok(longPollMs > 0);
+  assert.deepEqual(waits, [0, longPollMs, longPollMs, 0, longPollMs]);
+});
--- a/packages/scheduler/src/collection-watch.ts
+++ b/packages/scheduler/src/collection-watch.ts
@@ -15,6 +15,8 @@
   collection: CellCollection;
   afterVersion: number;
   onRows: (rows: FeedRow[]) => void;
+  /** Called when the store has answered and all changes so far have been delivered. */
+  onConfirmed?: () => void;
 }
 
 /** Long-poll timeout. A broken connection delays changes by at most this plus the timeout of the call. */
@@ -26,6 +28,9 @@
 
   private afterVersion: number;
 
+  /** False until the store has answered since the start or the last failure. */
+  private isConfirmed = false;
+
   private readonly outage = new Outage();
 
   constructor(private readonly options: CollectionWatchOptions) {
@@ -41,6 +46,7 @@
         this.outage.end(() => events.write('watch-regained', { collection }));
       } catch (error) {
         const { message } = toError(error);
+        this.isConfirmed = false;
         this.outage.begin(() => events.write('watch-lost', { collection, error: message }));
         await sleep(RETRY_DELAY_MS);
       }
@@ -57,7 +63,8 @@
     const change = await context.store.watch({
       collection,
       afterVersion,
-      waitMs: WATCH_TIMEOUT_MS,
+      // An answer at once tells sooner that nothing has been missed.
+      waitMs: this.isConfirmed ? WATCH_TIMEOUT_MS : 0,
     });
     if (change.rows !== null) {
       this.deliver(change.rows, change.version);
@@ -70,8 +77,13 @@
 
   private deliver(rows: FeedRow[], version: number): void {
     this.afterVersion = version;
-    if (rows.length > 0 && !this.isStopped) {
+    if (this.isStopped) {
+      return;
+    }
+    if (rows.length > 0) {
       this.options.onRows(rows);
     }
+    this.isConfirmed = true;
+    this.options.onConfirmed?.();
   }
 }
--- a/packages/scheduler/src/job-watches.ts
+++ b/packages/scheduler/src/job-watches.ts
@@ -1,6 +1,7 @@
 /**
  * The watches through which a scheduler learns of new and cancelled jobs.
  */
+import type { CancellationFreshness } from './cancellation-freshness.js';
 import type { CellContext } from './cell-context.js';
 import { CellCollection } from './cell-collections.js';
 import type { LoadedCell } from './cell-loader.js';
@@ -13,12 +14,13 @@
   context: Pick<CellContext, 'store' | 'events' | 'clock'>;
   loaded: Pick<LoadedCell, 'jobsVersion' | 'cancellationsVersion'>;
   intake: Pick<JobIntake, 'addJobs' | 'cancelJobs'>;
+  freshness: Pick<CancellationFreshness, 'confirm'>;
   /** Requests a tick after a change of the tables. */
   wake: () => void;
 }
 
 export function createJobWatches(options: JobWatchesOptions): CollectionWatch[] {
-  const { context, loaded, intake, wake } = options;
+  const { context, loaded, intake, freshness, wake } = options;
   const storedRows = new StoredRows(context.events);
   const jobs = new CollectionWatch({
     context,
@@ -38,6 +40,7 @@
       intake.cancelJobs(rows, context.clock.now());
       wake();
     },
+    onConfirmed: () => freshness.confirm(),
   });
   return [jobs, cancellations];
 }
--- a/packages/scheduler/src/scheduling-term.ts
+++ b/packages/scheduler/src/scheduling-term.ts
@@ -17,6 +17,7 @@
 import type { Instant } from '@figjunction/time';
 import type { FleetConfiguration, JobState } from '@figjunction/types';
 import { AdviceRequester } from './advice-requester.js';
+import { CancellationFreshness } from './cancellation-freshness.js';
 import type { CellContext } from './cell-context.js';
 import type { CellLease } from './cell-lease.js';
 import { listRunnersWithRuns } from './cell-loader.js';
@@ -61,6 +62,8 @@
 
   private readonly watches: CollectionWatch[];
 
+  private readonly freshness: CancellationFreshness;
+
   private readonly log: TermLog;
 
   private housekeepingAt: Instant = 0;
@@ -102,7 +105,9 @@
     });
     this.applyConfiguration(options.configuration);
     this.restore(loaded);
-    this.watches = createJobWatches({ context, loaded, intake: this.intake, wake });
+    this.freshness = new CancellationFreshness(context);
+    const { intake, freshness } = this;
+    this.watches = createJobWatches({ context, loaded, intake, freshness, wake });
   }
 
   start(): void {
@@ -190,7 +195,7 @@
   }
 
   private tick(now: Instant): void {
-    const { state, log } = this;
+    const { log } = this;
     const { tickTimes } = log;
     if (!this.options.lease.isHeld()) {
       return;
@@ -201,18 +206,25 @@
     });
     tickTimes.measure(TickPhase.Housekeeping, () => this.runDueHousekeeping(now));
     tickTimes.measure(TickPhase.Summary, () => log.summarize(now));
-    const unplaced = tickTimes.measure(TickPhase.Place, () => {
+    if (this.freshness.isRecent(now)) {
+      this.placeAndPreempt(now);
+    }
+    tickTimes.measure(TickPhase.Advise, () => this.adviceRequester.requestForWaitingSteps(now));
+    tickTimes.measure(TickPhase.Send, () => this.sender.sendDueOrders(now));
+    tickTimes.measure(TickPhase.Store, () => this.writer.flush(now));
+    tickTimes.endTick();
+  }
+
+  private placeAndPreempt(now: Instant): void {
+    const { state, log } = this;
+    const unplaced = log.tickTimes.measure(TickPhase.Place, () => {
       const placement = placeTasks(state, now);
       placement.started.forEach((run) => log.recordStart(run, now));
       return placement.unplaced;
     });
-    tickTimes.measure(TickPhase.Preempt, () => {
+    log.tickTimes.measure(TickPhase.Preempt, () => {
       preemptBatchRuns(state, unplaced, now).forEach((run) => log.recordStop(run, 'preempted'));
     });
-    tickTimes.measure(TickPhase.Advise, () => this.adviceRequester.requestForWaitingSteps(now));
-    tickTimes.measure(TickPhase.Send, () => this.sender.sendDueOrders(now));
-    tickTimes.measure(TickPhase.Store, () => this.writer.flush(now));
-    tickTimes.endTick();
   }
 
   private runDueHousekeeping(now: Instant): void {
