Remove scheduled jobs that were cancelled between two occurrences

What an operator saw: the rows of a scheduled job that is cancelled before its first occurrence, or while all its occurrences have ended, stay in the store until another process takes the cell over. Found by reading, in the search for cancellations that are never removed.

Cause: a job counts as finished, and is removed status_s later, when progress of it is stored after the cancellation. Here no progress is left to store. The removal also waited for rows of progress, of which there are none.

Evidence: "removes a scheduled job that was cancelled before its first occurrence was due" failed before (finishedAt null) and passes; scheduler 200 of 200.

--- a/packages/scheduler/src/job-intake.ts
+++ b/packages/scheduler/src/job-intake.ts
@@ -19,6 +19,7 @@
 import { logCancellation } from './cancellation-log.js';
 import type { CellContext } from './cell-context.js';
 import { parseProgressKey } from './cell-collections.js';
+import { markJobFinished } from './progress-batch.js';
 import { SchedulerError } from './scheduler-error.js';
 import { StoredCancellations } from './stored-cancellations.js';
 
@@ -174,6 +175,10 @@
     for (const occurrence of unfinished) {
       state.finishOccurrence(occurrence, JobState.Cancelled, now);
     }
+    if (unfinished.length === 0) {
+      // No progress is left to store, after which the job would count as finished.
+      markJobFinished(job, now);
+    }
   }
 
   private addOccurrences(job: JobRecord, now: Instant): void {
--- a/packages/scheduler/src/job-removals.ts
+++ b/packages/scheduler/src/job-removals.ts
@@ -37,7 +37,7 @@
       key: job.id,
     }));
     store.write({ partition: jobPartition(job.id), removals }).then(
-      () => this.progressRows.set(job, progressRowsOf(job)),
+      () => this.removeProgress(job, progressRowsOf(job)),
       (error: unknown) => {
         this.jobs.delete(job);
         events.write('job-not-removed', { job: job.id, error: toError(error).message });
@@ -50,12 +50,18 @@
     const removed = new Set(removals.map(({ key }) => key));
     for (const [job, rows] of removed.size === 0 ? [] : this.progressRows) {
       const rest = rows.filter(({ key }) => !removed.has(key));
-      this.progressRows.set(job, rest);
-      if (rest.length === 0) {
-        this.progressRows.delete(job);
-        this.jobs.delete(job);
-        this.state.jobs.delete(job.id);
-      }
+      this.removeProgress(job, rest);
+    }
+  }
+
+  /** Keeps the rows for the next transactions, and forgets the job if there are none. */
+  private removeProgress(job: JobRecord, rows: RowReference[]): void {
+    if (rows.length > 0) {
+      this.progressRows.set(job, rows);
+      return;
     }
+    this.progressRows.delete(job);
+    this.jobs.delete(job);
+    this.state.jobs.delete(job.id);
   }
 }
