--- a/packages/scheduler/src/job-intake.ts
+++ b/packages/scheduler/src/job-intake.ts
@@ -19,7 +19,9 @@
 import { logCancellation } from './cancellation-log.js';
 import type { CellContext } from './cell-context.js';
 import { parseProgressKey } from './cell-collections.js';
+import { markJobFinished } from './progress-batch.js';
 import { SchedulerError } from './scheduler-error.js';
+import { StoredCancellations } from './stored-cancellations.js';
 
 /** Each epoch numbers its runs from its own range of this size, so that a later epoch uses higher numbers. */
 const RUN_NUMBERS_PER_EPOCH = 1_000;
@@ -30,6 +32,14 @@
   epoch: number;
 }
 
+interface NewJobRow {
+  key: JobId;
+  value: JobRow;
+  version: number;
+  /** True for a job that an earlier scheduler has admitted. */
+  isInherited: boolean;
+}
+
 export class JobIntake {
   /** Jobs with a schedule that still have occurrences to create. */
   private readonly jobsWithFutureOccurrences = new Set<JobRecord>();
@@ -46,12 +56,12 @@
    */
   private readonly occurrencesOnHold = new Map<JobId, Set<number>>();
 
-  /** Cancellations of jobs whose own row has not been read yet, by job id. */
-  private readonly unmatchedCancellations = new Map<JobId, FeedRow>();
+  private readonly cancellations: StoredCancellations;
 
   private readonly runNumberBase: number;
 
   constructor(private readonly options: JobIntakeOptions) {
+    this.cancellations = new StoredCancellations(options.context, options.state);
     this.runNumberBase = (options.epoch - 1) * RUN_NUMBERS_PER_EPOCH;
   }
 
@@ -78,10 +88,10 @@
   /** Adds jobs that are not in the tables yet. Jobs of an earlier epoch (`isInherited`) are not logged again. */
   addJobs(rows: FeedRow<JobRow>[], isInherited: boolean, now: Instant): void {
     const { state, context } = this.options;
-    for (const { key, value } of rows) {
+    for (const { key, value, version } of rows) {
       if (value !== null && !state.jobs.has(key)) {
         try {
-          this.addJob(key, value, isInherited, now);
+          this.addJob({ key, value, version, isInherited }, now);
         } catch (error) {
           // One job that cannot be added must not keep the scheduler from the other jobs.
           this.forgetJob(key);
@@ -106,7 +116,7 @@
     }
   }
 
-  private addJob(key: string, value: JobRow, isInherited: boolean, now: Instant): void {
+  private addJob({ key, value, version, isInherited }: NewJobRow, now: Instant): void {
     const { state, context } = this.options;
     const ageMs = Math.max(0, context.storeClock.earliest() - value.submittedAtStoreMs);
     const { policy, specification } = value;
@@ -117,29 +127,32 @@
     const job = createJob({ id: key, policy, specification, submittedAt: now - ageMs });
     state.jobs.set(key, job);
     this.addOccurrences(job, now);
-    const cancellation = this.unmatchedCancellations.get(key);
-    if (cancellation !== undefined) {
-      this.unmatchedCancellations.delete(key);
-      this.cancelJob(job, cancellation, now);
-    }
     if (!isInherited) {
       const steps = specification.steps.length;
-      const fields = { job: key, queue: policy.name, steps, ageMs: Math.round(ageMs) };
+      const fields = { job: key, queue: policy.name, steps, version, ageMs: Math.round(ageMs) };
       context.events.write('job-admitted', fields);
     }
+    const cancellation = this.cancellations.find(key);
+    if (cancellation !== null) {
+      this.cancelJob(job, cancellation, now);
+    }
   }
 
+  /** Cancels the jobs of the rows, also those that are added later. */
   cancelJobs(rows: FeedRow[], now: Instant): void {
+    this.cancellations.apply(rows, now);
     for (const row of rows) {
       const job = this.options.state.jobs.get(row.key);
-      if (row.value !== null && job === undefined) {
-        this.unmatchedCancellations.set(row.key, row);
-      } else if (row.value !== null && job !== undefined && !job.cancelled) {
+      if (row.value !== null && job !== undefined && !job.cancelled) {
         this.cancelJob(job, row, now);
       }
     }
   }
 
+  removeUnmatchedCancellations(now: Instant): void {
+    this.cancellations.removeUnmatched(now);
+  }
+
   /** Creates and activates the occurrences that are due. */
   activateDueOccurrences(now: Instant): void {
     for (const occurrence of this.occurrencesBeforeDue) {
@@ -162,6 +175,10 @@
     for (const occurrence of unfinished) {
       state.finishOccurrence(occurrence, JobState.Cancelled, now);
     }
+    if (unfinished.length === 0) {
+      // No progress is left to store, after which the job would count as finished.
+      markJobFinished(job, now);
+    }
   }
 
   private addOccurrences(job: JobRecord, now: Instant): void {
