Send no start while the cancellations are not recent

Starts that were placed before were still sent and repeated, and each repetition keeps a start valid that waits in a runner.

Change: the sender of orders leaves out starts as long; stops go on. A start that waits in a runner is out of date 2 s after its last sending.

--- a/packages/scheduler/src/order-sender.test.ts
+++ b/packages/scheduler/src/order-sender.test.ts
@@ -45,10 +45,12 @@
   const state = createState();
   addVm(state);
   const lease = { epoch: 1, isHeld: () => true };
+  const freshness = { isRecent: () => true };
   const sender = new OrderSender({
     context: createCellContext(clock, { rpc }),
     state,
     lease,
+    freshness,
     onCallFinished: () => {},
   });
   const startJob = (id: string, storedVms = ['vm-1']): OccurrenceRecord => {
@@ -57,7 +59,7 @@
     sender.sendDueOrders(clock.now());
     return job.occurrences.get(0) as OccurrenceRecord;
   };
-  return { clock, rpc, state, sender, startJob, lease };
+  return { clock, rpc, state, sender, startJob, lease, freshness };
 }
 
 test('batches the orders that arise during a call into the next call', async () => {
@@ -145,3 +147,25 @@
   sender.sendDueOrders(clock.now() + 5_000);
   assert.equal(rpc.calls.length, 1);
 });
+
+test('repeats no start while the cancellations are not recent, and goes on stopping runs', async () => {
+  const { clock, rpc, state, sender, startJob, freshness } = createSender();
+  startJob('00000000000000aa');
+  const occurrence = startJob('00000000000000bb');
+  await rpc.respondToNext(new Error('no response'));
+  await rpc.respondToNext(new Error('no response'));
+  freshness.isRecent = () => false;
+  clock.advance(2_000);
+  const callCount = rpc.calls.length;
+  sender.sendDueOrders(clock.now());
+  assert.equal(rpc.calls.length, callCount);
+  state.finishOccurrence(occurrence, JobState.Cancelled, clock.now());
+  sender.sendDueOrders(clock.now());
+  assert.equal(rpc.calls[callCount]?.starts.length, 0);
+  assert.equal(rpc.calls[callCount]?.stops.length, 1);
+  await rpc.respondToNext({ answers: [] });
+  freshness.isRecent = () => true;
+  clock.advance(2_000);
+  sender.sendDueOrders(clock.now());
+  assert.equal(rpc.calls[callCount + 1]?.starts.length, 1);
+});
--- a/packages/scheduler/src/order-sender.ts
+++ b/packages/scheduler/src/order-sender.ts
@@ -8,6 +8,7 @@
 import type { Instant } from '@figjunction/time';
 import { RpcMethod } from '@figjunction/types';
 import type { JobId, OrdersParameters, StartOrder, StopOrder } from '@figjunction/types';
+import type { CancellationFreshness } from './cancellation-freshness.js';
 import type { CellContext } from './cell-context.js';
 import type { CellLease } from './cell-lease.js';
 
@@ -15,6 +16,8 @@
   context: CellContext;
   state: CellState;
   lease: Pick<CellLease, 'epoch' | 'isHeld'>;
+  /** Starts are sent only while the cancellations that this scheduler knows are recent. */
+  freshness: Pick<CancellationFreshness, 'isRecent'>;
   /** Called when a call has ended, since its response may have changed the tables. */
   onCallFinished: () => void;
 }
@@ -59,7 +62,10 @@
     if (vm.session === 0 || vm.announcement === null || this.vmsWithOpenCall.has(vm)) {
       return;
     }
-    const dueRuns = [...vm.runs.values()].filter((run) => isDue(run, now));
+    const maySendStarts = this.options.freshness.isRecent(now);
+    const dueRuns = [...vm.runs.values()].filter(
+      (run) => isDue(run, now) && (maySendStarts || run.phase !== RunPhase.Ordered),
+    );
     const dueOrphans = [...vm.orphans.values()].filter(({ sendAt }) => sendAt <= now);
     if (dueRuns.length + dueOrphans.length === 0) {
       return;
--- a/packages/scheduler/src/scheduling-term.ts
+++ b/packages/scheduler/src/scheduling-term.ts
@@ -70,7 +70,8 @@
 
   constructor(private readonly options: SchedulingTermOptions) {
     const { context, lease, loaded, onDeposed } = options;
-    const { state } = this;
+    this.freshness = new CancellationFreshness(context);
+    const { state, freshness } = this;
     const wake = (): void => this.tickLoop.wake();
     this.intake = new JobIntake({ context, state, epoch: lease.epoch });
     this.writer = new ProgressWriter({
@@ -92,7 +93,7 @@
       activity,
     });
     this.announcer = new TakeoverAnnouncer({ context, state, lease });
-    this.sender = new OrderSender({ context, state, lease, onCallFinished: wake });
+    this.sender = new OrderSender({ context, state, lease, freshness, onCallFinished: wake });
     this.adviceRequester = new AdviceRequester(context, state, wake);
     this.tickLoop = new WakeLoop({
       clock: context.clock,
@@ -105,8 +106,7 @@
     });
     this.applyConfiguration(options.configuration);
     this.restore(loaded);
-    this.freshness = new CancellationFreshness(context);
-    const { intake, freshness } = this;
+    const { intake } = this;
     this.watches = createJobWatches({ context, loaded, intake, freshness, wake });
   }
 
