Pause between lists of a VM that can't be applied

What an operator saw: nothing but load. Such a VM answers at once, and the runner asked again without a pause, which is a part of the load when all processes start again.

Change: a list that isn't applied is followed by the pause that only refused ones had, 150 ms.

--- a/packages/runner/src/vm-session.test.ts
+++ b/packages/runner/src/vm-session.test.ts
@@ -4,7 +4,7 @@
  */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { ManualClock } from '@figjunction/time';
+import { ManualClock, sleep } from '@figjunction/time';
 import { RunEnding } from '@figjunction/types';
 import { FakeResponse, FakeVmHost } from './fake-vm-host.js';
 import type { HoldRefusal, HoldRequest, HoldResult } from './vm-host.js';
@@ -22,6 +22,14 @@
   }
 }
 
+/** Responds to each call after a millisecond, also to a long poll. */
+class QuickVmHost extends FakeVmHost {
+  override async hold(request: HoldRequest): Promise<HoldResult | HoldRefusal> {
+    await sleep(1);
+    return super.hold(request);
+  }
+}
+
 function createSession(inheritedLeaseMs = 0, host = new FakeVmHost()) {
   const clock = new ManualClock(1_000);
   const { session, events } = createVmSession(clock, { host, inheritedLeaseMs });
@@ -188,3 +196,16 @@
   assert.ok(session.runs.isListed({ taskId: 'a.0.0.0', run: 1 }));
   assert.equal(events.fieldsOf('list-overtaken').length, 1);
 });
+
+test('pauses between lists that do not show yet whether their ends are valid', async () => {
+  const host = new QuickVmHost();
+  const { session } = createSession(INHERITED_LEASE_MS, host);
+  runTask(host, 'a.0.0.0');
+  host.end('a.0.0.0', RunEnding.Done);
+  const running = session.run();
+  await sleep(600);
+  session.stop();
+  await running;
+  assert.ok(host.holds.length > 1);
+  assert.ok(host.holds.length < 10, `${host.holds.length} lists were requested in 600 ms`);
+});
--- a/packages/runner/src/vm-session.ts
+++ b/packages/runner/src/vm-session.ts
@@ -148,7 +148,9 @@
     const isListAwaited =
       this.hasUnsettledEnds || this.listedEpoch === 0 || this.answers.isUnanswered;
     const outcome = await this.requestList(isListAwaited ? 0 : waitMs);
-    if (this.hasUnsettledEnds) {
+    if (outcome === ListOutcome.NotApplied) {
+      await this.pause.wait(RETRY_DELAY_MS);
+    } else if (this.hasUnsettledEnds) {
       await this.pause.waitForAcknowledgement(outcome === ListOutcome.NewEnds);
     }
   }
@@ -164,7 +166,8 @@
     const untilVmMs = this.incarnation.isConfirmed ? this.lease.untilVmMs : null;
     const result = await this.callHold(waitMs, requestedAt, requestedEpoch);
     if (result === HoldRefusal.Fenced || result === HoldRefusal.OtherInstance) {
-      await this.handleRefusal(result, requestedEpoch);
+      this.log.recordRefusal(result, requestedEpoch);
+      this.options.onChange();
       return ListOutcome.NotApplied;
     }
     this.log.recordResponse();
@@ -240,10 +243,4 @@
       this.log.recordDiscardedEnds(through, discarded);
     }
   }
-
-  private async handleRefusal(refusal: HoldRefusal, requestedEpoch: number): Promise<void> {
-    this.log.recordRefusal(refusal, requestedEpoch);
-    this.options.onChange();
-    await this.pause.wait(RETRY_DELAY_MS);
-  }
 }
