Start no run whose start order arrives after its stop was carried out

Callers see nothing of it: the VM refuses such a start, as it remembers the stop.

Change: the runner remembers for 10 s which stops were ordered, longer than an order is on its way, and makes no start call for their runs. That also keeps the promise on a VM that has forgotten the stop.

--- a/packages/runner/src/order-executor.ts
+++ b/packages/runner/src/order-executor.ts
@@ -17,6 +17,7 @@
 import type { StartInProgress } from './start-caller.js';
 import type { VmHost } from './vm-host.js';
 import type { VmSession } from './vm-session.js';
+import { WithdrawnRuns } from './withdrawn-runs.js';
 
 export interface OrderExecutorOptions {
   host: VmHost;
@@ -48,11 +49,14 @@
   /** Keys of the runs with a stop in progress; a repeated order is ignored meanwhile. */
   private readonly stopsInProgress = new Set<string>();
 
+  private readonly withdrawnRuns: WithdrawnRuns;
+
   private readonly caller: StartCaller;
 
   private readonly stopper: RunStopper;
 
   constructor(private readonly options: OrderExecutorOptions) {
+    this.withdrawnRuns = new WithdrawnRuns(options.clock);
     this.caller = new StartCaller(options);
     this.stopper = new RunStopper(options);
   }
@@ -100,7 +104,7 @@
       }
       return Promise.resolve();
     }
-    if (this.stopsInProgress.has(key)) {
+    if (this.withdrawnRuns.has(order)) {
       // The stop order has overtaken the start order.
       this.logWithdrawal(order);
       return Promise.resolve();
@@ -152,6 +156,7 @@
 
   private stopUnlessInProgress(order: StopOrder, execution: OrderExecution): void {
     const key = buildKey(order);
+    this.withdrawnRuns.add(order);
     if (this.stopsInProgress.has(key)) {
       return;
     }
--- a/packages/runner/src/withdrawn-starts.test.ts
+++ b/packages/runner/src/withdrawn-starts.test.ts
@@ -95,6 +95,16 @@
   assert.deepEqual(host.starts, []);
 });
 
+test('starts no run whose start order arrives after its stop was carried out', async () => {
+  const { host, execute, answer, waitForResults } = await createSilentExecutor();
+  const starts = createStarts(1);
+  answer();
+  await execute(createStops(starts));
+  await waitForResults(starts);
+  assert.deepEqual(await execute({ ...ORDERS, starts }), []);
+  assert.deepEqual(host.starts, []);
+});
+
 test('starts no run that has waited until its order is out of date, and answers for it', async () => {
   const { host, lateResults, execute, answer, callsOf, waitForResults } =
     await createSilentExecutor();
