Start no run on a VM that has announced that it drains

A start that waits in the runner while the VM leaves orders without a response was called when the VM answered again, also if the VM had announced meanwhile that it drains: 2.6 s after the acknowledgement in a run with real processes, where the users allow 2.5 s (DRAIN). The scheduler places nothing on such a VM, but repeated the orders that it had sent.

A test of the runner alone goes with it.

--- a/packages/runner/src/start-caller.ts
+++ b/packages/runner/src/start-caller.ts
@@ -5,7 +5,7 @@
 import type { EventLog } from '@figjunction/logger';
 import { sleep } from '@figjunction/time';
 import type { Clock, Instant } from '@figjunction/time';
-import { StartRefusal } from '@figjunction/types';
+import { StartRefusal, VmState } from '@figjunction/types';
 import type { StartOrder } from '@figjunction/types';
 import type { OrderExecution } from './order-execution.js';
 import type { VmHost } from './vm-host.js';
@@ -50,6 +50,9 @@
       if (leaseUntilVmMs === null || session.isStopped || !isCurrent()) {
         return StartRefusal.NoSession;
       }
+      if (session.announcement.state === VmState.Draining) {
+        return StartRefusal.VmDraining;
+      }
       if (this.options.clock.now() >= latest.validUntil) {
         return StartRefusal.OrderExpired;
       }
--- a/packages/runner/src/withdrawn-starts.test.ts
+++ b/packages/runner/src/withdrawn-starts.test.ts
@@ -6,7 +6,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { sleep } from '@figjunction/time';
-import { StartRefusal } from '@figjunction/types';
+import { StartRefusal, VmState } from '@figjunction/types';
 import type { OrdersParameters } from '@figjunction/types';
 import { FakeResponse } from './fake-vm-host.js';
 import {
@@ -123,3 +123,17 @@
   const result = lateResults.find(({ taskId }) => taskId === expired.taskId);
   assert.equal(result?.refusal, StartRefusal.OrderExpired);
 });
+
+test('starts no run that has waited until its VM drains, and answers for it', async () => {
+  const { host, session, lateResults, execute, answer, callsOf, waitForResults } =
+    await createSilentExecutor();
+  const starts = createStarts(CONCURRENT_STARTS + 1);
+  const waiting = starts.slice(CONCURRENT_STARTS);
+  await execute({ ...ORDERS, starts });
+  session.announcement = { ...session.announcement, state: VmState.Draining };
+  answer();
+  await waitForResults(waiting);
+  assert.equal(callsOf(host.starts, waiting[0]?.taskId ?? ''), 0);
+  const result = lateResults.find(({ taskId }) => taskId === waiting[0]?.taskId);
+  assert.equal(result?.refusal, StartRefusal.VmDraining);
+});
--- a/packages/types/src/cell/cell-messages.ts
+++ b/packages/types/src/cell/cell-messages.ts
@@ -42,6 +42,8 @@
   Unreachable = 'unreachable',
   /** The order is out of date: the scheduler has not sent it again for seconds, and its job may have been cancelled. */
   OrderExpired = 'order-expired',
+  /** The VM has announced that it drains. */
+  VmDraining = 'vm-draining',
   /** The runner has no lease, or its session is another one. */
   NoSession = 'no-session',
 }
