Let no start outlast the scheduler's knowledge of cancellations

The scheduler sends starts for 2.4 s after the last answer of its watch of cancellations, and a start may wait in a runner for 2 s from its arrival. When the feed and a VM are both silent, the two add up: starts of a cancelled job 3.02 to 3.05 s after the acknowledgement, with real processes.

Change: the orders tell how long their starts may wait, up to 2.8 s after the last answer of the watch, and the runner takes the shorter bound.

--- a/packages/runner/src/order-executor.ts
+++ b/packages/runner/src/order-executor.ts
@@ -31,7 +31,7 @@
 
 /** `execute` waits this long for the results of its starts; later ones go to `onLateResult`. */
 const RESULT_TIMEOUT_MS = 250;
-/** Longer than the scheduler takes to repeat an order, and shorter than a cancellation may take. */
+/** Longest time from the last sending of an order to a call for its start; the scheduler repeats it each second. */
 const START_ORDER_VALIDITY_MS = 2_000;
 const CONCURRENT_STARTS_MAXIMUM = 8;
 /** Shorter waits for one of these places are not logged. */
@@ -64,7 +64,8 @@
   /** Executes all orders. Returns the results of the starts that completed within the timeout. */
   async execute(execution: OrderExecution): Promise<RunAnswer[]> {
     const { orders } = execution;
-    const validUntil = this.options.clock.now() + START_ORDER_VALIDITY_MS;
+    const validMs = Math.min(START_ORDER_VALIDITY_MS, orders.startsValidMs ?? Infinity);
+    const validUntil = this.options.clock.now() + validMs;
     const results: RunAnswer[] = [];
     let hasReturned = false;
     const report = (result: RunAnswer): void => {
--- a/packages/scheduler/src/cancellation-freshness.test.ts
+++ b/packages/scheduler/src/cancellation-freshness.test.ts
@@ -31,3 +31,15 @@
   clock.advance(CANCEL_MS - 500 - POLL_MS - 500);
   assert.equal(freshness.isRecent(clock.now()), false);
 });
+
+test('lets no start wait beyond the bound of the cancellations that it was ordered under', () => {
+  const { clock, freshness } = createFreshness();
+  freshness.confirm();
+  const confirmedAt = clock.now();
+  for (const ageMs of [0, 1_000, 2_000]) {
+    const validMs = freshness.startsValidMs(confirmedAt + ageMs);
+    assert.ok(validMs > 0);
+    assert.ok(ageMs + validMs < CANCEL_MS);
+  }
+  assert.equal(freshness.startsValidMs(confirmedAt + CANCEL_MS), 0);
+});
--- a/packages/scheduler/src/cancellation-freshness.ts
+++ b/packages/scheduler/src/cancellation-freshness.ts
@@ -7,11 +7,10 @@
 import type { Instant } from '@figjunction/time';
 import type { CellContext } from './cell-context.js';
 
-/**
- * A poll of the watch that gets no response fails by then. It leaves 600 ms for the order to start until the time in
- * which a cancellation has to take effect (3 s).
- */
+/** A poll of the watch that gets no response fails by then. */
 const MAXIMUM_AGE_MS = 2_400;
+/** No run may start later than this after the last answer: a cancellation has to take effect within 3 s. */
+const START_BOUND_MS = 2_800;
 
 export class CancellationFreshness {
   private confirmedAt: Instant = Number.NEGATIVE_INFINITY;
@@ -25,6 +24,11 @@
     this.confirmedAt = this.context.clock.now();
   }
 
+  /** How long a start that is ordered now may wait for its call, in milliseconds; 0 once the bound has passed. */
+  startsValidMs(now: Instant): number {
+    return Math.max(0, Math.floor(this.confirmedAt + START_BOUND_MS - now));
+  }
+
   isRecent(now: Instant): boolean {
     const { events } = this.context;
     const ageMs = now - this.confirmedAt;
--- a/packages/scheduler/src/order-sender.test.ts
+++ b/packages/scheduler/src/order-sender.test.ts
@@ -45,7 +45,7 @@
   const state = createState();
   addVm(state);
   const lease = { epoch: 1, isHeld: () => true };
-  const freshness = { isRecent: () => true };
+  const freshness = { isRecent: () => true, startsValidMs: () => 1_500 };
   const sender = new OrderSender({
     context: createCellContext(clock, { rpc }),
     state,
--- a/packages/scheduler/src/order-sender.ts
+++ b/packages/scheduler/src/order-sender.ts
@@ -17,7 +17,7 @@
   state: CellState;
   lease: Pick<CellLease, 'epoch' | 'isHeld'>;
   /** Starts are sent only while the cancellations that this scheduler knows are recent. */
-  freshness: Pick<CancellationFreshness, 'isRecent'>;
+  freshness: Pick<CancellationFreshness, 'isRecent' | 'startsValidMs'>;
   /** Called when a call has ended, since its response may have changed the tables. */
   onCallFinished: () => void;
 }
@@ -88,6 +88,7 @@
       settledThrough: vm.settledThrough,
       payloads: payloadsOf(starts),
       starts: startOrders,
+      startsValidMs: this.options.freshness.startsValidMs(now),
       stops,
     })
       .catch((error: unknown) => this.handleFailure(vm, items, toError(error)))
--- a/packages/types/src/cell/cell-messages.ts
+++ b/packages/types/src/cell/cell-messages.ts
@@ -150,6 +150,11 @@
   /** Payloads of the jobs that the start orders refer to. */
   payloads: Record<JobId, string>;
   starts: StartOrder[];
+  /**
+   * Time from the arrival of the call in which the runner may call the VM for its starts, in milliseconds: the
+   * scheduler doesn't know whether their jobs are cancelled later. Earlier versions don't tell it.
+   */
+  startsValidMs?: number;
   stops: StopOrder[];
 }
 
