Keep the last pace of a filler task when an earlier call fails late

What callers saw: a filler task that stays slowed down, or suspended, although nothing serves beside it any more. Cause: a pace call that fails late restored the pace before it, also when a later call had been answered; the pacer then took the filler task for fast and called it no more.

--- a/packages/runner/src/filler-pacer.ts
+++ b/packages/runner/src/filler-pacer.ts
@@ -7,7 +7,7 @@
 import type { EventLog } from '@figjunction/logger';
 import type { Clock, Instant } from '@figjunction/time';
 import type { RunEntry, RunTable } from './run-table.js';
-import type { VmCall, VmHost } from './vm-host.js';
+import type { PaceRequest, VmCall, VmHost } from './vm-host.js';
 
 /** Share of the latency target that the controller regulates to. */
 const LATENCY_SETPOINT_SHARE = 0.7;
@@ -34,6 +34,8 @@
 
   private overTargetSince: Instant | null = null;
 
+  private readonly lastRequests = new WeakMap<RunEntry, PaceRequest>();
+
   constructor(
     private readonly host: VmHost,
     private readonly events: EventLog,
@@ -117,9 +119,14 @@
 
   private setPace(entry: RunEntry, percent: number, call: VmCall): void {
     const { taskId, run, pacePercent: before } = entry;
+    const request = { ...call, taskId, run, percent };
     entry.pacePercent = percent;
-    this.host.pace({ ...call, taskId, run, percent }).catch((error: unknown) => {
-      entry.pacePercent = before;
+    this.lastRequests.set(entry, request);
+    this.host.pace(request).catch((error: unknown) => {
+      // A later request may have been answered meanwhile.
+      if (this.lastRequests.get(entry) === request) {
+        entry.pacePercent = before;
+      }
       this.events.write('pace-failed', { task: taskId, run, error: toError(error).message });
     });
   }
