Remove jobs that have ended under an earlier scheduler

What an operator saw: rows of jobs that had ended before a take-over stay in the store, and their records in memory, until the next take-over and beyond. Cause: a job counts as finished, and is removed status_s later, when its progress is stored by this scheduler.

Change: an inherited job counts as finished when its stored progress says so. As all of them are due at the same time, 16 jobs are in removal at a time.

--- a/packages/scheduler/src/cancellation-log.ts
+++ b/packages/scheduler/src/cancellation-log.ts
@@ -1,19 +1,20 @@
 /**
  * Writes the lines of a cancellation that has reached the scheduler: how old it is, and which runs it stops.
  */
-import type { JobRecord, RunRecord } from '@figjunction/scheduling';
+import type { JobRecord, OccurrenceRecord, RunRecord } from '@figjunction/scheduling';
 import type { FeedRow } from '@figjunction/store';
 import type { CellContext } from './cell-context.js';
 
 type LogContext = Pick<CellContext, 'events' | 'storeClock'>;
 
-/** `runs` are those that the cancellation stops, with the phases that they had before. */
+/** Call before the runs of the unfinished occurrences are stopped. */
 export function logCancellation(
   { events, storeClock }: LogContext,
   job: JobRecord,
   row: FeedRow,
-  runs: RunRecord[],
+  unfinished: OccurrenceRecord[],
 ): void {
+  const runs = unfinished.flatMap(listRuns);
   const requestedAtStoreMs = findRequestTime(row);
   const ageMs =
     requestedAtStoreMs === null ? null : Math.round(storeClock.earliest() - requestedAtStoreMs);
@@ -30,3 +31,7 @@
   const { requestedAtStoreMs } = (value ?? {}) as { requestedAtStoreMs?: unknown };
   return typeof requestedAtStoreMs === 'number' ? requestedAtStoreMs : null;
 }
+
+function listRuns({ steps }: OccurrenceRecord): RunRecord[] {
+  return steps.flatMap(({ tasks }) => tasks.flatMap(({ runs }) => runs));
+}
--- a/packages/scheduler/src/job-intake.ts
+++ b/packages/scheduler/src/job-intake.ts
@@ -11,7 +11,7 @@
   restoreProgress,
   updateReadySteps,
 } from '@figjunction/scheduling';
-import type { CellState, JobRecord, OccurrenceRecord, RunRecord } from '@figjunction/scheduling';
+import type { CellState, JobRecord, OccurrenceRecord } from '@figjunction/scheduling';
 import type { FeedRow } from '@figjunction/store';
 import type { Instant } from '@figjunction/time';
 import { JobState } from '@figjunction/types';
@@ -127,7 +127,9 @@
     const job = createJob({ id: key, policy, specification, submittedAt: now - ageMs });
     state.jobs.set(key, job);
     this.addOccurrences(job, now);
-    if (!isInherited) {
+    if (isInherited) {
+      markJobFinished(job, now);
+    } else {
       const steps = specification.steps.length;
       const fields = { job: key, queue: policy.name, steps, version, ageMs: Math.round(ageMs) };
       context.events.write('job-admitted', fields);
@@ -171,7 +173,7 @@
     const unfinished = [...job.occurrences.values()].filter((item) => !isFinished(item.state));
     job.cancelled = true;
     this.jobsWithFutureOccurrences.delete(job);
-    logCancellation(context, job, cancellation, unfinished.flatMap(listRuns));
+    logCancellation(context, job, cancellation, unfinished);
     for (const occurrence of unfinished) {
       state.finishOccurrence(occurrence, JobState.Cancelled, now);
     }
@@ -242,7 +244,3 @@
     }
   }
 }
-
-function listRuns({ steps }: OccurrenceRecord): RunRecord[] {
-  return steps.flatMap(({ tasks }) => tasks.flatMap(({ runs }) => runs));
-}
--- a/packages/scheduler/src/job-removals.ts
+++ b/packages/scheduler/src/job-removals.ts
@@ -9,6 +9,9 @@
 import { CellCollection, jobPartition } from './cell-collections.js';
 import { progressRowsOf } from './progress-batch.js';
 
+/** Jobs in removal at a time. Those that ended under an earlier scheduler are due at the same time. */
+const REMOVALS_MAXIMUM = 16;
+
 export class JobRemovals {
   /** Jobs in removal, from the first write until their progress rows are removed too. */
   private readonly jobs = new Set<JobRecord>();
@@ -26,8 +29,9 @@
     return [...this.progressRows.values()].flat();
   }
 
+  /** Does nothing while enough jobs are in removal: the caller asks again. */
   begin(job: JobRecord): void {
-    if (this.jobs.has(job)) {
+    if (this.jobs.has(job) || this.jobs.size >= REMOVALS_MAXIMUM) {
       return;
     }
     this.jobs.add(job);
