--- a/packages/entry/src/requests/attempt-runner.ts
+++ b/packages/entry/src/requests/attempt-runner.ts
@@ -69,7 +69,7 @@
     first: RunningAttempt,
     triedTaskIds: Set<TaskId>,
   ): Promise<DispatchResult> {
-    // The first attempt is still waiting for its agent to confirm the cancellation.
+    // Nobody waits for a second result. The first attempt ends, or its agent confirms that it is cancelled.
     if (request.disconnectSignal.aborted) {
       return first.result;
     }
--- a/packages/gateway/src/job-cancellation.ts
+++ b/packages/gateway/src/job-cancellation.ts
@@ -21,7 +21,7 @@
   async cancel(jobId: JobId): Promise<boolean> {
     const { clock, events, metrics } = this.context;
     const arrivedAt = clock.now();
-    const version = await this.store(jobId);
+    const version = await this.storeRow(jobId);
     const storedMs = Math.round(clock.now() - arrivedAt);
     metrics.count('cancellations_total');
     const lookup = await this.lookUp(jobId);
@@ -38,7 +38,7 @@
   }
 
   /** Returns the version of the cancellation's row. */
-  private async store(jobId: JobId): Promise<number | null> {
+  private async storeRow(jobId: JobId): Promise<number | null> {
     const { store, storeClock } = this.context;
     const requestedAtStoreMs = Math.floor(storeClock.earliest());
     const result = await store.write({
--- a/packages/runner/src/order-execution.ts
+++ b/packages/runner/src/order-execution.ts
@@ -1,5 +1,6 @@
 /**
- * The orders that a runner executes together, with the session of the VM that they are meant for.
+ * The orders that a runner executes together, with the session of the VM that they are meant for, and the key of a run
+ * in the tables of the executor.
  */
 import type { OrdersParameters, RunReference } from '@figjunction/types';
 import type { VmSession } from './vm-session.js';
--- a/packages/runner/src/run-stopper.ts
+++ b/packages/runner/src/run-stopper.ts
@@ -51,8 +51,7 @@
 
   /**
    * Retries until the VM responds, its session stops or its lease has expired, which ends all its runs. Returns
-   * true if the VM has carried out the stop. Logs the first call without a
-   * response, and the response.
+   * true if the VM has carried out the stop. Logs the first call without a response, and the response.
    */
   async stop({ taskId, run }: RunReference, { orders, session }: OrderExecution): Promise<boolean> {
     const { instanceId, epoch } = orders;
--- a/packages/runner/src/start-caller.ts
+++ b/packages/runner/src/start-caller.ts
@@ -8,7 +8,8 @@
 import { StartRefusal, VmState } from '@figjunction/types';
 import type { StartOrder } from '@figjunction/types';
 import type { OrderExecution } from './order-execution.js';
-import type { VmHost } from './vm-host.js';
+import type { StartRequest, VmHost } from './vm-host.js';
+import type { VmSession } from './vm-session.js';
 
 /** The start of a run, which answers all sendings of its order that arrive meanwhile. */
 export interface StartInProgress {
@@ -40,41 +41,61 @@
    * sending of the order: the session of an earlier one may have ended since.
    */
   async call(latest: StartInProgress): Promise<StartRefusal | null> {
-    const deadline: Instant = this.options.clock.now() + START_TIMEOUT_MS;
-    while (this.options.clock.now() < deadline && !latest.isWithdrawn) {
-      const { orders, session, isCurrent } = latest.execution;
-      const { taskId, run, checkpoint, ticket } = latest.order;
-      const { instanceId, epoch } = orders;
-      const payload = orders.payloads[taskId.slice(0, taskId.indexOf('.'))] ?? '';
-      const leaseUntilVmMs = session.lease.untilVmMs;
-      if (leaseUntilVmMs === null || session.isStopped || !isCurrent()) {
-        return StartRefusal.NoSession;
+    const { clock, host } = this.options;
+    const deadline: Instant = clock.now() + START_TIMEOUT_MS;
+    while (clock.now() < deadline && !latest.isWithdrawn) {
+      const request = this.createRequest(latest);
+      if (typeof request === 'string') {
+        return request;
       }
-      if (session.announcement.state === VmState.Draining) {
-        return StartRefusal.VmDraining;
-      }
-      if (this.options.clock.now() >= latest.validUntil) {
-        return StartRefusal.OrderExpired;
-      }
-      if (!session.incarnation.isConfirmed) {
-        await sleep(RETRY_DELAY_MS);
-        continue;
-      }
-      try {
-        const request = { instanceId, epoch, taskId, run, payload, checkpoint, ticket };
-        return await this.options.host.start({ ...request, leaseUntilVmMs });
-      } catch (error) {
-        const fields = { task: taskId, run, error: toError(error).message };
-        this.options.events.write('start-unanswered', fields);
-        if (errorCodeOf(error) === ErrorCode.Unavailable) {
-          return StartRefusal.Unreachable;
+      const { session } = latest.execution;
+      if (session.incarnation.isConfirmed) {
+        try {
+          return await host.start(request);
+        } catch (error) {
+          if (this.recordFailure(latest, session, toError(error)) === ErrorCode.Unavailable) {
+            return StartRefusal.Unreachable;
+          }
         }
-        Object.assign(latest, { hadUnansweredCall: true });
-        session.incarnation.recordFailure();
-        session.refreshInBackground();
-        await sleep(RETRY_DELAY_MS);
       }
+      await sleep(RETRY_DELAY_MS);
     }
     return StartRefusal.Unanswered;
   }
+
+  /** Returns the refusal if the run must not start any more. */
+  private createRequest({
+    order,
+    execution,
+    validUntil,
+  }: StartInProgress): StartRequest | StartRefusal {
+    const { orders, session, isCurrent } = execution;
+    const leaseUntilVmMs = session.lease.untilVmMs;
+    if (leaseUntilVmMs === null || session.isStopped || !isCurrent()) {
+      return StartRefusal.NoSession;
+    }
+    if (session.announcement.state === VmState.Draining) {
+      return StartRefusal.VmDraining;
+    }
+    if (this.options.clock.now() >= validUntil) {
+      return StartRefusal.OrderExpired;
+    }
+    const { taskId, run, checkpoint, ticket } = order;
+    const { instanceId, epoch, payloads } = orders;
+    const payload = payloads[taskId.slice(0, taskId.indexOf('.'))] ?? '';
+    return { instanceId, epoch, taskId, run, payload, checkpoint, ticket, leaseUntilVmMs };
+  }
+
+  /** Returns the code of the error. Unless the call has not reached the VM, the run may have begun in this session. */
+  private recordFailure(latest: StartInProgress, session: VmSession, error: Error): ErrorCode {
+    const { taskId, run } = latest.order;
+    const code = errorCodeOf(error);
+    this.options.events.write('start-unanswered', { task: taskId, run, error: error.message });
+    if (code !== ErrorCode.Unavailable) {
+      Object.assign(latest, { hadUnansweredCall: true });
+      session.incarnation.recordFailure();
+      session.refreshInBackground();
+    }
+    return code;
+  }
 }
--- a/packages/scheduler/src/stored-cancellations.ts
+++ b/packages/scheduler/src/stored-cancellations.ts
@@ -14,7 +14,7 @@
 
 interface StoredCancellation {
   row: FeedRow;
-  /** When the row was read, or the job was last in the tables. */
+  /** When the row was read, the job was last in the tables, or the last removal was tried. */
   unmatchedSince: Instant;
 }
 
