Count the age of cancellations from when the store gave its answer

The scheduler took what it knows of cancellations for new when it had processed an answer of its watch. One that was on its way for 0.9 s, or followed a reading of all rows, let starts be sent up to 3.3 s after it was true, where callers are promised 3 s.

Change: a lower bound of when the store gave the answer. It is the time at which the request was sent, and for an answer without changes the time for which the store held it back; for one with changes the store's clock gives the time since the answer before. So the regular answers of a busy feed don't count as old.

--- a/packages/scheduler/src/cancellation-freshness.test.ts
+++ b/packages/scheduler/src/cancellation-freshness.test.ts
@@ -15,7 +15,7 @@
 function createFreshness() {
   const clock = new ManualClock(1_000);
   const events = new RecordingEventLog();
-  return { clock, events, freshness: new CancellationFreshness({ clock, events }) };
+  return { clock, events, freshness: new CancellationFreshness({ events }) };
 }
 
 test('knows no cancellations before the first answer of the store', () => {
@@ -25,7 +25,7 @@
 
 test('counts cancellations as recent between two answered polls and as old before their bound', () => {
   const { clock, freshness } = createFreshness();
-  freshness.confirm();
+  freshness.confirm(clock.now());
   clock.advance(POLL_MS + 500);
   assert.equal(freshness.isRecent(clock.now()), true);
   clock.advance(CANCEL_MS - 500 - POLL_MS - 500);
@@ -34,7 +34,7 @@
 
 test('lets no start wait beyond the bound of the cancellations that it was ordered under', () => {
   const { clock, freshness } = createFreshness();
-  freshness.confirm();
+  freshness.confirm(clock.now());
   const confirmedAt = clock.now();
   for (const ageMs of [0, 1_000, 2_000]) {
     const validMs = freshness.startsValidMs(confirmedAt + ageMs);
--- a/packages/scheduler/src/cancellation-freshness.ts
+++ b/packages/scheduler/src/cancellation-freshness.ts
@@ -17,11 +17,11 @@
 
   private readonly outage = new Outage();
 
-  constructor(private readonly context: Pick<CellContext, 'clock' | 'events'>) {}
+  constructor(private readonly context: Pick<CellContext, 'events'>) {}
 
-  /** Records that the store has just answered with all cancellations. */
-  confirm(): void {
-    this.confirmedAt = this.context.clock.now();
+  /** Records that this scheduler knows all cancellations that the store had until then. */
+  confirm(until: Instant): void {
+    this.confirmedAt = Math.max(this.confirmedAt, until);
   }
 
   /** How long a start that is ordered now may wait for its call, in milliseconds; 0 once the bound has passed. */
--- a/packages/scheduler/src/collection-watch.test.ts
+++ b/packages/scheduler/src/collection-watch.test.ts
@@ -19,7 +19,7 @@
   const events = new EventLog({ logger, now: () => 0 });
   const seen = new Set<string>();
   const watch = new CollectionWatch({
-    context: { store, events },
+    context: { store, events, clock: new ManualClock() },
     collection,
     afterVersion: 0,
     onRows: (rows) => {
@@ -75,7 +75,7 @@
   };
   let confirmations = 0;
   const watch = new CollectionWatch({
-    context: { store, events },
+    context: { store, events, clock: new ManualClock() },
     collection,
     afterVersion: 0,
     onRows: () => {},
--- a/packages/scheduler/src/collection-watch.ts
+++ b/packages/scheduler/src/collection-watch.ts
@@ -6,17 +6,19 @@
 import { Outage } from '@figjunction/logger';
 import type { FeedRow } from '@figjunction/store';
 import { sleep } from '@figjunction/time';
+import type { Instant } from '@figjunction/time';
+import { AnswerTimes } from './answer-times.js';
 import type { CellContext } from './cell-context.js';
 import { readJobPartitions } from './cell-loader.js';
 import type { CellCollection } from './cell-collections.js';
 
 export interface CollectionWatchOptions {
-  context: Pick<CellContext, 'store' | 'events'>;
+  context: Pick<CellContext, 'store' | 'events' | 'clock'>;
   collection: CellCollection;
   afterVersion: number;
   onRows: (rows: FeedRow[]) => void;
-  /** Called when the store has answered and all changes so far have been delivered. */
-  onConfirmed?: () => void;
+  /** Called when all changes have been delivered that the store had until then. */
+  onConfirmed?: (until: Instant) => void;
 }
 
 /** Long-poll timeout. A broken connection delays changes by at most this plus the timeout of the call. */
@@ -31,6 +33,8 @@
   /** False until the store has answered since the start or the last failure. */
   private isConfirmed = false;
 
+  private readonly answerTimes = new AnswerTimes();
+
   private readonly outage = new Outage();
 
   constructor(private readonly options: CollectionWatchOptions) {
@@ -60,22 +64,30 @@
   private async pollOnce(): Promise<void> {
     const { context, collection } = this.options;
     const { afterVersion } = this;
-    const change = await context.store.watch({
-      collection,
-      afterVersion,
-      // An answer at once tells sooner that nothing has been missed.
-      waitMs: this.isConfirmed ? WATCH_TIMEOUT_MS : 0,
-    });
-    if (change.rows !== null) {
-      this.deliver(change.rows, change.version);
+    const sentAt = context.clock.now();
+    // An answer at once tells sooner that nothing has been missed.
+    const waitMs = this.isConfirmed ? WATCH_TIMEOUT_MS : 0;
+    const change = await context.store.watch({ collection, afterVersion, waitMs });
+    if (change.rows === null) {
+      await this.readAll();
       return;
     }
-    context.events.write('history-gone', { collection, afterVersion });
-    const snapshot = await readJobPartitions(context.store, collection);
-    this.deliver(snapshot.rows, snapshot.version);
+    const { rows, version, storeMs } = change;
+    const heldMs = rows.length === 0 ? waitMs : 0;
+    const receivedAt = context.clock.now();
+    this.deliver(rows, version, this.answerTimes.observe({ sentAt, receivedAt, heldMs, storeMs }));
+  }
+
+  private async readAll(): Promise<void> {
+    const { context, collection } = this.options;
+    context.events.write('history-gone', { collection, afterVersion: this.afterVersion });
+    const sentAt = context.clock.now();
+    const { rows, version } = await readJobPartitions(context.store, collection);
+    this.answerTimes.reset();
+    this.deliver(rows, version, sentAt);
   }
 
-  private deliver(rows: FeedRow[], version: number): void {
+  private deliver(rows: FeedRow[], version: number, until: Instant): void {
     this.afterVersion = version;
     if (this.isStopped) {
       return;
@@ -84,6 +96,6 @@
       this.options.onRows(rows);
     }
     this.isConfirmed = true;
-    this.options.onConfirmed?.();
+    this.options.onConfirmed?.(until);
   }
 }
--- a/packages/scheduler/src/job-watches.ts
+++ b/packages/scheduler/src/job-watches.ts
@@ -40,7 +40,7 @@
       intake.cancelJobs(rows, context.clock.now());
       wake();
     },
-    onConfirmed: () => freshness.confirm(),
+    onConfirmed: (until) => freshness.confirm(until),
   });
   return [jobs, cancellations];
 }
--- a/packages/scheduler/src/late-watch-answers.test.ts
+++ b/packages/scheduler/src/late-watch-answers.test.ts
@@ -38,7 +38,7 @@
   const clock = new ManualClock(1_000);
   const store = new SlowAnswersStore(clock);
   const events = new RecordingEventLog();
-  const freshness = new CancellationFreshness({ clock, events });
+  const freshness = new CancellationFreshness({ events });
   const watches: CollectionWatch[] = [];
   const cancelled: string[] = [];
   let storedAt = Number.NaN;
@@ -55,8 +55,8 @@
       cancelJobs: (rows) => cancelled.push(...rows.map(({ key }) => key)),
     },
     freshness: {
-      confirm: () => {
-        freshness.confirm();
+      confirm: (until) => {
+        freshness.confirm(until);
         watches.forEach((watch) => watch.stop());
       },
     },
