--- a/packages/gateway/src/gateway-context-fixture.ts
+++ b/packages/gateway/src/gateway-context-fixture.ts
@@ -8,6 +8,7 @@
 import { ManualClock } from '@figjunction/time';
 import type { JobSpecification, QueuePolicy } from '@figjunction/types';
 import type { GatewayContext } from './gateway-context.js';
+import type { ConfigurationView } from './job-submission.js';
 
 export const QUEUE: QueuePolicy = {
   name: 'labels',
@@ -21,6 +22,8 @@
   advice: null,
 };
 
+export const VIEW: ConfigurationView = { revision: 1, configurationAgeMs: 0 };
+
 export const SPECIFICATION: JobSpecification = {
   payload: 'print the labels',
   steps: [
--- a/packages/gateway/src/job-cancellation.test.ts
+++ b/packages/gateway/src/job-cancellation.test.ts
@@ -6,7 +6,7 @@
 import { test } from 'node:test';
 import { CellCollection, jobPartition } from '@figjunction/scheduler';
 import { MemoryFeedStore, StoreFault } from '@figjunction/scheduler/memory-feed-store';
-import { QUEUE, SPECIFICATION, createGatewayContext } from './gateway-context-fixture.js';
+import { QUEUE, SPECIFICATION, VIEW, createGatewayContext } from './gateway-context-fixture.js';
 import { JobCancellation } from './job-cancellation.js';
 import { JobQueries } from './job-queries.js';
 import { JobSubmission, SubmitOutcome } from './job-submission.js';
@@ -26,6 +26,7 @@
         queue: QUEUE,
         specification: SPECIFICATION,
         deadline: context.clock.now(),
+        view: VIEW,
       }),
     cancel: () => cancellation.cancel(JOB_ID),
   };
--- a/packages/gateway/src/job-submission.ts
+++ b/packages/gateway/src/job-submission.ts
@@ -16,12 +16,20 @@
   Unknown = 'unknown',
 }
 
+/** The configuration from which a request was decided, for the log. */
+export interface ConfigurationView {
+  revision: number | null;
+  /** Longest time for which the store may have had a newer one. */
+  configurationAgeMs: number;
+}
+
 export interface Submission {
   jobId: JobId;
   queue: QueuePolicy;
   specification: JobSpecification;
   /** When the caller stops waiting. */
   deadline: Instant;
+  view: ConfigurationView;
 }
 
 interface SubmitResult {
@@ -46,12 +54,19 @@
   async submit(submission: Submission): Promise<SubmitOutcome> {
     const { clock, events, metrics } = this.context;
     const arrivedAt = clock.now();
-    const { jobId, queue } = submission;
+    const { jobId, queue, view } = submission;
     const { outcome, version } = await this.storeJob(submission, arrivedAt);
     const tookMs = Math.round(clock.now() - arrivedAt);
     metrics.count('submissions_total', { outcome });
     metrics.recordLatency('submit_ms', tookMs);
-    events.write('job-submitted', { job: jobId, queue: queue.name, outcome, version, tookMs });
+    events.write('job-submitted', {
+      job: jobId,
+      queue: queue.name,
+      outcome,
+      version,
+      tookMs,
+      ...view,
+    });
     return outcome;
   }
 
--- a/packages/http/src/http-client.ts
+++ b/packages/http/src/http-client.ts
@@ -3,7 +3,7 @@
  * before its announced length is never returned.
  */
 import { Agent, request as httpRequest } from 'node:http';
-import type { IncomingHttpHeaders, IncomingMessage } from 'node:http';
+import type { ClientRequest, IncomingHttpHeaders, IncomingMessage } from 'node:http';
 import { ErrorCode } from '@figjunction/errors';
 import { HttpClientError, codeOfStatus } from './http-error.js';
 
@@ -98,7 +98,10 @@
       const timer = setTimeout(
         () =>
           request.destroy(
-            new HttpClientError(`no answer from ${url} in time`, { code: ErrorCode.TimedOut }),
+            new HttpClientError(
+              `no answer from ${url} in time (${timeoutMs} ms, ${describeConnection(request)})`,
+              { code: ErrorCode.TimedOut },
+            ),
           ),
         timeoutMs,
       );
@@ -137,6 +140,10 @@
   return parsed as Result;
 }
 
+function describeConnection({ reusedSocket }: ClientRequest): string {
+  return reusedSocket ? 'reused connection' : 'new connection';
+}
+
 function withLength(
   headers: Record<string, string>,
   body: Buffer | string | null,
--- a/packages/scheduler/src/cell-context-fixture.ts
+++ b/packages/scheduler/src/cell-context-fixture.ts
@@ -23,12 +23,14 @@
     return Promise.resolve({
       configuration: { revision: 1, queues: [], services: [] },
       version: 1,
+      heldMs: 0,
+      storeMs: 0,
     });
   }
 
   override async watch(afterVersion: number, waitMs: number): Promise<ConfigurationChange> {
     await sleep(waitMs);
-    return { configuration: null, version: afterVersion };
+    return { configuration: null, version: afterVersion, heldMs: waitMs, storeMs: 0 };
   }
 }
 
--- a/packages/scheduler/src/cell-scheduler.ts
+++ b/packages/scheduler/src/cell-scheduler.ts
@@ -12,7 +12,7 @@
 import { CellLease, RenewalOutcome } from './cell-lease.js';
 import { loadCell } from './cell-loader.js';
 import { SchedulingTerm } from './scheduling-term.js';
-import { ConfigurationFollower } from './configuration-feed.js';
+import { ConfigurationFollower } from './configuration-follower.js';
 import type { OwnerDirectory, OwnerView } from './owner-directory.js';
 import { createReportRefusal } from './runner-sessions.js';
 
@@ -145,10 +145,15 @@
   }
 
   private followConfiguration(): void {
-    const { configurationFeed: feed, events } = this.options.context;
+    const { configurationFeed: feed, clock, events } = this.options.context;
     const onConfiguration = (configuration: FleetConfiguration): void =>
       this.term?.applyConfiguration(configuration);
-    this.configurationFollower = new ConfigurationFollower({ feed, events, onConfiguration });
+    this.configurationFollower = new ConfigurationFollower({
+      feed,
+      clock,
+      events,
+      onConfiguration,
+    });
     this.configurationFollower.run().catch((error: unknown) => {
       events.write('part-failed', { part: 'configuration', error: toError(error).message });
     });
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -7,6 +7,7 @@
 export * from './cell-collections.js';
 export * from './collection-watch.js';
 export * from './configuration-feed.js';
+export * from './configuration-follower.js';
 export * from './owner-directory.js';
 export * from './processor-load.js';
 export * from './row-schemas.js';
