--- a/packages/test-support/src/harness/managed-process.ts
+++ b/packages/test-support/src/harness/managed-process.ts
@@ -15,6 +15,8 @@
   arguments?: string[];
   environment?: Record<string, string>;
   readyTimeoutMs?: number;
+  /** Called with each line of standard output and standard error. */
+  onLine?: (line: string) => void;
 }
 
 export interface ProcessExit {
@@ -40,6 +42,9 @@
 
   private exit: ProcessExit | null = null;
 
+  /** The address from the ready line. */
+  private readonly listening: Promise<string>;
+
   constructor(readonly specification: ProcessSpecification) {
     const { file, arguments: list = [], environment = {} } = specification;
     this.child = spawn(process.execPath, [file, ...list], {
@@ -52,6 +57,14 @@
         resolve(this.exit);
       });
     });
+    this.listening = new Promise((resolve) => {
+      this.readLines((line) => {
+        const found = addressIn(line);
+        if (found !== null) {
+          resolve(found);
+        }
+      });
+    });
   }
 
   get name(): string {
@@ -69,18 +82,10 @@
   /** Waits for the line of JSON that holds the address. */
   async ready(): Promise<void> {
     const { readyTimeoutMs = DEFAULT_READY_TIMEOUT_MS } = this.specification;
-    const address = new Promise<string>((resolve) => {
-      this.readLines((line) => {
-        const found = addressIn(line);
-        if (found !== null) {
-          resolve(found);
-        }
-      });
-    });
     const failure = this.exited.then((exit) => {
       throw this.failure(`ended with ${exit.signal ?? exit.code} before it was ready`);
     });
-    this.address = await Promise.race([address, failure, this.timeout(readyTimeoutMs)]);
+    this.address = await Promise.race([this.listening, failure, this.timeout(readyTimeoutMs)]);
   }
 
   signal(signal: NodeJS.Signals): void {
@@ -117,6 +122,7 @@
           if (this.output.length > OUTPUT_LINES_MAXIMUM) {
             this.output.shift();
           }
+          this.specification.onLine?.(line);
           onLine(line);
         });
       }
--- a/packages/test-support/src/harness/process-harness.ts
+++ b/packages/test-support/src/harness/process-harness.ts
@@ -30,13 +30,19 @@
 
   /** Starts a process and waits until it listens. */
   async start(specification: ProcessSpecification): Promise<ManagedProcess> {
+    const started = this.launch(specification);
+    await started.ready();
+    return started;
+  }
+
+  /** Starts a process that does not print its address. */
+  launch(specification: ProcessSpecification): ManagedProcess {
     const started = new ManagedProcess(specification);
     this.processes.add(started);
     started.exited.then(
       () => this.processes.delete(started),
       () => {},
     );
-    await started.ready();
     return started;
   }
 
--- a/packages/test-support/src/index.ts
+++ b/packages/test-support/src/index.ts
@@ -22,6 +22,7 @@
 export * from './harness/managed-process.js';
 export * from './harness/process-harness.js';
 export * from './harness/wait-until.js';
+export { Silence } from './relay/relayed-connection.js';
 export * from './relay/tcp-relay.js';
 export * from './contracts/object-store-contract.js';
 export * from './contracts/table-service-contract.js';
--- a/packages/test-support/src/relay/relayed-connection.ts
+++ b/packages/test-support/src/relay/relayed-connection.ts
@@ -5,6 +5,14 @@
 import { SystemClock, sleep } from '@figjunction/time';
 import type { RandomSource } from '@figjunction/time';
 
+/** Which bytes of a connection vanish while nothing closes. */
+export enum Silence {
+  None = 'none',
+  ToTarget = 'to-target',
+  FromTarget = 'from-target',
+  Both = 'both',
+}
+
 export interface RelayConditions {
   /** Delay of bytes in either direction. */
   delayMs: number;
@@ -22,28 +30,37 @@
   onClose(): void;
 }
 
+/** One of the two directions of a connection. */
+interface Direction {
+  /** The silence that stops it alone. */
+  silence: Silence;
+  count: (bytes: number) => void;
+  nextDelayMs: () => number;
+}
+
 const clock = new SystemClock();
 
 export class RelayedConnection {
-  /** Bytes vanish and nothing closes. */
-  isSilent = false;
+  silence = Silence.None;
 
   private openSockets = 2;
 
   constructor(private readonly options: RelayedConnectionOptions) {
     const { caller, target, onBytes } = options;
-    this.join(
-      caller,
-      target,
-      (bytes) => onBytes(bytes, 0),
-      () => this.delayMs(),
-    );
-    this.join(
-      target,
-      caller,
-      (bytes) => onBytes(0, bytes),
-      () => this.answerDelayMs(),
-    );
+    this.join(caller, target, {
+      silence: Silence.ToTarget,
+      count: (bytes) => onBytes(bytes, 0),
+      nextDelayMs: () => this.delayMs(),
+    });
+    this.join(target, caller, {
+      silence: Silence.FromTarget,
+      count: (bytes) => onBytes(0, bytes),
+      nextDelayMs: () => this.answerDelayMs(),
+    });
+  }
+
+  get isSilent(): boolean {
+    return this.silence !== Silence.None;
   }
 
   /** Address that the caller's connection comes from. */
@@ -73,12 +90,9 @@
   }
 
   /** Forwards bytes of one direction in order, each after its delay. */
-  private join(
-    from: Socket,
-    to: Socket,
-    count: (bytes: number) => void,
-    nextDelayMs: () => number,
-  ): void {
+  private join(from: Socket, to: Socket, direction: Direction): void {
+    const { silence, count, nextDelayMs } = direction;
+    const isSilent = (): boolean => this.silence === Silence.Both || this.silence === silence;
     let previous = Promise.resolve();
     const later = (act: () => void): void => {
       const delayMs = nextDelayMs();
@@ -88,14 +102,14 @@
         if (delayMs > 0 && remaining > 0) {
           await sleep(remaining);
         }
-        if (!this.isSilent) {
+        if (!isSilent()) {
           act();
         }
       });
     };
     from.setNoDelay(true);
     from.on('data', (chunk: Buffer) => {
-      if (!this.isSilent) {
+      if (!isSilent()) {
         count(chunk.length);
         later(() => to.writable && to.write(chunk));
       }
--- a/packages/test-support/src/relay/tcp-relay.ts
+++ b/packages/test-support/src/relay/tcp-relay.ts
@@ -4,7 +4,7 @@
 import { connect, createServer } from 'node:net';
 import type { AddressInfo, Server } from 'node:net';
 import { RandomSource } from '@figjunction/time';
-import { RelayedConnection } from './relayed-connection.js';
+import { RelayedConnection, Silence } from './relayed-connection.js';
 import type { RelayConditions } from './relayed-connection.js';
 
 export interface TcpRelayOptions {
@@ -15,6 +15,12 @@
   seed?: number;
 }
 
+export interface SilenceOptions {
+  silence?: Silence;
+  /** Share of the open connections, 0 to 1. */
+  share?: number;
+}
+
 export class TcpRelay {
   address = '';
 
@@ -60,7 +66,9 @@
         },
         onClose: () => this.connections.delete(connection),
       });
-      connection.isSilent = this.silencesNew || this.silencedSources.has(connection.sourceAddress);
+      if (this.silencesNew || this.silencedSources.has(connection.sourceAddress)) {
+        connection.silence = Silence.Both;
+      }
       this.connections.add(connection);
     });
   }
@@ -97,10 +105,12 @@
     this.closeConnections();
   }
 
-  /** Bytes on the open connections vanish from now on and nothing closes; new connections work. */
-  silenceOpen(): void {
+  /** Bytes on open connections vanish from now on and nothing closes; new connections work. */
+  silenceOpen({ silence = Silence.Both, share = 1 }: SilenceOptions = {}): void {
     for (const connection of this.connections) {
-      connection.isSilent = true;
+      if (this.random.fraction() < share) {
+        connection.silence = silence;
+      }
     }
   }
 
@@ -114,7 +124,9 @@
   silenceFrom(sourceAddress: string): void {
     this.silencedSources.add(sourceAddress);
     for (const connection of this.connections) {
-      connection.isSilent ||= connection.sourceAddress === sourceAddress;
+      if (connection.sourceAddress === sourceAddress) {
+        connection.silence = Silence.Both;
+      }
     }
   }
 
