Close idle connections when one to the same address gives no answer

Callers saw a 404 as an older configuration says up to 5.5 s after the connections to the store had fallen silent (bound 4.0 s). Cause: the client kept one flag for all callers. A failed call made the next one use a connection of its own, and the success of any call cleared the flag, so that the next poll of the configuration took the next idle connection of the pool, as dead as the first. Each cost a poll of 3.7 s.

--- a/packages/http/src/http-client.ts
+++ b/packages/http/src/http-client.ts
@@ -52,7 +52,17 @@
     this.agent.destroy();
   }
 
-  /** Sends a request and reads the whole answer. A connection that timed out is destroyed. */
+  /** Closes the idle connections to the address of a URL, which may have gone silent without having been closed. */
+  closeIdle(url: string): void {
+    const { hostname, port } = new URL(url);
+    const name = this.agent.getName({ host: hostname, port: Number(port) });
+    this.agent.freeSockets[name]?.forEach((socket) => socket.destroy());
+  }
+
+  /**
+   * Sends a request and reads the whole answer. A connection that gave no answer is destroyed, and so are the idle
+   * ones to the same address: whatever has silenced it may have silenced them.
+   */
   request(url: string, options: HttpRequestOptions = {}): Promise<HttpAnswer> {
     const { maximumBytes = DEFAULT_MAXIMUM_BYTES } = options;
     return this.exchange(url, options, (answer) => readWhole(answer, maximumBytes));
@@ -107,6 +117,9 @@
       );
       const fail = (error: Error): void => {
         clearTimeout(timer);
+        if (signal?.aborted !== true) {
+          this.closeIdle(url);
+        }
         reject(wrapError(url, error));
       };
       request.on('error', fail);
