--- a/packages/store/src/feed-store.ts
+++ b/packages/store/src/feed-store.ts
@@ -66,6 +66,8 @@
   from?: string;
   /** End of the range, exclusive; defaults to the end of the partition. */
   until?: string;
+  /** Time allowed for the request and the response of each page. */
+  transferMs?: number;
 }
 
 export interface WatchParameters {
