Join a poll of the configuration that gets no answer with others

Callers saw a 404, or a job accepted into a dropped queue, as an older configuration says, 4.1 to 4.9 s after the connections to the store had fallen silent (bound 4.0 s). Cause: one poll that gets no answer took 1.2 + 2.5 s until it counted as failed, and a pause of 0.15 s followed: with a poll that begins after the silence, that alone is longer than the bound. The time followed from the transfer of a large configuration, not from the bound. Evidence: with the pool closed on the first failure, four tests with real gateways still failed in 2 of 2 runs, each trace with one lost poll of 3,700 ms. It waits 0.4 of it; if the answer is a fifth of it late, another attempt joins over a new connection and asks for an answer at once, and so on; the first answer wins. The attempts before go on, so a slow link or a busy processor costs no answer. A whole reading that is older than what is known is refused, and one is followed by a pause.

--- a/packages/scheduler/src/cell-context-fixture.ts
+++ b/packages/scheduler/src/cell-context-fixture.ts
@@ -11,7 +11,7 @@
 import type { CellContext } from './cell-context.js';
 import { MemoryFeedStore } from './memory-feed-store.js';
 import { ConfigurationFeed } from './configuration-feed.js';
-import type { ConfigurationChange } from './configuration-feed.js';
+import type { ConfigurationChange, ConfigurationWatchOptions } from './configuration-feed.js';
 import { ProcessorLoad } from './processor-load.js';
 
 /** Serves one configuration without queues and counts the reads. */
@@ -28,7 +28,8 @@
     });
   }
 
-  override async watch(afterVersion: number, waitMs: number): Promise<ConfigurationChange> {
+  override async watch(options: ConfigurationWatchOptions): Promise<ConfigurationChange> {
+    const { afterVersion, waitMs } = options;
     await sleep(waitMs);
     return { configuration: null, version: afterVersion, heldMs: waitMs, storeMs: 0 };
   }
--- a/packages/scheduler/src/configuration-feed.ts
+++ b/packages/scheduler/src/configuration-feed.ts
@@ -1,7 +1,7 @@
 /**
  * The feed of the configuration that operators write for a cell.
  */
-import type { StoreTime } from '@figjunction/store';
+import type { ReadOptions, StoreTime } from '@figjunction/store';
 import type { FleetConfiguration } from '@figjunction/types';
 
 export interface ConfigurationChange extends StoreTime {
@@ -12,10 +12,16 @@
   heldMs: number;
 }
 
+export interface ConfigurationWatchOptions extends ReadOptions {
+  afterVersion: number;
+  /** How long the store waits for a change. */
+  waitMs: number;
+}
+
 export abstract class ConfigurationFeed {
   /** Reads the whole configuration. */
-  abstract read(): Promise<ConfigurationChange>;
+  abstract read(options?: ReadOptions): Promise<ConfigurationChange>;
 
-  /** Waits up to `waitMs` for a change. Null when the history is discarded and `read` is needed. */
-  abstract watch(afterVersion: number, waitMs: number): Promise<ConfigurationChange | null>;
+  /** Waits for a change. Null when the history is discarded and `read` is needed. */
+  abstract watch(options: ConfigurationWatchOptions): Promise<ConfigurationChange | null>;
 }
--- a/packages/scheduler/src/configuration-follower.ts
+++ b/packages/scheduler/src/configuration-follower.ts
@@ -1,23 +1,38 @@
 /**
- * Follows the feed of the configuration, and tells how old its copy may be.
+ * Follows the feed of the configuration, and tells how old its copy may be. A poll without an answer is joined by
+ * others over new connections, because an open connection can go silent without being closed.
  */
-import { toError } from '@figjunction/errors';
+import { ErrorCode, toError } from '@figjunction/errors';
 import type { EventLog } from '@figjunction/logger';
-import { sleep } from '@figjunction/time';
+import type { ReadOptions } from '@figjunction/store';
+import { hedgeCall, sleep } from '@figjunction/time';
 import type { Clock, Instant } from '@figjunction/time';
 import type { FleetConfiguration } from '@figjunction/types';
 import { AnswerTimes } from './answer-times.js';
 import type { ConfigurationChange, ConfigurationFeed } from './configuration-feed.js';
+import { SchedulerError } from './scheduler-error.js';
 
 export interface ConfigurationFollowerOptions {
   feed: ConfigurationFeed;
   clock: Clock;
   events: EventLog;
+  /** How soon a stored configuration has to be in force, in milliseconds. */
+  inForceWithinMs?: number;
   /** Called with each newer configuration. */
   onConfiguration?: (configuration: FleetConfiguration) => void;
 }
 
-const WATCH_TIMEOUT_MS = 1_200;
+interface PollAnswer {
+  sentAt: Instant;
+  /** True for a reading of the whole configuration. */
+  isWhole: boolean;
+  change: ConfigurationChange;
+}
+
+const DEFAULT_IN_FORCE_WITHIN_MS = 2_500;
+/** Together with three attempts that get no answer in time, a poll fits the time until a change must be in force. */
+const WAIT_SHARE = 0.4;
+const ANSWER_SHARE = 0.2;
 const RETRY_DELAY_MS = 150;
 
 export class ConfigurationFollower {
@@ -29,56 +44,100 @@
   /** The store had nothing newer then. */
   private confirmedAt: Instant = Number.NEGATIVE_INFINITY;
 
+  private readonly inForceWithinMs: number;
+
   private readonly answerTimes = new AnswerTimes();
 
   private isStopped = false;
 
   private wasFailing = false;
 
-  constructor(private readonly options: ConfigurationFollowerOptions) {}
+  constructor(private readonly options: ConfigurationFollowerOptions) {
+    this.inForceWithinMs = options.inForceWithinMs ?? DEFAULT_IN_FORCE_WITHIN_MS;
+  }
 
   /** The longest time for which the store may have had a newer configuration; infinite before the first answer. */
   get ageMs(): number {
     return this.options.clock.now() - this.confirmedAt;
   }
 
+  /** False when a newer configuration may have to be in force already. */
+  get isRecent(): boolean {
+    return this.ageMs <= this.inForceWithinMs;
+  }
+
   stop(): void {
     this.isStopped = true;
   }
 
   async run(): Promise<void> {
-    const { clock } = this.options;
     while (!this.isStopped) {
-      const sentAt = clock.now();
       try {
-        await this.pollOnce(sentAt);
+        await this.pollOnce();
         this.recordSuccess();
-      } catch (error) {
-        this.recordFailure(toError(error), sentAt);
+      } catch {
+        // Each failed attempt has been logged.
         await sleep(RETRY_DELAY_MS);
       }
     }
   }
 
-  private async pollOnce(sentAt: Instant): Promise<void> {
-    const { feed } = this.options;
-    if (this.version === null) {
-      const whole = await feed.read();
-      this.answerTimes.reset();
-      this.confirm(sentAt, whole);
-      this.apply(whole);
-      return;
+  private async pollOnce(): Promise<void> {
+    // An answer at once tells sooner that nothing has been missed.
+    const waitMs = this.isRecent ? WAIT_SHARE * this.inForceWithinMs : 0;
+    const answerMs = ANSWER_SHARE * this.inForceWithinMs;
+    const answer = await hedgeCall({
+      attempt: (number, signal) =>
+        this.attemptAndLog(number === 0 ? waitMs : 0, { newConnection: number > 0, signal }),
+      overdueAfterMs: (number) => (number === 0 ? waitMs + answerMs : answerMs),
+    });
+    this.confirm(answer);
+    this.apply(answer.change);
+    if (answer.isWhole) {
+      // The history may be gone again.
+      await sleep(RETRY_DELAY_MS);
     }
-    const change = await feed.watch(this.version, WATCH_TIMEOUT_MS);
-    if (change === null) {
-      this.version = null;
-      return;
+  }
+
+  private async attemptAndLog(waitMs: number, options: ReadOptions): Promise<PollAnswer> {
+    const sentAt = this.options.clock.now();
+    try {
+      return await this.attempt(waitMs, options);
+    } catch (error) {
+      if (options.signal?.aborted !== true) {
+        this.recordFailure(toError(error), sentAt);
+      }
+      throw error;
+    }
+  }
+
+  private async attempt(waitMs: number, options: ReadOptions): Promise<PollAnswer> {
+    const { feed, clock } = this.options;
+    const afterVersion = this.version;
+    if (afterVersion !== null) {
+      const sentAt = clock.now();
+      const change = await feed.watch({ ...options, afterVersion, waitMs: Math.round(waitMs) });
+      if (change !== null) {
+        return { sentAt, isWhole: false, change };
+      }
+    }
+    return this.readWhole(options);
+  }
+
+  /** Reads the configuration before the first poll, and when the history since the last one is gone. */
+  private async readWhole(options: ReadOptions): Promise<PollAnswer> {
+    const sentAt = this.options.clock.now();
+    const change = await this.options.feed.read(options);
+    if (change.version < (this.version ?? 0)) {
+      throw new SchedulerError('the store returned an older state than before', {
+        code: ErrorCode.Unavailable,
+      });
     }
-    this.confirm(sentAt, change);
-    this.apply(change);
+    return { sentAt, isWhole: true, change };
   }
 
-  private confirm(sentAt: Instant, { heldMs, storeMs }: ConfigurationChange): void {
+  private confirm({ sentAt, change }: PollAnswer): void {
+    const { heldMs, storeMs } = change;
     const receivedAt = this.options.clock.now();
     const givenAt = this.answerTimes.observe({ sentAt, receivedAt, heldMs, storeMs });
     this.confirmedAt = Math.max(this.confirmedAt, givenAt);
@@ -102,7 +161,7 @@
     }
   }
 
-  /** One line for each failed poll; the timeouts of the polls and the pause between them bound their number. */
+  /** One line for each failed attempt; the pause between attempts bounds their number. */
   private recordFailure({ message }: Error, sentAt: Instant): void {
     this.wasFailing = true;
     const { clock, events } = this.options;
--- a/packages/store/src/feed-store.ts
+++ b/packages/store/src/feed-store.ts
@@ -59,7 +59,15 @@
   version: number;
 }
 
-export interface RangeParameters {
+/** How a read is made that others of the same may accompany. */
+export interface ReadOptions {
+  /** Gives the read up. */
+  signal?: AbortSignal;
+  /** Uses a connection of its own, because the pooled ones may have gone silent. */
+  newConnection?: boolean;
+}
+
+export interface RangeParameters extends ReadOptions {
   collection: string;
   partition: string;
   /** First key of the range, inclusive; defaults to the first row of the partition. */
@@ -70,7 +78,7 @@
   transferMs?: number;
 }
 
-export interface WatchParameters {
+export interface WatchParameters extends ReadOptions {
   collection: string;
   afterVersion: number;
   /** How long the store waits for a change before it returns an empty result. */
--- a/packages/time/src/index.ts
+++ b/packages/time/src/index.ts
@@ -3,6 +3,7 @@
  */
 export * from './clock.js';
 export * from './deadline.js';
+export * from './hedged-call.js';
 export * from './random-source.js';
 export * from './tick-loop.js';
 export * from './wake-loop.js';
