--- a/packages/scheduler/src/configuration-follower.test.ts
+++ b/packages/scheduler/src/configuration-follower.test.ts
@@ -25,6 +25,9 @@
   /** Pooled connections give no answer. */
   isPoolSilent = false;
 
+  /** No connection gives an answer. */
+  isStoreSilent = false;
+
   isHistoryGone = false;
 
   /** Versions by which a whole reading is behind. */
@@ -57,7 +60,7 @@
   }
 
   private async waitIfSilent({ newConnection = false, signal }: ReadOptions): Promise<void> {
-    if (this.isPoolSilent && !newConnection) {
+    if (this.isStoreSilent || (this.isPoolSilent && !newConnection)) {
       await sleep(LONG_MS, signal);
       throw new Error('no answer');
     }
@@ -124,3 +127,18 @@
   await waitUntil(() => !followed.isRecent);
   assert.ok(followed.ageMs > IN_FORCE_WITHIN_MS);
 });
+
+test('wakes requests that wait for a recent copy with the first answer, after it is in force', async () => {
+  const feed = new FakeFeed();
+  const followed = await follow(feed);
+  feed.isStoreSilent = true;
+  await waitUntil(() => !followed.isRecent);
+  const waiting = followed.waitUntilRecent(LONG_MS).then((isRecent) => {
+    assert.ok(isRecent);
+    return followed.configuration?.revision;
+  });
+  assert.equal(await followed.waitUntilRecent(1), false);
+  feed.revision = 2;
+  feed.isStoreSilent = false;
+  assert.equal(await waiting, 2);
+});
--- a/packages/scheduler/src/configuration-follower.ts
+++ b/packages/scheduler/src/configuration-follower.ts
@@ -48,6 +48,9 @@
 
   private readonly answerTimes = new AnswerTimes();
 
+  /** Aborted when an answer makes the copy recent. */
+  private readonly waiters = new Set<AbortController>();
+
   private isStopped = false;
 
   private wasFailing = false;
@@ -66,6 +69,17 @@
     return this.ageMs <= this.inForceWithinMs;
   }
 
+  /** Resolves to false if no answer of the store has made the copy recent by then. */
+  async waitUntilRecent(timeoutMs: number): Promise<boolean> {
+    if (!this.isRecent) {
+      const waiter = new AbortController();
+      this.waiters.add(waiter);
+      await sleep(timeoutMs, waiter.signal);
+      this.waiters.delete(waiter);
+    }
+    return this.isRecent;
+  }
+
   stop(): void {
     this.isStopped = true;
   }
@@ -91,8 +105,8 @@
         this.attemptAndLog(number === 0 ? waitMs : 0, { newConnection: number > 0, signal }),
       overdueAfterMs: (number) => (number === 0 ? waitMs + answerMs : answerMs),
     });
-    this.confirm(answer);
     this.apply(answer.change);
+    this.confirm(answer);
     if (answer.isWhole) {
       // The history may be gone again.
       await sleep(RETRY_DELAY_MS);
@@ -141,6 +155,9 @@
     const receivedAt = this.options.clock.now();
     const givenAt = this.answerTimes.observe({ sentAt, receivedAt, heldMs, storeMs });
     this.confirmedAt = Math.max(this.confirmedAt, givenAt);
+    if (this.isRecent) {
+      this.waiters.forEach((waiter) => waiter.abort());
+    }
   }
 
   private apply({ configuration, version }: ConfigurationChange): void {
