--- a/packages/gateway/src/job-queries.ts
+++ b/packages/gateway/src/job-queries.ts
@@ -40,9 +40,6 @@
 
   private pendingCall: Promise<void> | null = null;
 
-  /** Set after a failed call, so that the next one does not reuse a broken connection. */
-  private useNewConnection = false;
-
   private readonly storedRows: StoredRows;
 
   constructor(private readonly context: GatewayContext) {
@@ -132,15 +129,7 @@
         code: ErrorCode.Unavailable,
       });
     }
-    try {
-      const options = { timeoutMs: CALL_TIMEOUT_MS, newConnection: this.useNewConnection };
-      const result = await rpc.call(directory.owner.address, method, parameters, options);
-      this.useNewConnection = false;
-      return result;
-    } catch (error) {
-      this.useNewConnection = true;
-      throw error;
-    }
+    return rpc.call(directory.owner.address, method, parameters, { timeoutMs: CALL_TIMEOUT_MS });
   }
 
   private async refreshOwner(): Promise<void> {
--- a/packages/runner/src/reporter.ts
+++ b/packages/runner/src/reporter.ts
@@ -68,8 +68,6 @@
 
   private isStopped = false;
 
-  private useNewConnection = false;
-
   private withoutSessionSince: Instant | null = null;
 
   private readonly ownerSearch: OwnerSearch;
@@ -144,7 +142,6 @@
       this.follow(owner.epoch);
       return await this.sendReport(owner);
     } catch (error) {
-      this.useNewConnection = true;
       const { message } = toError(error);
       events.write('report-failed', {
         owner: owner?.address,
@@ -186,9 +183,7 @@
     const parameters = { agentId, address: ownAddress, processId, ...report };
     const result = await this.options.rpc.call(address, RpcMethod.RunnerReport, parameters, {
       timeoutMs: this.session.isOpen ? REPORT_TIMEOUT_MS : SESSION_TIMEOUT_MS,
-      newConnection: this.useNewConnection,
     });
-    this.useNewConnection = false;
     if (result.epoch === 0) {
       return this.ownerSearch.trySearch(SchedulerFailure.NotScheduling, epoch);
     }
