--- a/packages/gateway/src/job-submission.ts
+++ b/packages/gateway/src/job-submission.ts
@@ -70,6 +70,11 @@
     return outcome;
   }
 
+  /** The outcome of a submission that makes no attempt to store the job: an earlier one may have stored it. */
+  outcomeWithoutAttempt(jobId: JobId): SubmitOutcome {
+    return this.unknownOutcomes.has(jobId) ? SubmitOutcome.Unknown : SubmitOutcome.Refused;
+  }
+
   private async storeJob(submission: Submission, arrivedAt: Instant): Promise<SubmitResult> {
     const { clock } = this.context;
     const { jobId } = submission;
@@ -91,8 +96,7 @@
       }
       await sleep(RETRY_INTERVAL_MS);
     }
-    const mayBeStored = this.unknownOutcomes.has(jobId);
-    return { outcome: mayBeStored ? SubmitOutcome.Unknown : SubmitOutcome.Refused, version: null };
+    return { outcome: this.outcomeWithoutAttempt(jobId), version: null };
   }
 
   /**
