Log a configuration that cannot be put in force, and try it again

An error while a configuration was put in force was swallowed by the catch around the poll since, and its version counted as seen, so that the configuration would have been skipped for good. Change: only the errors of attempts, which have been logged, are passed over; the version advances after the configuration is in force.

--- a/packages/scheduler/src/configuration-follower.test.ts
+++ b/packages/scheduler/src/configuration-follower.test.ts
@@ -7,6 +7,7 @@
 import { RecordingEventLog } from '@figjunction/logger/recording-event-log';
 import type { ReadOptions } from '@figjunction/store';
 import { SystemClock, sleep } from '@figjunction/time';
+import type { FleetConfiguration } from '@figjunction/types';
 import { ConfigurationFeed } from './configuration-feed.js';
 import type { ConfigurationChange, ConfigurationWatchOptions } from './configuration-feed.js';
 import { ConfigurationFollower } from './configuration-follower.js';
@@ -142,3 +143,26 @@
   feed.isStoreSilent = false;
   assert.equal(await waiting, 2);
 });
+
+test('tries a configuration again that could not be put in force', async () => {
+  const feed = new FakeFeed();
+  const seen: number[] = [];
+  const onConfiguration = ({ revision }: FleetConfiguration): void => {
+    seen.push(revision);
+    if (seen.length === 1) {
+      throw new Error('not now');
+    }
+  };
+  const inForceWithinMs = IN_FORCE_WITHIN_MS;
+  const started = new ConfigurationFollower({
+    feed,
+    clock,
+    events,
+    inForceWithinMs,
+    onConfiguration,
+  });
+  follower = started;
+  started.run().catch(assert.ifError);
+  await waitUntil(() => started.configuration !== null);
+  assert.deepEqual(seen, [1, 1]);
+});
--- a/packages/scheduler/src/configuration-follower.ts
+++ b/packages/scheduler/src/configuration-follower.ts
@@ -86,30 +86,41 @@
 
   async run(): Promise<void> {
     while (!this.isStopped) {
-      try {
-        await this.pollOnce();
-        this.recordSuccess();
-      } catch {
-        // Each failed attempt has been logged.
+      const answer = await this.poll();
+      const isAccepted = answer !== null && this.accept(answer);
+      // After a reading of the whole configuration, the history may be gone again.
+      if (!isAccepted || answer.isWhole) {
         await sleep(RETRY_DELAY_MS);
       }
     }
   }
 
-  private async pollOnce(): Promise<void> {
+  /** Null if no attempt was answered; each of them has been logged. */
+  private async poll(): Promise<PollAnswer | null> {
     // An answer at once tells sooner that nothing has been missed.
     const waitMs = this.isRecent ? WAIT_SHARE * this.inForceWithinMs : 0;
     const answerMs = ANSWER_SHARE * this.inForceWithinMs;
-    const answer = await hedgeCall({
-      attempt: (number, signal) =>
-        this.attemptAndLog(number === 0 ? waitMs : 0, { newConnection: number > 0, signal }),
-      overdueAfterMs: (number) => (number === 0 ? waitMs + answerMs : answerMs),
-    });
-    this.apply(answer.change);
-    this.confirm(answer);
-    if (answer.isWhole) {
-      // The history may be gone again.
-      await sleep(RETRY_DELAY_MS);
+    try {
+      return await hedgeCall({
+        attempt: (number, signal) =>
+          this.attemptAndLog(number === 0 ? waitMs : 0, { newConnection: number > 0, signal }),
+        overdueAfterMs: (number) => (number === 0 ? waitMs + answerMs : answerMs),
+      });
+    } catch {
+      return null;
+    }
+  }
+
+  /** Returns false if the configuration can't be put in force here. */
+  private accept(answer: PollAnswer): boolean {
+    try {
+      this.apply(answer.change);
+      this.confirm(answer);
+      this.recordSuccess();
+      return true;
+    } catch (error) {
+      this.recordFailure(toError(error), answer.sentAt);
+      return false;
     }
   }
 
@@ -161,14 +172,14 @@
   }
 
   private apply({ configuration, version }: ConfigurationChange): void {
-    this.version = version;
     const { events, onConfiguration } = this.options;
     if (configuration !== null && configuration.revision > (this.configuration?.revision ?? 0)) {
+      onConfiguration?.(configuration);
       this.configuration = configuration;
       const { revision, queues } = configuration;
       events.write('configuration-applied', { revision, queues: queues.length, version });
-      onConfiguration?.(configuration);
     }
+    this.version = version;
   }
 
   private recordSuccess(): void {
@@ -178,7 +189,7 @@
     }
   }
 
-  /** One line for each failed attempt; the pause between attempts bounds their number. */
+  /** One line for each failed attempt, whose pace bounds their number. */
   private recordFailure({ message }: Error, sentAt: Instant): void {
     this.wasFailing = true;
     const { clock, events } = this.options;
