--- a/packages/scheduler/src/configuration-follower.test.ts
+++ b/packages/scheduler/src/configuration-follower.test.ts
@@ -95,6 +95,7 @@
   const joining = feed.watches.filter(({ newConnection }) => newConnection === true);
   assert.ok(joining.length > 0);
   assert.ok(joining.every(({ waitMs }) => waitMs === 0));
+  assert.ok(events.fieldsOf('configuration-poll-overdue').length > 0);
 });
 
 test('reads the configuration when the history is gone and the pooled connections are silent', async () => {
--- a/packages/scheduler/src/configuration-follower.ts
+++ b/packages/scheduler/src/configuration-follower.ts
@@ -22,13 +22,18 @@
   onConfiguration?: (configuration: FleetConfiguration) => void;
 }
 
-interface PollAnswer {
+interface AttemptAnswer {
   sentAt: Instant;
   /** True for a reading of the whole configuration. */
   isWhole: boolean;
   change: ConfigurationChange;
 }
 
+interface PollAnswer extends AttemptAnswer {
+  /** True if an earlier attempt was overdue. */
+  isRepeated: boolean;
+}
+
 const DEFAULT_IN_FORCE_WITHIN_MS = 2_500;
 /** Together with three attempts that get no answer in time, a poll fits the time until a change must be in force. */
 const WAIT_SHARE = 0.4;
@@ -100,12 +105,17 @@
     // An answer at once tells sooner that nothing has been missed.
     const waitMs = this.isRecent ? WAIT_SHARE * this.inForceWithinMs : 0;
     const answerMs = ANSWER_SHARE * this.inForceWithinMs;
+    const startedAt = this.options.clock.now();
     try {
-      return await hedgeCall({
+      const answer = await hedgeCall({
         attempt: (number, signal) =>
           this.attemptAndLog(number === 0 ? waitMs : 0, { newConnection: number > 0, signal }),
         overdueAfterMs: (number) => (number === 0 ? waitMs + answerMs : answerMs),
       });
+      if (answer.isRepeated) {
+        this.recordOverdue(startedAt);
+      }
+      return answer;
     } catch {
       return null;
     }
@@ -126,8 +136,9 @@
 
   private async attemptAndLog(waitMs: number, options: ReadOptions): Promise<PollAnswer> {
     const sentAt = this.options.clock.now();
+    const isRepeated = options.newConnection === true;
     try {
-      return await this.attempt(waitMs, options);
+      return { ...(await this.attempt(waitMs, options)), isRepeated };
     } catch (error) {
       if (options.signal?.aborted !== true) {
         this.recordFailure(toError(error), sentAt);
@@ -136,7 +147,7 @@
     }
   }
 
-  private async attempt(waitMs: number, options: ReadOptions): Promise<PollAnswer> {
+  private async attempt(waitMs: number, options: ReadOptions): Promise<AttemptAnswer> {
     const { feed, clock } = this.options;
     const afterVersion = this.version;
     if (afterVersion !== null) {
@@ -150,7 +161,7 @@
   }
 
   /** Reads the configuration before the first poll, and when the history since the last one is gone. */
-  private async readWhole(options: ReadOptions): Promise<PollAnswer> {
+  private async readWhole(options: ReadOptions): Promise<AttemptAnswer> {
     const sentAt = this.options.clock.now();
     const change = await this.options.feed.read(options);
     if (change.version < (this.version ?? 0)) {
@@ -189,6 +200,16 @@
     }
   }
 
+  /** The first attempt has had no answer in time: connections may have gone silent. */
+  private recordOverdue(startedAt: Instant): void {
+    const { clock, events } = this.options;
+    events.write('configuration-poll-overdue', {
+      version: this.version,
+      tookMs: Math.round(clock.now() - startedAt),
+      ageMs: Math.round(this.ageMs),
+    });
+  }
+
   /** One line for each failed attempt, whose pace bounds their number. */
   private recordFailure({ message }: Error, sentAt: Instant): void {
     this.wasFailing = true;
