Do not refuse a job that another request has stored or is storing

Cause: a gateway remembered a write only once it had failed without a clear answer. A write in progress, and a job that this gateway had stored for the first request, counted as never tried, so that a second request was refused while the store counted as unavailable. Change: writes in progress and stored jobs are remembered, bounded like the unknown outcomes; the second request gets 504 or 200.

--- a/packages/gateway/src/job-submission.ts
+++ b/packages/gateway/src/job-submission.ts
@@ -43,12 +43,18 @@
 const RETRY_INTERVAL_MS = 60;
 /** Retries end this long before the caller's deadline, to leave time for the response. */
 const DEADLINE_MARGIN_MS = 150;
-/** Bounds the set of job ids with an unknown outcome; the oldest ids are dropped first. */
-const UNKNOWN_OUTCOMES_MAXIMUM = 10_000;
+/** Bounds each set of remembered jobs; the oldest ids are dropped first. */
+const REMEMBERED_JOBS_MAXIMUM = 10_000;
 
 export class JobSubmission {
   private readonly unknownOutcomes = new Set<JobId>();
 
+  /** Jobs that the store has, for callers that submit them again. */
+  private readonly storedJobs = new Set<JobId>();
+
+  /** Number of writes in progress by job. */
+  private readonly openWrites = new Map<JobId, number>();
+
   constructor(private readonly context: GatewayContext) {}
 
   async submit(submission: Submission): Promise<SubmitOutcome> {
@@ -70,9 +76,13 @@
     return outcome;
   }
 
-  /** The outcome of a submission that makes no attempt to store the job: an earlier one may have stored it. */
+  /** The outcome of a submission that makes no attempt to store the job: another one may have stored it. */
   outcomeWithoutAttempt(jobId: JobId): SubmitOutcome {
-    return this.unknownOutcomes.has(jobId) ? SubmitOutcome.Unknown : SubmitOutcome.Refused;
+    if (this.storedJobs.has(jobId)) {
+      return SubmitOutcome.Accepted;
+    }
+    const mayBeStored = this.unknownOutcomes.has(jobId) || this.openWrites.has(jobId);
+    return mayBeStored ? SubmitOutcome.Unknown : SubmitOutcome.Refused;
   }
 
   private async storeJob(submission: Submission, arrivedAt: Instant): Promise<SubmitResult> {
@@ -85,8 +95,9 @@
     // A write to an unreachable store might take effect after the caller was told that the job is refused.
     while (!this.context.storeHealth.isUnavailable()) {
       try {
-        const version = await this.writeJobRow(submission);
+        const version = await this.countOpenWrite(jobId, () => this.writeJobRow(submission));
         this.unknownOutcomes.delete(jobId);
+        addBounded(this.storedJobs, jobId);
         return { outcome: SubmitOutcome.Accepted, version };
       } catch (error) {
         this.recordFailure(jobId, toError(error));
@@ -99,6 +110,23 @@
     return { outcome: this.outcomeWithoutAttempt(jobId), version: null };
   }
 
+  private async countOpenWrite<Result>(
+    jobId: JobId,
+    write: () => Promise<Result>,
+  ): Promise<Result> {
+    this.openWrites.set(jobId, (this.openWrites.get(jobId) ?? 0) + 1);
+    try {
+      return await write();
+    } finally {
+      const remaining = (this.openWrites.get(jobId) ?? 1) - 1;
+      if (remaining === 0) {
+        this.openWrites.delete(jobId);
+      } else {
+        this.openWrites.set(jobId, remaining);
+      }
+    }
+  }
+
   /**
    * Returns the version of the row. A conflict is no error: it means that the row exists because the same job was
    * submitted before.
@@ -122,12 +150,16 @@
   private recordFailure(jobId: JobId, error: Error): void {
     const code = errorCodeOf(error);
     if (code === ErrorCode.OutcomeUnknown) {
-      this.unknownOutcomes.add(jobId);
-      if (this.unknownOutcomes.size > UNKNOWN_OUTCOMES_MAXIMUM) {
-        const [oldest = jobId] = this.unknownOutcomes;
-        this.unknownOutcomes.delete(oldest);
-      }
+      addBounded(this.unknownOutcomes, jobId);
     }
     this.context.events.write('job-not-stored', { job: jobId, code, error: error.message });
   }
 }
+
+function addBounded(jobIds: Set<JobId>, jobId: JobId): void {
+  jobIds.add(jobId);
+  if (jobIds.size > REMEMBERED_JOBS_MAXIMUM) {
+    const [oldest = jobId] = jobIds;
+    jobIds.delete(oldest);
+  }
+}
