Log which ends are acknowledged and what the others wait for

Each occurrence now numbers its changes, a stored row is known by the last change that it contains, and a VM keeps its applied ends with the change they need until they are acknowledged. No decision uses this yet.

- ends-acknowledged, one line a second for all VMs: through which end each VM was acknowledged, how many ends wait, for how long and for which rows; the gauge ends_unacknowledged.
- ends-acknowledged-unstored: ends that are acknowledged although their effect is not stored.
- ends-unapplied tells the epoch, the session, the age of the list and the age of the expiry that decided; run-ended tells the number of the end.

The tests that compare whole lines or build a TaskEnd get the new fields. OccurrenceRecord.dirty was written and never read, and is replaced.

--- a/packages/scheduler/src/odd-rows.test.ts
+++ b/packages/scheduler/src/odd-rows.test.ts
@@ -200,7 +200,7 @@
   for (let now = 0; now < 5_000 * RESTART_DELAY_MS; now += RESTART_DELAY_MS) {
     const [record] = placeTasks(state, now).started;
     assert.ok(record);
-    const end = { ending: RunEnding.Failed, checkpoint: '' };
+    const end = { sequence: 1, ending: RunEnding.Failed, checkpoint: '' };
     applyEnd(state, { task: record.task, record, run: record.run, ...end }, now);
   }
   assert.equal(vm.runs.size, 0);
--- a/packages/scheduler/src/progress-batch.ts
+++ b/packages/scheduler/src/progress-batch.ts
@@ -20,10 +20,17 @@
   removal?: RowReference;
 }
 
+export interface StoredOccurrence {
+  occurrence: OccurrenceRecord;
+  row: ProgressRow;
+  /** The last change of the occurrence that the row contains. */
+  change: number;
+}
+
 export interface ProgressBatch {
   /** The keys of all rows of the batch among the pending rows. */
   keys: string[];
-  occurrences: { occurrence: OccurrenceRecord; row: ProgressRow }[];
+  occurrences: StoredOccurrence[];
   /** Id and address of each runner to register. */
   runners: [string, string][];
   removals: RowReference[];
@@ -99,7 +106,7 @@
       if (bytes > batchMaximumBytes && batch.keys.length > 0) {
         break;
       }
-      batch.occurrences.push({ occurrence, row });
+      batch.occurrences.push({ occurrence, row, change: occurrence.lastChange });
     }
     batch.runners.push(...(runner === undefined ? [] : [runner]));
     batch.removals.push(...(removal === undefined ? [] : [removal]));
--- a/packages/scheduler/src/progress-writer.ts
+++ b/packages/scheduler/src/progress-writer.ts
@@ -3,8 +3,8 @@
  * runs are acknowledged only after their effect is stored. A row that the store refuses holds back no others.
  */
 import { ErrorCode, errorCodeOf, toError } from '@figjunction/errors';
-import { isFinished } from '@figjunction/scheduling';
-import type { CellState, JobRecord } from '@figjunction/scheduling';
+import { acknowledgeEnds, isFinished } from '@figjunction/scheduling';
+import type { CellState, JobRecord, VmRecord } from '@figjunction/scheduling';
 import type { FeedRow } from '@figjunction/store';
 import type { Instant } from '@figjunction/time';
 import type { CellContext } from './cell-context.js';
@@ -91,7 +91,7 @@
     const pending = listPendingRows(state.dirty, this.pendingRegistrations, rows);
     if (!this.mustAwait([...pending.keys()])) {
       for (const vm of state.vms.values()) {
-        vm.settledThrough = vm.lastEndSequence;
+        this.acknowledge(vm, vm.lastEndSequence);
       }
     }
     const batch = this.createBatch(pending, now);
@@ -173,10 +173,11 @@
   }
 
   private applyStoredBatch(batch: ProgressBatch): void {
-    const { context, state } = this.options;
+    const { context } = this.options;
     this.retryDelayMs = INITIAL_RETRY_DELAY_MS;
     const now = context.clock.now();
-    for (const { occurrence, row } of batch.occurrences) {
+    for (const { occurrence, row, change } of batch.occurrences) {
+      occurrence.storedChange = Math.max(occurrence.storedChange, change);
       const { state: stored, runners } = row;
       if (occurrence.storedState !== stored && isFinished(stored)) {
         const { job } = occurrence;
@@ -191,12 +192,11 @@
       }
       occurrence.storedState = stored;
       occurrence.storedVms = new Set(runners);
-      occurrence.dirty = state.dirty.has(occurrence);
       markJobFinished(occurrence.job, now);
     }
     for (const [vm, lastEnd, session] of batch.appliedEnds) {
       if (vm.session === session) {
-        vm.settledThrough = Math.max(vm.settledThrough, lastEnd);
+        this.acknowledge(vm, lastEnd);
       }
     }
     for (const [id, address] of batch.runners) {
@@ -207,6 +207,20 @@
     this.options.onStored();
   }
 
+  private acknowledge(vm: VmRecord, through: number): void {
+    const unstored = acknowledgeEnds(vm, through);
+    const { context, lease } = this.options;
+    if (unstored.length > 0) {
+      context.events.write('ends-acknowledged-unstored', {
+        epoch: lease.epoch,
+        vm: vm.id,
+        through,
+        sequences: unstored.map(({ sequence }) => sequence),
+        jobs: [...new Set(unstored.map(({ occurrence }) => occurrence.job.id))],
+      });
+    }
+  }
+
   /** After a refusal the rest is tried at once: the store works. */
   private handleFailure(batch: ProgressBatch, error: Error): void {
     const { context } = this.options;
--- a/packages/scheduler/src/queue-summary.test.ts
+++ b/packages/scheduler/src/queue-summary.test.ts
@@ -70,7 +70,7 @@
   assert.ok(run);
   activity.recordStart(run, 400);
   const { task } = run;
-  const end = { task, record: run, run: 1, ending: RunEnding.Done, checkpoint: '' };
+  const end = { sequence: 1, task, record: run, run: 1, ending: RunEnding.Done, checkpoint: '' };
   activity.recordEnd(end, run.runningSince + 1_500);
   const [summary] = summarizeQueues(state, activity.take(), 2_000);
   assert.equal(summary?.meanWaitedMs, 400);
--- a/packages/scheduler/src/runner-session-log.ts
+++ b/packages/scheduler/src/runner-session-log.ts
@@ -64,13 +64,24 @@
     });
   }
 
-  /** `done` lists the runs with a result, which is lost unless it was applied before. */
-  recordUnappliedEnds(vm: string, { reason, ends }: UnappliedEnds): void {
+  /**
+   * `done` lists the runs with a result, which is lost unless it was applied before; `decidedMs` is the age of the
+   * expiry that decided.
+   */
+  recordUnappliedEnds(
+    { agentId: vm, epoch, session, listAgeMs }: ReportParameters,
+    { reason, decidedAt, ends }: UnappliedEnds,
+    now: Instant,
+  ): void {
     const { events, metrics } = this.context;
     metrics.count('ends_unapplied_total', { reason }, ends.length);
     events.write('ends-unapplied', {
       vm,
+      epoch,
+      session,
       reason,
+      decidedMs: Math.round(now - decidedAt),
+      listAgeMs,
       ends: ends.length,
       firstSequence: ends[0]?.sequence,
       lastSequence: ends[ends.length - 1]?.sequence,
@@ -133,6 +144,7 @@
       tookMs,
       estimateMs: specification.estimateMs,
       failures: task.failedRuns.length,
+      sequence: end.sequence,
     });
   }
 }
--- a/packages/scheduler/src/runner-sessions.test.ts
+++ b/packages/scheduler/src/runner-sessions.test.ts
@@ -134,7 +134,11 @@
   assert.deepEqual(events.fieldsOf('ends-unapplied'), [
     {
       vm: 'vm-1',
+      epoch: FIXTURE_EPOCH,
+      session: 0,
       reason: 'unknown-task',
+      decidedMs: 0,
+      listAgeMs: 0,
       ends: 2,
       firstSequence: 1,
       lastSequence: 2,
@@ -142,7 +146,11 @@
     },
     {
       vm: 'vm-1',
+      epoch: FIXTURE_EPOCH,
+      session: 1,
       reason: 'lease-expired',
+      decidedMs: 0,
+      listAgeMs: 0,
       ends: 1,
       firstSequence: 3,
       lastSequence: 3,
--- a/packages/scheduler/src/scheduling-term.ts
+++ b/packages/scheduler/src/scheduling-term.ts
@@ -82,7 +82,7 @@
       onRunnerRegistered: (id, address) => this.addOrUpdateVm(id, address),
       onStored: () => this.handleStored(),
     });
-    this.log = new TermLog(context, state);
+    this.log = new TermLog(context, state, lease.epoch);
     const { activity } = this.log;
     this.sessions = new RunnerSessions({
       context,
--- a/packages/scheduler/src/term-log.ts
+++ b/packages/scheduler/src/term-log.ts
@@ -3,6 +3,7 @@
  */
 import type { CellState, RunRecord } from '@figjunction/scheduling';
 import type { Instant } from '@figjunction/time';
+import { AcknowledgementLog } from './acknowledgement-log.js';
 import type { CellContext } from './cell-context.js';
 import { summarizeCell } from './cell-summary.js';
 import { QueueActivity } from './queue-activity.js';
@@ -16,13 +17,17 @@
 
   readonly tickTimes: TickTimes;
 
+  private readonly acknowledgements: AcknowledgementLog;
+
   private summaryAt: Instant = 0;
 
   constructor(
     private readonly context: Pick<CellContext, 'clock' | 'events' | 'metrics' | 'processorLoad'>,
     private readonly state: CellState,
+    epoch: number,
   ) {
     this.tickTimes = new TickTimes(context);
+    this.acknowledgements = new AcknowledgementLog(context, state, epoch);
   }
 
   recordStart(record: RunRecord, now: Instant): void {
@@ -57,6 +62,7 @@
     const utilization = Number(this.context.processorLoad.utilization().toFixed(2));
     const tickTimes = this.tickTimes.take();
     events.write('cell-summary', { ...summarizeCell(this.state), ...tickTimes, utilization });
+    this.acknowledgements.summarize(now);
     for (const summary of summarizeQueues(this.state, this.activity.take(), now)) {
       events.write('queue-summary', summary);
     }
--- a/packages/scheduling/src/cell-state.ts
+++ b/packages/scheduling/src/cell-state.ts
@@ -106,6 +106,7 @@
       reservations: new Map(),
       orphans: new Map(),
       isLeaseExpired: false,
+      lapsedAt: 0,
       lapsedRuns: [],
       leaseExpiresAt: 0,
       reportedAt: 0,
@@ -114,6 +115,7 @@
       unlistedRuns: new Set(),
       skipsEnds: false,
       lastEndSequence: 0,
+      unsettledEnds: [],
       settledThrough: 0,
       health: createVmHealth(),
     };
@@ -198,7 +200,7 @@
   }
 
   markDirty(occurrence: OccurrenceRecord): void {
-    occurrence.dirty = true;
+    occurrence.lastChange += 1;
     this.dirty.add(occurrence);
   }
 
--- a/packages/scheduling/src/crash-simulation.ts
+++ b/packages/scheduling/src/crash-simulation.ts
@@ -211,7 +211,7 @@
       this.rows.set(occurrence.job.id, JSON.parse(JSON.stringify(row)) as ProgressRow);
       occurrence.storedVms = new Set(row.runners);
       occurrence.storedState = row.state;
-      occurrence.dirty = false;
+      occurrence.storedChange = occurrence.lastChange;
     }
     this.state.dirty.clear();
   }
--- a/packages/scheduling/src/ends.test.ts
+++ b/packages/scheduling/src/ends.test.ts
@@ -28,7 +28,9 @@
   const unknown = createEnd(2, UNKNOWN_TASK);
   const ended = [createEnd(1, KNOWN_TASK), unknown];
   const first = sendReportForOutcome(state, vm, { session: 1, ended });
-  assert.deepEqual(first.unapplied, [{ reason: UnappliedReason.UnknownTask, ends: [unknown] }]);
+  assert.deepEqual(first.unapplied, [
+    { reason: UnappliedReason.UnknownTask, decidedAt: 0, ends: [unknown] },
+  ]);
   assert.deepEqual(
     first.ended.map(({ task }) => task.id),
     [KNOWN_TASK],
@@ -46,7 +48,9 @@
   const skipped = createEnd(2, KNOWN_TASK);
   const changes = { session: 1, ended: [applied, skipped] };
   const outcome = sendReportForOutcome(state, vm, changes, 1_100);
-  assert.deepEqual(outcome.unapplied, [{ reason: UnappliedReason.LeaseExpired, ends: [skipped] }]);
+  assert.deepEqual(outcome.unapplied, [
+    { reason: UnappliedReason.LeaseExpired, decidedAt: 1_000, ends: [skipped] },
+  ]);
   assert.deepEqual(outcome.ended, []);
 });
 
--- a/packages/scheduling/src/ends.ts
+++ b/packages/scheduling/src/ends.ts
@@ -23,6 +23,8 @@
 /** At least one end, in the order of the report. */
 export interface UnappliedEnds {
   reason: UnappliedReason;
+  /** When the lease had expired or, for an unknown task, when the end was looked up. */
+  decidedAt: Instant;
   ends: EndedRun[];
 }
 
@@ -32,11 +34,18 @@
   unknown: UnappliedEnds[];
 }
 
+/** The next incarnation of the VM numbers its ends anew. */
+export function forgetEnds(vm: VmRecord): void {
+  vm.lastEndSequence = 0;
+  vm.settledThrough = 0;
+  vm.unsettledEnds = [];
+}
+
 /** Skips the ends of a report after an expiry of the lease: their tasks may have been started elsewhere since. */
 export function skipEnds(vm: VmRecord, { ended }: ReportParameters): UnappliedEnds[] {
   const skipped = ended.filter(({ sequence }) => sequence > vm.lastEndSequence);
   vm.lastEndSequence = Math.max(vm.lastEndSequence, ...ended.map(({ sequence }) => sequence));
-  return describeUnapplied(UnappliedReason.LeaseExpired, skipped);
+  return describeUnapplied(UnappliedReason.LeaseExpired, vm.lapsedAt, skipped);
 }
 
 /** Applies the ends that have not been applied yet, and removes the vanished runs. */
@@ -59,19 +68,26 @@
         unknown.push(ended);
       } else {
         task.highestRunNumber = Math.max(task.highestRunNumber, run);
-        const end: TaskEnd = { task, record, run, ending, checkpoint };
+        const end: TaskEnd = { sequence, task, record, run, ending, checkpoint };
         recordHealth(vm, end, now);
         applyEnd(state, end, now);
         applied.push(end);
+        const { occurrence } = task.step;
+        const { lastChange: change } = occurrence;
+        vm.unsettledEnds.push({ sequence, occurrence, change, appliedAt: now });
       }
     }
   }
   report.vanished.forEach((reference) => removeVanishedRun(state, vm, reference, now));
-  return { applied, unknown: describeUnapplied(UnappliedReason.UnknownTask, unknown) };
+  return { applied, unknown: describeUnapplied(UnappliedReason.UnknownTask, now, unknown) };
 }
 
-function describeUnapplied(reason: UnappliedReason, ends: EndedRun[]): UnappliedEnds[] {
-  return ends.length > 0 ? [{ reason, ends }] : [];
+function describeUnapplied(
+  reason: UnappliedReason,
+  decidedAt: Instant,
+  ends: EndedRun[],
+): UnappliedEnds[] {
+  return ends.length > 0 ? [{ reason, decidedAt, ends }] : [];
 }
 
 function recordHealth(vm: VmRecord, { task, record, ending }: TaskEnd, now: Instant): void {
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -18,5 +18,6 @@
 export * from './relocate.js';
 export * from './report-pace.js';
 export * from './reports.js';
+export * from './settlement.js';
 export * from './stall.js';
 export * from './vm-health.js';
--- a/packages/scheduling/src/lease-expiry.ts
+++ b/packages/scheduling/src/lease-expiry.ts
@@ -28,6 +28,7 @@
   for (const vm of expired) {
     vm.session = 0;
     vm.isLeaseExpired = true;
+    vm.lapsedAt = now;
     vm.lapsedRuns = [...vm.runs.values()];
     removeAllRuns(state, vm, now);
   }
--- a/packages/scheduling/src/progress.ts
+++ b/packages/scheduling/src/progress.ts
@@ -15,6 +15,8 @@
 
 /** The reported end of a run. */
 export interface TaskEnd {
+  /** Number of the end on its VM. */
+  sequence: number;
   task: TaskRecord;
   /** The run in the tables; null when it is not there, as for a run of an earlier scheduler. */
   record: RunRecord | null;
--- a/packages/scheduling/src/records.ts
+++ b/packages/scheduling/src/records.ts
@@ -110,8 +110,10 @@
   storedState: JobState | null;
   /** VMs that the stored row lists as runners of this occurrence. Start orders are sent to these VMs only. */
   storedVms: Set<AgentId>;
-  /** True while it has changes that are not stored. */
-  dirty: boolean;
+  /** Number of its last change; each change has the next one. */
+  lastChange: number;
+  /** The changes up to this number are known to be in the stored row. */
+  storedChange: number;
   /** True once a VM has begun a task of it, as far as is known: it has confirmed or listed a run, or told its end. */
   hasBegun: boolean;
   /** Number of its runs in the tables. */
@@ -134,6 +136,15 @@
   finishedAt: Instant | null;
 }
 
+/** An end that was applied and is not acknowledged yet. */
+export interface UnsettledEnd {
+  sequence: number;
+  occurrence: OccurrenceRecord;
+  /** The last change of the occurrence when the end had been applied. The effect of the end is stored with it. */
+  change: number;
+  appliedAt: Instant;
+}
+
 /** Suspicion that the VM makes runs fail. It ends by itself, or with a successful run. */
 export interface VmSuspicion {
   /** Runs that were placed before it say nothing new when they fail. */
@@ -194,6 +205,8 @@
   orphans: Map<string, OrphanRun>;
   /** True when the lease has expired since the last report. */
   isLeaseExpired: boolean;
+  /** When this scheduler last found that the lease had expired. */
+  lapsedAt: Instant;
   /** The runs that the expiry of the lease has removed. If the VM has crashed, it was under these. */
   lapsedRuns: RunRecord[];
   /** Upper bound on the expiry of the VM's lease, allowing for a slow VM clock. Reports extend it while the VM answers. */
@@ -209,7 +222,9 @@
   skipsEnds: boolean;
   /** Sequence number of the last end that was applied. */
   lastEndSequence: number;
-  /** Ends up to this sequence number are stored and can be acknowledged to the runner. */
+  /** Applied ends that are not acknowledged yet, in the order of their sequence numbers. */
+  unsettledEnds: UnsettledEnd[];
+  /** Ends up to this sequence number are acknowledged to the runner. */
   settledThrough: number;
   health: VmHealth;
 }
--- a/packages/scheduling/src/reports.ts
+++ b/packages/scheduling/src/reports.ts
@@ -7,7 +7,7 @@
 import type { CellState } from './cell-state.js';
 import { clearProvenTask, isCrash, recordCrash } from './crashes.js';
 import type { CrashOutcome } from './crashes.js';
-import { applyEnds, skipEnds } from './ends.js';
+import { applyEnds, forgetEnds, skipEnds } from './ends.js';
 import type { UnappliedEnds } from './ends.js';
 import { removeAllRuns } from './lease-expiry.js';
 import { adoptRun, listNewOrphans, removeUnlistedOrphans } from './orphans.js';
@@ -98,8 +98,7 @@
   if (report.vm === null && vm.session !== 0 && report.processId === vm.processId) {
     vm.session = 0;
     vm.announcement = null;
-    vm.lastEndSequence = 0;
-    vm.settledThrough = 0;
+    forgetEnds(vm);
     removeAllRuns(state, vm, now);
   }
 }
@@ -124,8 +123,7 @@
   }
   // A new incarnation of the VM has none of the runs of the previous one.
   removeAllRuns(state, vm, now);
-  vm.lastEndSequence = 0;
-  vm.settledThrough = 0;
+  forgetEnds(vm);
   vm.skipsEnds = false;
   vm.health = createVmHealth();
   return crash;
