--- a/packages/scheduler/src/memory-feed-store.ts
+++ b/packages/scheduler/src/memory-feed-store.ts
@@ -18,6 +18,8 @@
   None = 'none',
   /** All calls fail and have no effect. */
   Unavailable = 'refuses',
+  /** All calls are over the rate of the store and have no effect. */
+  Throttled = 'throttles',
   /** Writes take effect, but their responses are lost. */
   LosesResponses = 'loses-answers',
   /** Writes get no response and take effect only when the test calls `applyDelayed`. */
@@ -87,6 +89,11 @@
     return Promise.resolve({ ...result, rows });
   }
 
+  /** The stored value; null if there is none. */
+  findValue(collection: string, partition: string, key: string): unknown {
+    return this.findRow(collection, partition, key).value;
+  }
+
   /** Applies the delayed writes whose conditions still hold. */
   applyDelayed(): void {
     this.delayedWrites.splice(0).forEach((write) => this.apply(write));
@@ -123,5 +130,8 @@
     if (this.fault === StoreFault.Unavailable) {
       throw new PlatformError('the store is unavailable', { code: ErrorCode.Unavailable });
     }
+    if (this.fault === StoreFault.Throttled) {
+      throw new PlatformError('over the rate of the store', { code: ErrorCode.Throttled });
+    }
   }
 }
