Acknowledge an end only once its own effect is stored

Cause: acknowledgements waited for all pending rows at once, so one row that can't be stored would have held back every VM. Therefore a row that failed four times was given up and the ends were acknowledged without it. A row that fails alone while the store is down looks the same for the first 2 s, so an outage of 1.4 s was enough. The scheduler that took over then read that the task was not done.

Evidence: the log of the real programs has four progress-row-refused with status 503, ends-acknowledged-unstored, and run 1001 under the next epoch.

Fix: each VM keeps its applied ends in order, each with the change of its occurrence that it needs, and is acknowledged the prefix whose changes are in rows that the store has confirmed. An unstored row holds back only the VMs on which its runs ended, so nothing needs to be given up. Only the store's answer that it never takes a row counts as proof. Four of these have a small row stored in its place, which no scheduler reads as progress: one that takes over holds the occurrence, and until then no end waits for it. A refused substitute is not acknowledged. The rows of a job in removal are not stored anew.

Changed tests. 'acknowledges ends although a row is refused for good' said the opposite of the platform's rule; in its place: other VMs are acknowledged within 1 s, whatever the store answers; ends of the refused row never within 60 s, or only once the substitute is in the store. Two tests of the writer set lastEndSequence by hand; they send reports now.

--- a/packages/scheduler/src/job-removals.ts
+++ b/packages/scheduler/src/job-removals.ts
@@ -24,6 +24,11 @@
     private readonly state: Pick<CellState, 'jobs'>,
   ) {}
 
+  /** True once the row of the job is gone, so that no scheduler starts a task of it. */
+  isRemoved(job: JobRecord): boolean {
+    return this.progressRows.has(job) || this.state.jobs.get(job.id) !== job;
+  }
+
   /** The rows of progress to remove next. */
   get rows(): RowReference[] {
     return [...this.progressRows.values()].flat();
--- a/packages/scheduler/src/progress-batch.ts
+++ b/packages/scheduler/src/progress-batch.ts
@@ -2,7 +2,7 @@
  * The contents of one progress transaction, what may become part of the next one, and the conversion to rows.
  */
 import { countOccurrences, encodeProgress, isFinished } from '@figjunction/scheduling';
-import type { JobRecord, OccurrenceRecord, VmRecord } from '@figjunction/scheduling';
+import type { JobRecord, OccurrenceRecord } from '@figjunction/scheduling';
 import type { RowReference, RowWrite } from '@figjunction/store';
 import type { Instant } from '@figjunction/time';
 import type { AgentId, ProgressRow } from '@figjunction/types';
@@ -25,6 +25,8 @@
   row: ProgressRow;
   /** The last change of the occurrence that the row contains. */
   change: number;
+  /** True if `HELD_ROW` is written in place of the row, which the store refuses. */
+  isHeld: boolean;
 }
 
 export interface ProgressBatch {
@@ -34,10 +36,11 @@
   /** Id and address of each runner to register. */
   runners: [string, string][];
   removals: RowReference[];
-  /** Each VM with the last end that was applied and the session, since another incarnation numbers its ends anew. */
-  appliedEnds: [VmRecord, number, number][];
 }
 
+/** Is no row of progress, so that a scheduler that loads it starts no task of the occurrence. */
+const HELD_ROW = { held: true };
+
 /** Marks a job as finished when it is cancelled or all its occurrences are stored as finished. */
 export function markJobFinished(job: JobRecord, now: Instant): void {
   const hasEnded =
@@ -82,20 +85,21 @@
   unreportedVms: ReadonlyMap<AgentId, unknown>;
   rowMaximumBytes: number;
   batchMaximumBytes: number;
+  /** The row of progress under this key is replaced by one that keeps its tasks from starting. */
+  heldKey: string | null;
 }
 
-/** Makes a batch of these rows, or of the first of them if they are too large together. It acknowledges no ends. */
+/** Makes a batch of these rows, or of the first of them if they are too large together. */
 export function fillBatch(
   pending: ReadonlyMap<string, PendingRow>,
   keys: string[],
-  { unreportedVms, rowMaximumBytes, batchMaximumBytes }: BatchLimits,
+  { unreportedVms, rowMaximumBytes, batchMaximumBytes, heldKey }: BatchLimits,
 ): ProgressBatch {
   const batch: ProgressBatch = {
     keys: [],
     occurrences: [],
     runners: [],
     removals: [],
-    appliedEnds: [],
   };
   let bytes = 0;
   for (const key of keys) {
@@ -106,7 +110,8 @@
       if (bytes > batchMaximumBytes && batch.keys.length > 0) {
         break;
       }
-      batch.occurrences.push({ occurrence, row, change: occurrence.lastChange });
+      const { lastChange: change } = occurrence;
+      batch.occurrences.push({ occurrence, row, change, isHeld: key === heldKey });
     }
     batch.runners.push(...(runner === undefined ? [] : [runner]));
     batch.removals.push(...(removal === undefined ? [] : [removal]));
@@ -115,20 +120,24 @@
   return batch;
 }
 
-/** Until the outcome of a write is known, only VMs named by both the old and the new row are certainly stored. */
-export function narrowStoredVms({ occurrences }: ProgressBatch): void {
-  for (const { occurrence, row } of occurrences) {
+/**
+ * Until the outcome of a write is known, only what both the old and the new row contain is certainly stored: the VMs
+ * that both name, and the changes that the new row has.
+ */
+export function narrowStored({ occurrences }: ProgressBatch): void {
+  for (const { occurrence, row, change } of occurrences) {
     const { storedVms } = occurrence;
+    occurrence.storedChange = Math.min(occurrence.storedChange, change);
     occurrence.storedVms = new Set(row.runners.filter((id) => storedVms.has(id)));
   }
 }
 
 export function createRowWrites({ occurrences, runners }: ProgressBatch): RowWrite[] {
   return [
-    ...occurrences.map(({ occurrence, row }) => ({
+    ...occurrences.map(({ occurrence, row, isHeld }) => ({
       collection: CellCollection.Progress,
       key: progressKey(occurrence.job.id, occurrence.index),
-      value: row,
+      value: isHeld ? HELD_ROW : row,
     })),
     ...runners.map(([id, address]) => ({
       collection: CellCollection.Runners,
--- a/packages/scheduler/src/progress-writer.test.ts
+++ b/packages/scheduler/src/progress-writer.test.ts
@@ -6,8 +6,17 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { placeTasks } from '@figjunction/scheduling';
-import { addJob, addVm, createState, createStep } from '@figjunction/scheduling/cell-fixture';
+import type { VmRecord } from '@figjunction/scheduling';
+import {
+  addJob,
+  addVm,
+  createAnnouncement,
+  createState,
+  createStep,
+  sendReport,
+} from '@figjunction/scheduling/cell-fixture';
 import { ManualClock } from '@figjunction/time';
+import { RunEnding } from '@figjunction/types';
 import type { ProgressRow } from '@figjunction/types';
 import { createCellContext } from './cell-context-fixture.js';
 import { CellLease } from './cell-lease.js';
@@ -38,6 +47,12 @@
     },
     onStored: () => {},
   });
+  /** The VM reports that the task has ended as done. */
+  const reportDone = (vm: VmRecord, sequence: number, index: number): void => {
+    const end = { sequence, taskId: `${JOB_ID}.0.0.${index}`, run: 1 };
+    const ended = [{ ...end, ending: RunEnding.Done, checkpoint: '' }];
+    assert.ok(sendReport(state, vm, { session: vm.session, ended }));
+  };
   const completeTask = (index: number): void => {
     const occurrence = job.occurrences.get(0);
     const task = occurrence?.steps[0]?.tasks[index];
@@ -64,6 +79,7 @@
     job,
     writer,
     completeTask,
+    reportDone,
     flush,
     storedDoneMarks,
     deposedCount: () => deposedCount,
@@ -107,11 +123,10 @@
 });
 
 test('acknowledges ends of runs only after their effect is stored', async () => {
-  const { store, state, completeTask, flush } = await createWriter();
-  const vm = state.addVm('vm-1', 'http://127.0.0.1:1');
-  completeTask(0);
-  vm.lastEndSequence = 4;
+  const { store, state, reportDone, flush } = await createWriter();
+  const vm = addVm(state, 'vm-1');
   store.fault = StoreFault.Unavailable;
+  reportDone(vm, 4, 0);
   await flush();
   assert.equal(vm.settledThrough, 0);
   store.fault = StoreFault.None;
@@ -120,15 +135,12 @@
 });
 
 test('acknowledges no end of a new incarnation by a write that began before it', async () => {
-  const { store, state, completeTask, flush } = await createWriter();
+  const { store, state, reportDone, flush } = await createWriter();
   const vm = addVm(state, 'vm-1');
-  completeTask(0);
-  vm.lastEndSequence = 1;
+  reportDone(vm, 1, 0);
   store.beforeWrite = (): Promise<void> => {
-    vm.session += 1;
-    vm.lastEndSequence = 1;
-    vm.settledThrough = 0;
-    completeTask(1);
+    sendReport(state, vm, { vm: createAnnouncement({ bornWallMs: 2_000 }) });
+    reportDone(vm, 1, 1);
     return Promise.resolve();
   };
   await flush();
@@ -137,6 +149,18 @@
   assert.equal(vm.settledThrough, 1);
 });
 
+test('holds back the ends of a VM for its own rows only', async () => {
+  const { store, state, reportDone, flush } = await createWriter();
+  const [waiting, other] = [addVm(state, 'vm-1'), addVm(state, 'vm-2')];
+  store.fault = StoreFault.Unavailable;
+  reportDone(waiting, 1, 0);
+  const end = { sequence: 5, taskId: '00000000000000bb.0.0.0', run: 1 };
+  const ended = [{ ...end, ending: RunEnding.Done, checkpoint: '' }];
+  sendReport(state, other, { session: 1, ended });
+  await flush();
+  assert.deepEqual([waiting.settledThrough, other.settledThrough], [0, 5]);
+});
+
 test('removes the job row before the progress of the job', async () => {
   const { store, state, job, writer, completeTask, flush, storedDoneMarks } = await createWriter();
   const jobs = { collection: CellCollection.Jobs, partition: jobPartition(JOB_ID) };
--- a/packages/scheduler/src/progress-writer.ts
+++ b/packages/scheduler/src/progress-writer.ts
@@ -3,10 +3,11 @@
  * runs are acknowledged only after their effect is stored. A row that the store refuses holds back no others.
  */
 import { ErrorCode, errorCodeOf, toError } from '@figjunction/errors';
-import { acknowledgeEnds, isFinished } from '@figjunction/scheduling';
-import type { CellState, JobRecord, VmRecord } from '@figjunction/scheduling';
+import { isFinished, settleEnds } from '@figjunction/scheduling';
+import type { CellState, JobRecord, OccurrenceRecord } from '@figjunction/scheduling';
 import type { FeedRow } from '@figjunction/store';
 import type { Instant } from '@figjunction/time';
+import type { JobState } from '@figjunction/types';
 import type { CellContext } from './cell-context.js';
 import type { CellLease } from './cell-lease.js';
 import { CELL_PARTITION, COMMIT_KEY, OWNER_KEY } from './cell-collections.js';
@@ -16,9 +17,9 @@
   fillBatch,
   listPendingRows,
   markJobFinished,
-  narrowStoredVms,
+  narrowStored,
 } from './progress-batch.js';
-import type { PendingRow, ProgressBatch } from './progress-batch.js';
+import type { ProgressBatch, StoredOccurrence } from './progress-batch.js';
 import { JobRemovals } from './job-removals.js';
 import { RefusedRows } from './refused-rows.js';
 
@@ -83,18 +84,10 @@
 
   /** Starts a transaction when there is something to store and none is open. */
   flush(now: Instant): void {
-    const { state } = this.options;
     if (this.isWriting || now < this.retryAt) {
       return;
     }
-    const { rows } = this.removals;
-    const pending = listPendingRows(state.dirty, this.pendingRegistrations, rows);
-    if (!this.mustAwait([...pending.keys()])) {
-      for (const vm of state.vms.values()) {
-        this.acknowledge(vm, vm.lastEndSequence);
-      }
-    }
-    const batch = this.createBatch(pending, now);
+    const batch = this.createBatch(now);
     if (batch.keys.length === 0) {
       return;
     }
@@ -106,31 +99,34 @@
       });
   }
 
-  /** True if the ends of runs must wait until these rows are stored. */
-  private mustAwait(keys: string[]): boolean {
-    return keys.some((key) => !this.refusedRows.isGivenUp(key));
-  }
-
-  private createBatch(pending: Map<string, PendingRow>, now: Instant): ProgressBatch {
+  private createBatch(now: Instant): ProgressBatch {
     const { state, context } = this.options;
+    this.dropRemovedJobs();
+    const pending = listPendingRows(state.dirty, this.pendingRegistrations, this.removals.rows);
     const keys = this.refusedRows.select([...pending.keys()], now);
-    const batch = fillBatch(pending, keys, {
+    return fillBatch(pending, keys, {
       unreportedVms: state.unreportedVms,
       rowMaximumBytes: context.rowMaximumBytes,
       batchMaximumBytes: MAXIMUM_BATCH_BYTES,
+      heldKey: this.refusedRows.findSubstitute(keys),
     });
-    const included = new Set(batch.keys);
-    const others = [...pending.keys()].filter((key) => !included.has(key));
-    if (!this.mustAwait(others)) {
-      batch.appliedEnds = [...state.vms.values()].map((vm) => [vm, vm.lastEndSequence, vm.session]);
+  }
+
+  /** The rows of a removed job must not be stored anew, and no end waits for them. */
+  private dropRemovedJobs(): void {
+    const { dirty } = this.options.state;
+    for (const occurrence of dirty) {
+      if (this.removals.isRemoved(occurrence.job)) {
+        dirty.delete(occurrence);
+        occurrence.storedChange = Number.POSITIVE_INFINITY;
+      }
     }
-    return batch;
   }
 
   private async writeBatch(batch: ProgressBatch): Promise<void> {
     const { context, lease, state } = this.options;
     batch.occurrences.forEach(({ occurrence }) => state.dirty.delete(occurrence));
-    narrowStoredVms(batch);
+    narrowStored(batch);
     const sentAt = context.clock.now();
     let isStored = false;
     try {
@@ -155,7 +151,6 @@
       return;
     }
     context.metrics.recordLatency('progress_write_ms', context.clock.now() - sentAt);
-    this.refusedRows.recordStored(batch.keys, context.clock.now());
     this.applyStoredBatch(batch);
   }
 
@@ -173,52 +168,52 @@
   }
 
   private applyStoredBatch(batch: ProgressBatch): void {
-    const { context } = this.options;
+    const { state, onRunnerRegistered, onStored } = this.options;
     this.retryDelayMs = INITIAL_RETRY_DELAY_MS;
-    const now = context.clock.now();
-    for (const { occurrence, row, change } of batch.occurrences) {
-      occurrence.storedChange = Math.max(occurrence.storedChange, change);
-      const { state: stored, runners } = row;
-      if (occurrence.storedState !== stored && isFinished(stored)) {
-        const { job } = occurrence;
-        const ageMs = Math.round(now - occurrence.dueAt);
-        context.events.write('job-ended', {
-          job: job.id,
-          queue: job.policy.name,
-          state: stored,
-          ageMs,
-        });
-        context.metrics.recordLatency('job_time_ms', ageMs, { queue: job.policy.name });
-      }
-      occurrence.storedState = stored;
-      occurrence.storedVms = new Set(runners);
-      markJobFinished(occurrence.job, now);
-    }
-    for (const [vm, lastEnd, session] of batch.appliedEnds) {
-      if (vm.session === session) {
-        this.acknowledge(vm, lastEnd);
-      }
+    const now = this.options.context.clock.now();
+    const [held] = batch.occurrences.filter(({ isHeld }) => isHeld);
+    if (held === undefined) {
+      this.refusedRows.recordStored(batch.keys, now);
+      batch.occurrences.forEach((stored) => this.applyStoredRow(stored, now));
+    } else {
+      this.refusedRows.recordSubstituteStored(batch.keys[0] ?? '', now);
+      this.applyHeldRow(held);
     }
     for (const [id, address] of batch.runners) {
       this.pendingRegistrations.delete(id);
-      this.options.onRunnerRegistered(id, address);
+      onRunnerRegistered(id, address);
     }
     this.removals.recordRemoved(batch.removals);
-    this.options.onStored();
+    state.vms.forEach(settleEnds);
+    onStored();
   }
 
-  private acknowledge(vm: VmRecord, through: number): void {
-    const unstored = acknowledgeEnds(vm, through);
-    const { context, lease } = this.options;
-    if (unstored.length > 0) {
-      context.events.write('ends-acknowledged-unstored', {
-        epoch: lease.epoch,
-        vm: vm.id,
-        through,
-        sequences: unstored.map(({ sequence }) => sequence),
-        jobs: [...new Set(unstored.map(({ occurrence }) => occurrence.job.id))],
-      });
+  private applyStoredRow({ occurrence, row, change }: StoredOccurrence, now: Instant): void {
+    const { state, runners } = row;
+    if (occurrence.storedState !== state && isFinished(state)) {
+      this.recordStoredEnd(occurrence, state, now);
     }
+    occurrence.storedState = state;
+    occurrence.storedVms = new Set(runners);
+    occurrence.storedChange = change;
+    markJobFinished(occurrence.job, now);
+  }
+
+  /** Later schedulers start no task of it, so no change has to be stored as long as the row stays. */
+  private applyHeldRow({ occurrence, row }: StoredOccurrence): void {
+    const { state, context, lease } = this.options;
+    state.dirty.add(occurrence);
+    occurrence.storedVms = new Set(row.runners);
+    occurrence.storedChange = Number.POSITIVE_INFINITY;
+    const { job, index } = occurrence;
+    context.events.write('progress-held', { epoch: lease.epoch, job: job.id, occurrence: index });
+  }
+
+  private recordStoredEnd({ job, dueAt }: OccurrenceRecord, state: JobState, now: Instant): void {
+    const { events, metrics } = this.options.context;
+    const ageMs = Math.round(now - dueAt);
+    events.write('job-ended', { job: job.id, queue: job.policy.name, state, ageMs });
+    metrics.recordLatency('job_time_ms', ageMs, { queue: job.policy.name });
   }
 
   /** After a refusal the rest is tried at once: the store works. */
@@ -226,7 +221,9 @@
     const { context } = this.options;
     const now = context.clock.now();
     const isRefusal = REFUSAL_CODES.includes(errorCodeOf(error));
-    const refusedRow = this.refusedRows.recordFailure(batch.keys, isRefusal, now);
+    const { keys, occurrences } = batch;
+    const failed = { keys, isRefusal, hasSubstitute: occurrences.length === 1 };
+    const refusedRow = this.refusedRows.recordFailure(failed, now);
     const { message } = error;
     if (refusedRow !== null) {
       context.events.write('progress-row-refused', { row: refusedRow, error: message });
--- a/packages/scheduler/src/refused-rows.test.ts
+++ b/packages/scheduler/src/refused-rows.test.ts
@@ -4,14 +4,23 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { ErrorCode } from '@figjunction/errors';
-import type { OccurrenceRecord } from '@figjunction/scheduling';
-import { addJob, addVm, createState, createStep } from '@figjunction/scheduling/cell-fixture';
+import type { OccurrenceRecord, VmRecord } from '@figjunction/scheduling';
+import {
+  addJob,
+  addVm,
+  createState,
+  createStep,
+  sendReport,
+} from '@figjunction/scheduling/cell-fixture';
 import { PlatformError } from '@figjunction/store';
-import type { ConditionalWrite, WriteResult } from '@figjunction/store';
+import type { ConditionalWrite, RowWrite, WriteResult } from '@figjunction/store';
 import { ManualClock } from '@figjunction/time';
+import { RunEnding } from '@figjunction/types';
+import type { ProgressRow } from '@figjunction/types';
 import { createCellContext } from './cell-context-fixture.js';
 import { CELL_PARTITION, CellCollection } from './cell-collections.js';
 import { CellLease } from './cell-lease.js';
+import { loadCell } from './cell-loader.js';
 import { MemoryFeedStore, StoreFault } from './memory-feed-store.js';
 import { OwnerDirectory } from './owner-directory.js';
 import { ProgressWriter } from './progress-writer.js';
@@ -26,13 +35,18 @@
 
   refusal = ErrorCode.InvalidInput;
 
+  /** If true, the rows under these keys are refused for what they contain, so others can be stored there. */
+  refusesProgressOnly = false;
+
   calls = 0;
 
   override write(write: ConditionalWrite): Promise<WriteResult> {
     this.calls += 1;
     const rows = [...(write.writes ?? []), ...(write.removals ?? [])];
+    const isRefused = ({ key, ...row }: RowWrite): boolean =>
+      this.refusedKeys.has(key) && !(this.refusesProgressOnly && isHeldRow(row.value));
     const isTooLarge = JSON.stringify(rows).length > 750_000 || rows.length > 98;
-    if (isTooLarge || rows.some(({ key }) => this.refusedKeys.has(key))) {
+    if (isTooLarge || rows.some((row) => isRefused({ value: null, ...row }))) {
       const code = isTooLarge ? ErrorCode.TooLarge : this.refusal;
       return Promise.reject(new PlatformError('refused', { code }));
     }
@@ -40,6 +54,10 @@
   }
 }
 
+function isHeldRow(value: unknown): boolean {
+  return typeof value === 'object' && value !== null && 'held' in value;
+}
+
 async function createScene() {
   const clock = new ManualClock(1_000);
   const store = new ChoosyFeedStore(clock);
@@ -81,7 +99,7 @@
     const range = { collection: CellCollection.Progress, partition: CELL_PARTITION };
     return new Set((await store.readRange(range)).rows.map(({ key }) => key));
   };
-  return { store, state, writer, registered, addDirtyJob, flushUntil, storedKeys };
+  return { context, store, state, writer, registered, addDirtyJob, flushUntil, storedKeys };
 }
 
 const REFUSALS = [
@@ -124,15 +142,66 @@
   }
 }
 
-test('acknowledges ends although a row is refused for good, but not after a first refusal', async () => {
-  const { store, state, addDirtyJob, flushUntil } = await createScene();
-  const vm = addVm(state, 'vm-1');
-  const occurrence = addDirtyJob(1);
-  store.refusedKeys.add(`${occurrence.job.id}.0`);
-  vm.lastEndSequence = 7;
-  await flushUntil(() => store.calls > 1);
-  assert.equal(vm.settledThrough, 0);
-  await flushUntil(() => vm.settledThrough === 7);
+/** Two VMs report an end each: one of a task whose row is refused, one of a task of another job. */
+async function createSceneWithRefusedEnd() {
+  const scene = await createScene();
+  const { store, state, addDirtyJob, flushUntil } = scene;
+  const [refused, good] = [addDirtyJob(1), addDirtyJob(2)];
+  await flushUntil(() => state.dirty.size === 0);
+  store.refusedKeys.add(`${refused.job.id}.0`);
+  const [waiting, other] = [addVm(state, 'vm-1'), addVm(state, 'vm-2')];
+  const reportDone = (vm: VmRecord, sequence: number, occurrence: OccurrenceRecord): void => {
+    const end = { sequence, taskId: `${occurrence.job.id}.0.0.0`, run: 1 };
+    const ended = [{ ...end, ending: RunEnding.Done, checkpoint: '' }];
+    sendReport(state, vm, { session: vm.session, ended });
+  };
+  reportDone(waiting, 7, refused);
+  reportDone(other, 8, good);
+  const storedValue = (): unknown =>
+    store.findValue(CellCollection.Progress, CELL_PARTITION, `${refused.job.id}.0`);
+  return { ...scene, waiting, other, refused, storedValue };
+}
+
+for (const refusal of REFUSALS) {
+  test(`acknowledges the ends of other VMs at once, and none whose row is refused (${refusal})`, async () => {
+    const scene = await createSceneWithRefusedEnd();
+    const { store, state, waiting, other, flushUntil } = scene;
+    store.refusal = refusal;
+    await flushUntil(() => other.settledThrough === 8, 1_000);
+    await assert.rejects(flushUntil(() => waiting.settledThrough > 0, 60_000));
+    store.refusedKeys.clear();
+    await flushUntil(() => state.dirty.size === 0);
+    assert.equal(waiting.settledThrough, 7);
+  });
+}
+
+test('acknowledges ends of a row that is refused for good once later schedulers hold its tasks', async () => {
+  const scene = await createSceneWithRefusedEnd();
+  const { store, waiting, flushUntil, storedValue, context } = scene;
+  store.refusesProgressOnly = true;
+  await flushUntil(() => waiting.settledThrough > 0 || isHeldRow(storedValue()));
+  assert.ok(isHeldRow(storedValue()));
+  await flushUntil(() => waiting.settledThrough === 7, 1_000);
+  const { unreadableProgress } = await loadCell(context);
+  assert.deepEqual(unreadableProgress, [`${scene.refused.job.id}.0`]);
+});
+
+test('stores the row itself, in place of the substitute, once it is no longer refused', async () => {
+  const scene = await createSceneWithRefusedEnd();
+  const { store, state, waiting, flushUntil, storedValue } = scene;
+  store.refusesProgressOnly = true;
+  await flushUntil(() => waiting.settledThrough === 7);
+  store.refusedKeys.clear();
+  await flushUntil(() => state.dirty.size === 0);
+  assert.deepEqual((storedValue() as ProgressRow).done, ['1']);
+});
+
+test('takes no outage for a refusal: ends wait for their row, and no substitute is stored', async () => {
+  const { store, waiting, flushUntil, storedValue } = await createSceneWithRefusedEnd();
+  store.refusesProgressOnly = true;
+  store.refusal = ErrorCode.Unavailable;
+  await assert.rejects(flushUntil(() => isHeldRow(storedValue()), 60_000));
+  assert.equal(waiting.settledThrough, 0);
 });
 
 test('stores rows and registers runners beside a runner whose row is refused', async () => {
--- a/packages/scheduler/src/refused-rows.ts
+++ b/packages/scheduler/src/refused-rows.ts
@@ -1,21 +1,34 @@
 /**
  * Selects the rows of the next transaction so that one which the store refuses holds back no others for long. A
  * transaction that fails is repeated with half of its rows, until the one at fault stands alone. That one is tried
- * alone from then on, ever less often, while the others are stored.
+ * alone from then on, ever less often, while the others are stored. An outage can look the same, so only the store's
+ * answer that it never takes a row counts as proof; such a row is stored in a substitute form.
  */
 import type { Instant } from '@figjunction/time';
 
 interface RefusedRow {
+  failures: number;
+  /** How often the store has answered that it never takes the row. */
   refusals: number;
+  /** True if the substitute is tried next. */
+  isSubstituteNext: boolean;
   retryAt: Instant;
 }
 
+export interface FailedWrite {
+  keys: string[];
+  /** The store has answered that it never takes this. */
+  isRefusal: boolean;
+  /** A single row for which a substitute can be stored. */
+  hasSubstitute: boolean;
+}
+
 const INITIAL_RETRY_MS = 200;
 const MAXIMUM_RETRY_MS = 5_000;
 const RETRY_BACKOFF_FACTOR = 2;
 /** A failure without a refusal is put down to the row only if others were stored this recently. */
 const WORKING_STORE_MS = 2_000;
-/** After this many refusals, nothing waits any more for the row to be stored. */
+/** After this many refusals, the substitute is stored. */
 const REFUSALS_MAXIMUM = 4;
 
 export class RefusedRows {
@@ -49,9 +62,11 @@
     return ordered.slice(0, this.limit);
   }
 
-  /** True if the store has refused the row so often that others must not wait for it. */
-  isGivenUp(key: string): boolean {
-    return (this.refused.get(key)?.refusals ?? 0) >= REFUSALS_MAXIMUM;
+  /** Returns the key if the substitute of this only row is to be stored, else null. */
+  findSubstitute(keys: string[]): string | null {
+    const [key = null] = keys;
+    const isNext = key !== null && this.refused.get(key)?.isSubstituteNext === true;
+    return isNext ? key : null;
   }
 
   recordStored(keys: string[], now: Instant): void {
@@ -63,11 +78,18 @@
     this.limit = Math.min(this.maximum, 2 * this.limit);
   }
 
-  /**
-   * Records a transaction that failed. `isRefusal` means that the store has answered that it never takes it. Returns
-   * the row that is at fault, if it is known.
-   */
-  recordFailure(keys: string[], isRefusal: boolean, now: Instant): string | null {
+  /** The row itself is tried again later. */
+  recordSubstituteStored(key: string, now: Instant): void {
+    this.storedAt = now;
+    const row = this.refused.get(key);
+    if (row !== undefined) {
+      row.isSubstituteNext = false;
+      row.retryAt = now + MAXIMUM_RETRY_MS;
+    }
+  }
+
+  /** Records a transaction that failed. Returns the row that is at fault, if it is known. */
+  recordFailure({ keys, isRefusal, hasSubstitute }: FailedWrite, now: Instant): string | null {
     const [key = null] = keys;
     keys.forEach((failed) => this.doubted.add(failed));
     if (keys.length > 1) {
@@ -78,9 +100,15 @@
     if (key === null || !(isRefusal || isStoreWorking)) {
       return null;
     }
-    const refusals = (this.refused.get(key)?.refusals ?? 0) + 1;
-    const delayMs = INITIAL_RETRY_MS * RETRY_BACKOFF_FACTOR ** (refusals - 1);
-    this.refused.set(key, { refusals, retryAt: now + Math.min(MAXIMUM_RETRY_MS, delayMs) });
+    const before = this.refused.get(key) ?? { failures: 0, refusals: 0, isSubstituteNext: false };
+    const failures = before.failures + 1;
+    const refusals = before.refusals + Number(isRefusal);
+    const isDue = isRefusal && hasSubstitute && refusals >= REFUSALS_MAXIMUM;
+    const isSubstituteNext = isRefusal
+      ? isDue && !before.isSubstituteNext
+      : before.isSubstituteNext;
+    const delayMs = isRefusal && isSubstituteNext ? 0 : computeDelayMs(failures);
+    this.refused.set(key, { failures, refusals, isSubstituteNext, retryAt: now + delayMs });
     return key;
   }
 
@@ -97,3 +125,7 @@
     }
   }
 }
+
+function computeDelayMs(failures: number): number {
+  return Math.min(MAXIMUM_RETRY_MS, INITIAL_RETRY_MS * RETRY_BACKOFF_FACTOR ** (failures - 1));
+}
--- a/packages/scheduling/src/records.ts
+++ b/packages/scheduling/src/records.ts
@@ -112,7 +112,10 @@
   storedVms: Set<AgentId>;
   /** Number of its last change; each change has the next one. */
   lastChange: number;
-  /** The changes up to this number are known to be in the stored row. */
+  /**
+   * Each later scheduler respects the changes up to this number: the stored row contains them, or keeps the tasks from
+   * starting.
+   */
   storedChange: number;
   /** True once a VM has begun a task of it, as far as is known: it has confirmed or listed a run, or told its end. */
   hasBegun: boolean;
--- a/packages/scheduling/src/reports.ts
+++ b/packages/scheduling/src/reports.ts
@@ -14,6 +14,7 @@
 import type { TaskEnd } from './progress.js';
 import { RunPhase, buildInstanceKey, buildRunKey } from './records.js';
 import type { OrphanRun, RunRecord, VmRecord } from './records.js';
+import { settleEnds } from './settlement.js';
 import { reconcileRuns, settleUnlistedRuns } from './unlisted-runs.js';
 import { createVmHealth, recordRefusal } from './vm-health.js';
 import { withdrawExcessOrders } from './withdraw.js';
@@ -87,6 +88,7 @@
     reconcileRuns(state, vm, report, now);
   }
   settleUnlistedRuns(state, vm, report, now);
+  settleEnds(vm);
   const withdrawn = withdrawExcessOrders(state, vm, now);
   const unapplied = [...skipped, ...unknown];
   const orphaned = listNewOrphans(vm, knownOrphans);
--- a/packages/scheduling/src/settlement.ts
+++ b/packages/scheduling/src/settlement.ts
@@ -1,12 +1,18 @@
 /**
- * Acknowledges the ends of runs to the VMs, which forget them then.
+ * Decides which ends of runs are acknowledged to a VM, which forgets them then: only those whose effect is stored, so
+ * that each later scheduler knows of it. An end that waits holds back the later ones of its VM, and no other VM.
  */
-import type { UnsettledEnd, VmRecord } from './records.js';
+import type { VmRecord } from './records.js';
 
-/** Acknowledges the ends of the VM up to this sequence number. Returns those whose effect is not stored. */
-export function acknowledgeEnds(vm: VmRecord, through: number): UnsettledEnd[] {
-  const covered = vm.unsettledEnds.filter(({ sequence }) => sequence <= through);
-  vm.unsettledEnds = vm.unsettledEnds.filter(({ sequence }) => sequence > through);
-  vm.settledThrough = Math.max(vm.settledThrough, through);
-  return covered.filter(({ occurrence, change }) => occurrence.storedChange < change);
+export function settleEnds(vm: VmRecord): void {
+  const firstUnstored = vm.unsettledEnds.findIndex(
+    ({ occurrence, change }) => occurrence.storedChange < change,
+  );
+  if (firstUnstored === -1) {
+    vm.unsettledEnds = [];
+    vm.settledThrough = vm.lastEndSequence;
+    return;
+  }
+  const settled = vm.unsettledEnds.splice(0, firstUnstored);
+  vm.settledThrough = settled[settled.length - 1]?.sequence ?? vm.settledThrough;
 }
