Leave a row of progress that can't be read as it is

What callers would see: tasks that were done run again after two take-overs.

Cause: an occurrence whose row can't be read is held, as it is unknown which of its tasks are done. An end of a run that it still had on a VM was applied all the same and marked it as changed, so the row was replaced by a readable one that has only this task as done. The next scheduler read it, held nothing, and started the tasks that had been done before.

Fix: a held occurrence is written only once it has ended. Until then no end waits for its row, since no scheduler starts any of its tasks.

Evidence: held-occurrences.test.ts, 'leaves an unreadable row...' failed before: the row was {state: running, done: [10]}.

--- a/packages/scheduler/src/job-intake.ts
+++ b/packages/scheduler/src/job-intake.ts
@@ -227,7 +227,7 @@
     }
     if (this.occurrencesOnHold.get(job.id)?.has(index) === true) {
       this.options.context.events.write('occurrence-on-hold', { job: job.id, occurrence: index });
-      occurrence.hasBegun = true;
+      Object.assign(occurrence, { hasBegun: true, isHeld: true, storedChange: Infinity });
       return;
     }
     if (dueAt > now) {
--- a/packages/scheduling/src/cell-state.ts
+++ b/packages/scheduling/src/cell-state.ts
@@ -201,7 +201,10 @@
 
   markDirty(occurrence: OccurrenceRecord): void {
     occurrence.lastChange += 1;
-    this.dirty.add(occurrence);
+    // The unreadable row may tell of done tasks that are not known here.
+    if (!occurrence.isHeld || isFinished(occurrence.state)) {
+      this.dirty.add(occurrence);
+    }
   }
 
   /** Ends an occurrence and issues stop orders for its remaining runs. */
--- a/packages/scheduling/src/job-table.ts
+++ b/packages/scheduling/src/job-table.ts
@@ -39,6 +39,7 @@
     state: JobState.Queued,
     storedState: null,
     storedVms: new Set(),
+    isHeld: false,
     lastChange: 0,
     storedChange: 0,
     hasBegun: false,
--- a/packages/scheduling/src/records.ts
+++ b/packages/scheduling/src/records.ts
@@ -110,6 +110,8 @@
   storedState: JobState | null;
   /** VMs that the stored row lists as runners of this occurrence. Start orders are sent to these VMs only. */
   storedVms: Set<AgentId>;
+  /** True if the stored row can't be read, so that no scheduler starts any of its tasks. */
+  isHeld: boolean;
   /** Number of its last change; each change has the next one. */
   lastChange: number;
   /**
