Log by which reading of the VM's clock an expired lease is taken for past

A run that starts again after its end was acknowledged, with both runs of one epoch, can come from ends that the runner discards after an expiry of the lease although the VM did not see one. `ends-void` names the ends, but neither the end of the lease that was counted on nor what the VM listed then.

The new event `vm-lease-expired`, one for each expiry, gives both: a list with running tasks from after the end of the lease contradicts the expiry.

--- a/packages/runner/src/vm-lease.ts
+++ b/packages/runner/src/vm-lease.ts
@@ -26,6 +26,9 @@
   /** Number of expiries so far, which tells them apart. */
   expiryCount = 0;
 
+  /** End on the VM's clock of the lease that has expired last. */
+  expiredUntilVmMs = 0;
+
   /** The latest end in a request to which the VM has responded. */
   private confirmedUntilVmMs = 0;
 
@@ -68,8 +71,8 @@
    */
   checkExpiry(): boolean {
     const vmMs = this.clock.lowerBoundMs();
-    const isPastEnd = vmMs !== null && this.untilVmMs !== null && vmMs > this.untilVmMs;
-    if (isPastEnd) {
+    if (vmMs !== null && this.untilVmMs !== null && vmMs > this.untilVmMs) {
+      this.expiredUntilVmMs = this.untilVmMs;
       this.expiryCount += 1;
       this.isExpired = true;
       this.untilVmMs = null;
--- a/packages/runner/src/vm-session-log.ts
+++ b/packages/runner/src/vm-session-log.ts
@@ -3,8 +3,9 @@
  */
 import { Outage } from '@figjunction/logger';
 import type { EventLog } from '@figjunction/logger';
+import { RunEnding } from '@figjunction/types';
 import type { RunReference } from '@figjunction/types';
-import type { HoldRefusal } from './vm-host.js';
+import type { HoldRefusal, HoldResult } from './vm-host.js';
 
 export class VmSessionLog {
   private readonly outage = new Outage();
@@ -49,6 +50,14 @@
     }
   }
 
+  /** The list that ends an expiry of the lease, which ended at `untilVmMs`. A VM that kept to it lists no runs. */
+  recordExpiry(untilVmMs: number, { vmClockMs, running, ended }: HoldResult): void {
+    const lapsed = ended.filter(({ ending }) => ending === RunEnding.Lapsed).length;
+    const counts = { running: running.length, lapsed, otherEnds: ended.length - lapsed };
+    const fields = { instance: this.instance, untilVmMs, vmClockMs, ...counts };
+    this.events.write('vm-lease-expired', fields);
+  }
+
   recordDiscardedEnds(through: number, discarded: RunReference[]): void {
     this.events.write('ends-void', { instance: this.instance, through, discarded });
   }
--- a/packages/runner/src/vm-session.ts
+++ b/packages/runner/src/vm-session.ts
@@ -213,6 +213,7 @@
     this.discardEnds(Math.max(invalidThrough, clearsExpiry ? lastEndSequence(result) : 0));
     // Ends that the list has left out precede the expiry as well.
     if (clearsExpiry && !this.runs.hasUnlistedEnds) {
+      this.log.recordExpiry(this.lease.expiredUntilVmMs, result);
       this.lease.clearExpiry();
     }
     const wasSilent = this.answers.recordList(requestedAt, now);
