--- a/packages/runner/src/vm-lease.ts
+++ b/packages/runner/src/vm-lease.ts
@@ -4,6 +4,7 @@
  * shows which ends precede the expiry.
  */
 import type { VmClock } from './vm-clock.js';
+import type { HoldResult } from './vm-host.js';
 
 /**
  * A VM with less than this left of its confirmed lease is told of a grant at once. The next poll may be sent only
@@ -15,6 +16,11 @@
 /** A poll ends this long before the confirmed lease does, so that another one can extend it. */
 const POLL_MARGIN_MS = 200;
 const POLL_WAIT_MINIMUM_MS = 100;
+/**
+ * A VM under load may end its runs this much later than the lease does. Ends that it lists before then may still be
+ * acknowledged under a lease that it extends in time by its own account.
+ */
+const EXPIRY_MARGIN_MS = 200;
 
 export class VmLease {
   /** End of the lease on the VM's clock; null while nothing is granted. */
@@ -26,6 +32,9 @@
   /** Number of expiries so far, which tells them apart. */
   expiryCount = 0;
 
+  /** End on the VM's clock of the lease that has expired last. */
+  expiredUntilVmMs = 0;
+
   /** The latest end in a request to which the VM has responded. */
   private confirmedUntilVmMs = 0;
 
@@ -68,8 +77,8 @@
    */
   checkExpiry(): boolean {
     const vmMs = this.clock.lowerBoundMs();
-    const isPastEnd = vmMs !== null && this.untilVmMs !== null && vmMs > this.untilVmMs;
-    if (isPastEnd) {
+    if (vmMs !== null && this.untilVmMs !== null && vmMs > this.untilVmMs) {
+      this.expiredUntilVmMs = this.untilVmMs;
       this.expiryCount += 1;
       this.isExpired = true;
       this.untilVmMs = null;
@@ -77,7 +86,19 @@
     return this.isExpired;
   }
 
-  /** Call after applying a list that was requested after the expiry. */
+  /**
+   * True if a list that was requested after this expiry shows it by the VM's own account: nothing has extended the
+   * lease, the VM's clock is past its end, and nothing runs any more.
+   */
+  isExpiryShownBy(
+    { vmClockMs, running }: Pick<HoldResult, 'vmClockMs' | 'running'>,
+    expiryCount: number | null,
+  ): boolean {
+    const isPastEnd = vmClockMs >= this.expiredUntilVmMs + EXPIRY_MARGIN_MS;
+    return this.isExpired && this.expiryCount === expiryCount && isPastEnd && running.length === 0;
+  }
+
+  /** Call after applying a list that was requested after the expiry and shows it. */
   clearExpiry(): void {
     this.isExpired = false;
   }
--- a/packages/runner/src/vm-session.ts
+++ b/packages/runner/src/vm-session.ts
@@ -206,14 +206,17 @@
   ): ListOutcome {
     const { clock, announcement, epoch } = this.options;
     const now = clock.now();
-    const clearsExpiry = this.lease.isExpired && this.lease.expiryCount === expiryCount;
+    const clearsExpiry = this.lease.isExpiryShownBy(result, expiryCount);
     const { ended, vanished, unexpected } = this.runs.apply(result, requestedAt, now);
     this.vanished.push(...vanished);
     this.log.recordUnexpectedRuns(unexpected, requestedEpoch, now - requestedAt);
     this.discardEnds(Math.max(invalidThrough, clearsExpiry ? lastEndSequence(result) : 0));
     // Ends that the list has left out precede the expiry as well.
     if (clearsExpiry && !this.runs.hasUnlistedEnds) {
+      this.log.recordExpiry(this.lease.expiredUntilVmMs, result);
       this.lease.clearExpiry();
+    } else if (this.lease.isExpired) {
+      this.log.recordOutlivedLease(this.lease.expiredUntilVmMs, result);
     }
     const wasSilent = this.answers.recordList(requestedAt, now);
     const isFirstOfEpoch = this.listedEpoch !== requestedEpoch;
