Leave out removed jobs when an old list still contains them

A job that had ended long ago, or that its caller had cancelled, could run again: its tasks were started a second time, without what was known of them.

Cause: when the store has discarded the history, the watch reads the jobs of all partitions and hands them on when the last response is there. A job that is removed in between is in that list, but no more in the tables, so it is added as a new one. The rows that tell that it is done or cancelled are gone.

Change: the scheduler remembers at which version of the store it removed the row of a job, for the last 10,000 jobs, and leaves out rows of older versions. A job that is submitted again after its removal has a newer one.

"accepts a job that is submitted again after its removal" passes before and after.

--- a/packages/scheduler/src/job-intake.ts
+++ b/packages/scheduler/src/job-intake.ts
@@ -89,7 +89,9 @@
   addJobs(rows: FeedRow<JobRow>[], isInherited: boolean, now: Instant): void {
     const { state, context } = this.options;
     for (const { key, value, version } of rows) {
-      if (value !== null && !state.jobs.has(key)) {
+      // A list that was read before the removal of a job still contains it.
+      const isRemoved = version < (state.removedJobs.get(key) ?? 0);
+      if (value !== null && !state.jobs.has(key) && !isRemoved) {
         try {
           this.addJob({ key, value, version, isInherited }, now);
         } catch (error) {
--- a/packages/scheduler/src/job-removals.ts
+++ b/packages/scheduler/src/job-removals.ts
@@ -5,12 +5,15 @@
 import { toError } from '@figjunction/errors';
 import type { CellState, JobRecord } from '@figjunction/scheduling';
 import type { RowReference } from '@figjunction/store';
+import type { JobId } from '@figjunction/types';
 import type { CellContext } from './cell-context.js';
 import { CellCollection, jobPartition } from './cell-collections.js';
 import { progressRowsOf } from './progress-batch.js';
 
 /** Jobs in removal at a time. Those that ended under an earlier scheduler are due at the same time. */
 const REMOVALS_MAXIMUM = 16;
+/** More than are removed while a list of all jobs is read; the oldest are dropped first. */
+const REMEMBERED_JOBS_MAXIMUM = 10_000;
 
 export class JobRemovals {
   /** Jobs in removal, from the first write until their progress rows are removed too. */
@@ -21,7 +24,7 @@
 
   constructor(
     private readonly context: Pick<CellContext, 'store' | 'events'>,
-    private readonly state: Pick<CellState, 'jobs'>,
+    private readonly state: Pick<CellState, 'jobs' | 'removedJobs'>,
   ) {}
 
   /** True once the row of the job is gone, so that no scheduler starts a task of it. */
@@ -46,7 +49,12 @@
       key: job.id,
     }));
     store.write({ partition: jobPartition(job.id), removals }).then(
-      () => this.removeProgress(job, progressRowsOf(job)),
+      (result) => {
+        if (result.committed) {
+          this.rememberRemoval(job.id, result.version);
+        }
+        this.removeProgress(job, progressRowsOf(job));
+      },
       (error: unknown) => {
         this.jobs.delete(job);
         events.write('job-not-removed', { job: job.id, error: toError(error).message });
@@ -63,6 +71,16 @@
     }
   }
 
+  private rememberRemoval(jobId: JobId, version: number): void {
+    const { removedJobs } = this.state;
+    removedJobs.delete(jobId);
+    removedJobs.set(jobId, version);
+    const [oldest = jobId] = removedJobs.keys();
+    if (removedJobs.size > REMEMBERED_JOBS_MAXIMUM) {
+      removedJobs.delete(oldest);
+    }
+  }
+
   /** Keeps the rows for the next transactions, and forgets the job if there are none. */
   private removeProgress(job: JobRecord, rows: RowReference[]): void {
     if (rows.length > 0) {
--- a/packages/scheduling/src/cell-state.ts
+++ b/packages/scheduling/src/cell-state.ts
@@ -23,6 +23,9 @@
 export class CellState {
   readonly jobs = new Map<JobId, JobRecord>();
 
+  /** The version of the store at which this scheduler last removed the row of a job. */
+  readonly removedJobs = new Map<JobId, number>();
+
   readonly vms = new Map<AgentId, VmRecord>();
 
   readonly queues = new Map<string, QueuePolicy>();
