Store rows together again once a failing store works

After a store that had served only some calls, ends of runs were acknowledged, and tasks started, up to seven seconds after it worked again.

Cause: a row whose transaction failed alone counted as refused if others had been stored in the last two seconds, also after 503, 429 or no answer. Such rows were tried one at a time, after waits that grew to 5 s, and all later ends of a VM wait for the row of its first unstored one.

Change: once one of the rows that failed without a refusal is stored, all of them are stored together with the others again; the store was at fault. They wait at most 800 ms, the longest wait after a failed transaction. Rows that the store refuses wait as before. One that always gets 503 is tried each 800 ms, not each 5 s.

--- a/packages/scheduler/src/refused-rows.ts
+++ b/packages/scheduler/src/refused-rows.ts
@@ -25,6 +25,8 @@
 
 const INITIAL_RETRY_MS = 200;
 const MAXIMUM_RETRY_MS = 5_000;
+/** Without a refusal the store may be at fault, and ends of runs wait for the row once it works again. */
+const MAXIMUM_RETRY_UNREFUSED_MS = 800;
 const RETRY_BACKOFF_FACTOR = 2;
 /** A failure without a refusal is put down to the row only if others were stored this recently. */
 const WORKING_STORE_MS = 2_000;
@@ -72,12 +74,24 @@
   recordStored(keys: string[], now: Instant): void {
     this.storedAt = now;
     for (const key of keys) {
+      if (this.refused.get(key)?.refusals === 0) {
+        this.forgetUnrefused();
+      }
       this.refused.delete(key);
       this.doubted.delete(key);
     }
     this.limit = Math.min(this.maximum, 2 * this.limit);
   }
 
+  /** A row that is stored after all was not at fault, so the others that failed without a refusal may not be either. */
+  private forgetUnrefused(): void {
+    for (const [key, { refusals }] of this.refused) {
+      if (refusals === 0) {
+        this.refused.delete(key);
+      }
+    }
+  }
+
   /** The row itself is tried again later. */
   recordSubstituteStored(key: string, now: Instant): void {
     this.storedAt = now;
@@ -107,7 +121,8 @@
     const isSubstituteNext = isRefusal
       ? isDue && !before.isSubstituteNext
       : before.isSubstituteNext;
-    const delayMs = isRefusal && isSubstituteNext ? 0 : computeDelayMs(failures);
+    const maximumMs = refusals > 0 ? MAXIMUM_RETRY_MS : MAXIMUM_RETRY_UNREFUSED_MS;
+    const delayMs = isRefusal && isSubstituteNext ? 0 : computeDelayMs(failures, maximumMs);
     this.refused.set(key, { failures, refusals, isSubstituteNext, retryAt: now + delayMs });
     return key;
   }
@@ -126,6 +141,6 @@
   }
 }
 
-function computeDelayMs(failures: number): number {
-  return Math.min(MAXIMUM_RETRY_MS, INITIAL_RETRY_MS * RETRY_BACKOFF_FACTOR ** (failures - 1));
+function computeDelayMs(failures: number, maximumMs: number): number {
+  return Math.min(maximumMs, INITIAL_RETRY_MS * RETRY_BACKOFF_FACTOR ** (failures - 1));
 }
