Tell of many waiting ends without failing the tick

With over 250 VMs whose ends all wait for the store, the scheduler neither placed tasks nor stored progress in one tick of each second.

Cause: the log of acknowledgements passed one argument for each waiting end, up to 500 for each VM, and V8 takes some 125,000. The error ended the tick before placement and the flush.

Change: the earliest time is found without arguments. "tells of any number of waiting ends without a failure of the tick" (300 VMs with 500 ends each) failed with "Maximum call stack size exceeded" and passes; 252 of 252 tests of the scheduler pass.

--- a/packages/scheduler/src/acknowledgement-log.test.ts
+++ b/packages/scheduler/src/acknowledgement-log.test.ts
@@ -17,6 +17,9 @@
 
 const EPOCH = 3;
 const JOB_ID = '00000000000000aa';
+const VM_COUNT = 300;
+/** As many as a VM lists at a time. */
+const ENDS_PER_VM = 500;
 
 test('tells once which ends are acknowledged, and which rows the others wait for', () => {
   const state = createState();
@@ -47,3 +50,20 @@
     { epoch: EPOCH, through: { 'vm-1': 4 }, waiting: 0, waitingMs: 0, ...noRows },
   ]);
 });
+
+test('tells of any number of waiting ends without a failure of the tick', () => {
+  const state = createState();
+  const events = new RecordingEventLog();
+  const log = new AcknowledgementLog({ events, metrics: new Metrics() }, state, EPOCH);
+  const job = addJob(state, { id: JOB_ID, steps: [createStep()] });
+  const occurrence = job.occurrences.get(0);
+  assert.ok(occurrence !== undefined);
+  const end = { sequence: 1, occurrence, change: 1, appliedAt: 1_000 };
+  for (let index = 0; index < VM_COUNT; index += 1) {
+    state.addVm(`vm-${index}`, '').unsettledEnds = Array<typeof end>(ENDS_PER_VM).fill(end);
+  }
+  log.summarize(3_000);
+  const [fields] = events.fieldsOf('ends-acknowledged');
+  assert.equal(fields?.waiting, VM_COUNT * ENDS_PER_VM);
+  assert.equal(fields.waitingMs, 2_000);
+});
--- a/packages/scheduler/src/acknowledgement-log.ts
+++ b/packages/scheduler/src/acknowledgement-log.ts
@@ -36,6 +36,7 @@
     if (Object.keys(through).length + waiting.length === 0) {
       return;
     }
+    const waitingSince = waiting.reduce((first, { appliedAt }) => Math.min(first, appliedAt), now);
     const unstored = waiting.filter(({ occurrence, change }) => occurrence.storedChange < change);
     const rows = new Set(
       unstored.map(({ occurrence }) => progressKey(occurrence.job.id, occurrence.index)),
@@ -44,7 +45,7 @@
       epoch: this.epoch,
       through,
       waiting: waiting.length,
-      waitingMs: Math.round(now - Math.min(now, ...waiting.map(({ appliedAt }) => appliedAt))),
+      waitingMs: Math.round(now - waitingSince),
       rows: rows.size,
       firstRows: [...rows].slice(0, NAMED_ROWS_MAXIMUM),
     });
