Log how filling work stands beside serving tasks over their target

cell-summary now gives the cores in use by filling work, its runs that stand still, and the VMs with a serving task over its target, also those where all filling work stands still.

--- a/packages/scheduler/src/cell-summary.ts
+++ b/packages/scheduler/src/cell-summary.ts
@@ -3,8 +3,10 @@
  * stays short for any number of VMs; the events `run-ordered` and `run-ended` cover single VMs.
  */
 import type { CellState, VmRecord } from '@figjunction/scheduling';
+import { summarizeFillers } from './fill-summary.js';
+import type { FillSummary } from './fill-summary.js';
 
-export interface CellSummary extends Record<string, unknown> {
+export interface CellSummary extends FillSummary {
   activeJobs: number;
   waitingTasks: number;
   runs: number;
@@ -42,6 +44,7 @@
     serving: sum(({ servingCount }) => servingCount),
     vmsWithoutAllowance: vms.filter(({ pressureAllowance }) => pressureAllowance === 0).length,
     vmsWithoutSession: state.vms.size - vms.length,
+    ...summarizeFillers(state),
     pressures: state.interference.describe(),
   };
 }
