Learn from its runs how long the tasks of a step take

Jobs were ordered by these estimates to their end, so long ones were taken for short and work was spread over jobs that could not be in time.

The progress of a step's runs now corrects its estimate, and with it the timeliness, the value for each core-second and the objective of its job. Whether it helps on the site is not measured yet.

--- a/packages/scheduling/src/cell-fixture.ts
+++ b/packages/scheduling/src/cell-fixture.ts
@@ -1,6 +1,7 @@
 /**
  * Test fixture: builds cell states with VMs that have reported and jobs that are active.
  */
+import type { Instant } from '@figjunction/time';
 import { VmState } from '@figjunction/types';
 import type {
   JobSpecification,
@@ -61,12 +62,14 @@
   policy?: QueuePolicy;
   /** Run numbers start above this one. */
   runNumberBase?: number;
+  /** When the occurrence is submitted and due; 0 by default. */
+  dueAt?: Instant;
 }
 
 /** Adds a job with one active occurrence. */
 export function addJob(state: CellState, options: JobOverrides): JobRecord {
   const { id = '00000000000000aa', steps, storedVms = [], policy = POLICY } = options;
-  const { runNumberBase = 0 } = options;
+  const { runNumberBase = 0, dueAt = 0 } = options;
   const specification: JobSpecification = {
     payload: 'print',
     steps,
@@ -74,12 +77,12 @@
     firstDueWallMs: 0,
     intervalMs: 0,
   };
-  const job = createJob({ id, policy, specification, submittedAt: 0 });
+  const job = createJob({ id, policy, specification, submittedAt: dueAt });
   state.jobs.set(id, job);
-  const occurrence = createOccurrence(job, 0, 0, runNumberBase);
+  const occurrence = createOccurrence(job, 0, dueAt, runNumberBase);
   occurrence.storedVms = new Set(storedVms);
   state.activate(occurrence);
-  updateReadySteps(occurrence, 0);
+  updateReadySteps(occurrence, dueAt);
   return job;
 }
 
--- a/packages/scheduling/src/cell-state.ts
+++ b/packages/scheduling/src/cell-state.ts
@@ -142,6 +142,7 @@
       sendAt: now,
       ticket,
       percent: 0,
+      observedAt: null,
       percentChangedAt: now,
       measurement: 0,
       placedAt: now,
--- a/packages/scheduling/src/job-table.ts
+++ b/packages/scheduling/src/job-table.ts
@@ -5,10 +5,7 @@
 import { JobState } from '@figjunction/types';
 import type { AgentId, JobId, JobSpecification, QueuePolicy } from '@figjunction/types';
 import type { JobRecord, OccurrenceRecord, StepRecord, TaskRecord } from './records.js';
-
-const MILLICORES_PER_CORE = 1_000;
-/** Weight of an accelerator in sums of work, in cores. */
-const CORES_PER_ACCELERATOR = 8;
+import { updateEstimates } from './work-estimates.js';
 
 export interface NewJob {
   id: JobId;
@@ -54,6 +51,8 @@
       doneCount: 0,
       waiting: new Set(),
       ready: false,
+      taskMs: specification.estimateMs,
+      observed: { tasks: 0, durationMs: 0 },
       criticalPathMs: 0,
       tickets: new Map(),
     };
@@ -63,12 +62,7 @@
     step.waiting = new Set(step.tasks);
     return step;
   });
-  computeCriticalPaths(occurrence.steps);
-  occurrence.work = occurrence.steps.reduce(
-    (sum, step) => sum + step.tasks.length * estimateTaskWork(step),
-    0,
-  );
-  occurrence.remainingWork = occurrence.work;
+  updateEstimates(occurrence);
   job.occurrences.set(index, occurrence);
   return occurrence;
 }
@@ -98,23 +92,6 @@
   };
 }
 
-/** Estimated core-milliseconds of one task of the step. */
-export function estimateTaskWork({ specification }: StepRecord): number {
-  const { resources, estimateMs } = specification;
-  const cores =
-    resources.processorMillicores / MILLICORES_PER_CORE +
-    resources.accelerators * CORES_PER_ACCELERATOR;
-  return cores * estimateMs;
-}
-
-function computeCriticalPaths(steps: StepRecord[]): void {
-  for (const step of [...steps].reverse()) {
-    const successors = steps.filter((other) => other.specification.after.includes(step.index));
-    const remainingMs = Math.max(0, ...successors.map((successor) => successor.criticalPathMs));
-    step.criticalPathMs = step.specification.estimateMs + remainingMs;
-  }
-}
-
 export function isFinished(state: JobState): boolean {
   return state === JobState.Completed || state === JobState.Failed || state === JobState.Cancelled;
 }
--- a/packages/scheduling/src/progress-row.ts
+++ b/packages/scheduling/src/progress-row.ts
@@ -2,7 +2,7 @@
  * Converts the progress of an occurrence to its stored row and back.
  */
 import type { AgentId, ProgressRow } from '@figjunction/types';
-import { estimateTaskWork } from './job-table.js';
+import { estimateTaskWork } from './work-estimates.js';
 import type { OccurrenceRecord } from './records.js';
 
 /** A stored row holds one of these characters for each task of a step. */
--- a/packages/scheduling/src/progress.ts
+++ b/packages/scheduling/src/progress.ts
@@ -4,8 +4,9 @@
 import type { Instant } from '@figjunction/time';
 import { JobState, RunEnding } from '@figjunction/types';
 import type { CellState } from './cell-state.js';
-import { isFinished, estimateTaskWork } from './job-table.js';
+import { isFinished } from './job-table.js';
 import type { OccurrenceRecord, RunRecord, StepRecord, TaskRecord } from './records.js';
+import { estimateTaskWork, observeCompletion } from './work-estimates.js';
 
 /** A long-running task that ended restarts after this delay, multiplied by the number of its ends. */
 const RESTART_DELAY_MS = 100;
@@ -47,6 +48,9 @@
     setCheckpoint(task, checkpoint);
   }
   if (record !== null) {
+    if (ending === RunEnding.Done) {
+      observeCompletion(record, now);
+    }
     state.removeRun(record, now);
   }
   const { occurrence, specification } = task.step;
--- a/packages/scheduling/src/records.ts
+++ b/packages/scheduling/src/records.ts
@@ -42,6 +42,8 @@
   ticket: string | null;
   /** Progress as last reported, 0 to 100. */
   percent: number;
+  /** Up to when its step has learnt from it; null until its progress is known, as for one with a checkpoint. */
+  observedAt: Instant | null;
   /** When the progress last changed. Time without lists of the VM does not count as time without progress. */
   percentChangedAt: Instant;
   /** Last measurement: tail latency in milliseconds for a serving task, else processor use in millicores. */
@@ -94,6 +96,10 @@
   waiting: Set<TaskRecord>;
   /** True once all steps that it depends on are done and the occurrence is due. */
   ready: boolean;
+  /** Estimated time of one task, from the estimate that came with the job and from what was observed. */
+  taskMs: number;
+  /** What was seen of its runs: the tasks done, with fractions, and the run time that they took. */
+  observed: { tasks: number; durationMs: number };
   /** Estimated time from the start of this step to the end of the job, along the critical path. */
   criticalPathMs: number;
   /** The adviser's tickets by the VM's instance id; used only for queues with advice. */
--- a/packages/scheduling/src/reports.ts
+++ b/packages/scheduling/src/reports.ts
@@ -17,6 +17,7 @@
 import { reconcileRuns, settleUnlistedRuns } from './unlisted-runs.js';
 import { createVmHealth, recordRefusal } from './vm-health.js';
 import { withdrawExcessOrders } from './withdraw.js';
+import { beginObservation, observeProgress } from './work-estimates.js';
 
 /** A VM that has left its runner without an answer for this long gets no runs. A single lost answer takes less. */
 const SILENCE_MINIMUM_MS = 1_000;
@@ -164,6 +165,7 @@
   for (const answer of answers) {
     const record = vm.runs.get(buildRunKey(answer.taskId, answer.run));
     if (record !== undefined && answer.refusal === null) {
+      beginObservation(record, now);
       confirmRunning(record, now);
     } else if (answer.refusal !== null && record?.attempt === answer.attempt) {
       if (answer.refusal === StartRefusal.InvalidTicket) {
@@ -202,12 +204,13 @@
     return;
   }
   confirmRunning(record, now);
+  record.measurement = running.reading;
+  observeProgress(record, running.percent, now);
   if (running.percent !== record.percent) {
     record.percent = running.percent;
     record.percentChangedAt = now;
     clearProvenTask(state, record.task, running.percent);
   }
-  record.measurement = running.reading;
   if (running.checkpoint !== '') {
     record.task.checkpoint = running.checkpoint;
   }
