--- a/packages/scheduling/src/placement-obstacle.ts
+++ b/packages/scheduling/src/placement-obstacle.ts
@@ -3,7 +3,12 @@
  */
 import type { Instant } from '@figjunction/time';
 import type { CellState } from './cell-state.js';
-import { computeFreeCapacity, fitsOnVm, listEligibleVms } from './placement-rules.js';
+import {
+  computeFreeCapacity,
+  estimateUnusedMillicores,
+  fitsOnVm,
+  listEligibleVms,
+} from './placement-rules.js';
 import type { TaskRecord, VmRecord } from './records.js';
 
 export enum PlacementObstacle {
@@ -14,7 +19,9 @@
   /** Some VMs have the processor capacity and others the memory, but none has both. */
   ProcessorBesideMemory = 'processorBesideMemory',
   Accelerators = 'accelerators',
-  /** A filler task would slow the serving tasks of each VM, or finds no unused processor time. */
+  /** No VM has enough processor time unused for the filler task. */
+  FillerProcessor = 'fillerProcessor',
+  /** Some VMs have, but the filler task would slow their serving tasks. */
   FillerPressure = 'fillerPressure',
   /** The task fits on a VM: it waits for the next placement, a trial or a ticket of the adviser. */
   None = 'none',
@@ -54,5 +61,12 @@
   if (!hasMemory) {
     return PlacementObstacle.Memory;
   }
-  return fills ? PlacementObstacle.FillerPressure : PlacementObstacle.ProcessorBesideMemory;
+  if (!fills) {
+    return PlacementObstacle.ProcessorBesideMemory;
+  }
+  const hasUnusedTime = vms.some(
+    (vm) =>
+      estimateUnusedMillicores(vm, computeFreeCapacity(vm, task)) >= resources.processorMillicores,
+  );
+  return hasUnusedTime ? PlacementObstacle.FillerPressure : PlacementObstacle.FillerProcessor;
 }
