--- a/packages/scheduling/src/progress.ts
+++ b/packages/scheduling/src/progress.ts
@@ -4,8 +4,9 @@
 import type { Instant } from '@figjunction/time';
 import { JobState, RunEnding } from '@figjunction/types';
 import type { CellState } from './cell-state.js';
-import { isFinished, estimateTaskWork } from './job-table.js';
+import { isFinished } from './job-table.js';
 import type { OccurrenceRecord, RunRecord, StepRecord, TaskRecord } from './records.js';
+import { observeCompletion } from './work-estimates.js';
 
 /** A long-running task that ended restarts after this delay, multiplied by the number of its ends. */
 const RESTART_DELAY_MS = 100;
@@ -49,6 +50,9 @@
     setCheckpoint(task, checkpoint);
   }
   if (record !== null) {
+    if (ending === RunEnding.Done) {
+      observeCompletion(record, now);
+    }
     state.removeRun(record, now);
   }
   const { occurrence, specification } = task.step;
@@ -93,7 +97,6 @@
   }
   task.done = true;
   task.step.doneCount += 1;
-  task.step.occurrence.remainingWork -= estimateTaskWork(task.step);
   task.step.waiting.delete(task);
   if (!task.step.specification.gang) {
     task.runs.forEach((run) => state.orderStop(run, now));
