--- a/packages/scheduler/src/acknowledgements.test.ts
+++ b/packages/scheduler/src/acknowledgements.test.ts
@@ -5,25 +5,16 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { ErrorCode } from '@figjunction/errors';
-import {
-  addJob,
-  addVm,
-  createState,
-  createStep,
-  sendReport,
-} from '@figjunction/scheduling/cell-fixture';
+import { addJob, addVm, createStep, sendReport } from '@figjunction/scheduling/cell-fixture';
 import type { VmRecord } from '@figjunction/scheduling';
 import { PlatformError } from '@figjunction/store';
 import type { ConditionalWrite, WriteResult } from '@figjunction/store';
 import { ManualClock, RandomSource } from '@figjunction/time';
 import { RunEnding } from '@figjunction/types';
 import type { ProgressRow } from '@figjunction/types';
-import { createCellContext } from './cell-context-fixture.js';
 import { CELL_PARTITION, CellCollection, progressKey } from './cell-collections.js';
-import { CellLease } from './cell-lease.js';
 import { MemoryFeedStore, StoreFault } from './memory-feed-store.js';
-import { OwnerDirectory } from './owner-directory.js';
-import { ProgressWriter } from './progress-writer.js';
+import { createWriterFixture } from './progress-writer-fixture.js';
 
 const SEEDS = 60;
 const STEPS = 400;
@@ -63,26 +54,13 @@
 async function createScene(random: RandomSource) {
   const clock = new ManualClock(1_000);
   const store = new RefusingFeedStore(clock);
-  const context = createCellContext(clock, { store });
-  const lease = new CellLease(context);
-  const view = await new OwnerDirectory(context).refresh();
-  assert.ok(view !== null && (await lease.acquire(view)));
-  const state = createState();
+  const { state, writer } = await createWriterFixture({ clock, store });
   const jobIds = Array.from(
     { length: 1 + random.below(JOBS_MAXIMUM) },
     (_, index) => `00000000000000a${index}`,
   );
   jobIds.forEach((id) => addJob(state, { id, steps: [createStep({ taskCount: TASKS_PER_JOB })] }));
   const vms = Array.from({ length: VMS }, (_, index) => addVm(state, `vm-${index + 1}`));
-  const nothing = (): void => {};
-  const writer = new ProgressWriter({
-    context,
-    state,
-    lease,
-    onRunnerRegistered: nothing,
-    onDeposed: () => assert.fail('deposed'),
-    onStored: nothing,
-  });
   const ends: ReportedEnd[] = [];
   const reportEnd = (): void => {
     const vm = vms[random.below(VMS)] as VmRecord;
--- a/packages/scheduler/src/failing-store.test.ts
+++ b/packages/scheduler/src/failing-store.test.ts
@@ -6,22 +6,13 @@
 import { test } from 'node:test';
 import { ErrorCode } from '@figjunction/errors';
 import type { OccurrenceRecord } from '@figjunction/scheduling';
-import {
-  addJob,
-  addVm,
-  createState,
-  createStep,
-  sendReport,
-} from '@figjunction/scheduling/cell-fixture';
+import { addJob, addVm, createStep, sendReport } from '@figjunction/scheduling/cell-fixture';
 import { PlatformError } from '@figjunction/store';
 import type { ConditionalWrite, WriteResult } from '@figjunction/store';
 import { ManualClock, RandomSource } from '@figjunction/time';
 import { RunEnding } from '@figjunction/types';
-import { createCellContext } from './cell-context-fixture.js';
-import { CellLease } from './cell-lease.js';
 import { MemoryFeedStore } from './memory-feed-store.js';
-import { OwnerDirectory } from './owner-directory.js';
-import { ProgressWriter } from './progress-writer.js';
+import { createWriterFixture } from './progress-writer-fixture.js';
 
 const VM_COUNT = 20;
 const FLUSH_INTERVAL_MS = 50;
@@ -52,20 +43,7 @@
 async function createScene(code: ErrorCode, seed: number) {
   const clock = new ManualClock(1_000);
   const store = new FailingStore(clock, code, new RandomSource(seed));
-  const context = createCellContext(clock, { store });
-  const lease = new CellLease(context);
-  const view = await new OwnerDirectory(context).refresh();
-  assert.ok(view !== null && (await lease.acquire(view)));
-  const state = createState();
-  const nothing = (): void => {};
-  const writer = new ProgressWriter({
-    context,
-    state,
-    lease,
-    onRunnerRegistered: nothing,
-    onDeposed: () => assert.fail('deposed'),
-    onStored: nothing,
-  });
+  const { state, writer } = await createWriterFixture({ clock, store });
   const vms = Array.from({ length: VM_COUNT }, (_, index) => addVm(state, `vm-${index}`));
   let count = 0;
   const endTask = (): void => {
--- a/packages/scheduler/src/held-occurrences.test.ts
+++ b/packages/scheduler/src/held-occurrences.test.ts
@@ -14,13 +14,10 @@
 import { ManualClock } from '@figjunction/time';
 import { RunEnding } from '@figjunction/types';
 import type { JobRow, ProgressRow } from '@figjunction/types';
-import { createCellContext } from './cell-context-fixture.js';
 import { CELL_PARTITION, CellCollection, jobPartition, progressKey } from './cell-collections.js';
-import { CellLease } from './cell-lease.js';
 import { JobIntake } from './job-intake.js';
 import { MemoryFeedStore } from './memory-feed-store.js';
-import { OwnerDirectory } from './owner-directory.js';
-import { ProgressWriter } from './progress-writer.js';
+import { createWriterFixture } from './progress-writer-fixture.js';
 
 const JOB_ID = '00000000000000aa';
 const ODD_VALUE = { odd: true };
@@ -31,13 +28,9 @@
 async function createScene() {
   const clock = new ManualClock(1_000);
   const store = new MemoryFeedStore(clock);
-  const context = createCellContext(clock, { store });
-  const lease = new CellLease(context);
-  const view = await new OwnerDirectory(context).refresh();
-  assert.ok(view !== null && (await lease.acquire(view)));
+  const { context, state, writer } = await createWriterFixture({ clock, store });
   const row = { collection: CellCollection.Progress, key: KEY, value: ODD_VALUE };
   await store.write({ partition: CELL_PARTITION, writes: [row] });
-  const state = createState();
   const intake = new JobIntake({ context, state, epoch: 2 });
   const { policy, specification } = addJob(createState(), {
     steps: [createStep({ taskCount: 2 })],
@@ -46,15 +39,6 @@
   intake.holdOccurrences([KEY]);
   intake.addJobs([{ partition: PARTITION, key: JOB_ID, value, version: 1 }], true, 1_000);
   const vm = addVm(state, 'vm-1');
-  const nothing = (): void => {};
-  const writer = new ProgressWriter({
-    context,
-    state,
-    lease,
-    onRunnerRegistered: nothing,
-    onDeposed: nothing,
-    onStored: nothing,
-  });
   const flush = async (): Promise<void> => {
     clock.advance(1_000);
     writer.flush(clock.now());
--- a/packages/scheduler/src/progress-writer.test.ts
+++ b/packages/scheduler/src/progress-writer.test.ts
@@ -11,42 +11,28 @@
   addJob,
   addVm,
   createAnnouncement,
-  createState,
   createStep,
   sendReport,
 } from '@figjunction/scheduling/cell-fixture';
 import { ManualClock } from '@figjunction/time';
 import { RunEnding } from '@figjunction/types';
 import type { ProgressRow } from '@figjunction/types';
-import { createCellContext } from './cell-context-fixture.js';
 import { CellLease } from './cell-lease.js';
 import { CELL_PARTITION, CellCollection, jobPartition } from './cell-collections.js';
 import { MemoryFeedStore, StoreFault } from './memory-feed-store.js';
 import { OwnerDirectory } from './owner-directory.js';
-import { ProgressWriter } from './progress-writer.js';
+import { createWriterFixture } from './progress-writer-fixture.js';
 
 const JOB_ID = '00000000000000aa';
 async function createWriter() {
   const clock = new ManualClock(1_000);
   const store = new MemoryFeedStore(clock);
-  const context = createCellContext(clock, { store });
-  const lease = new CellLease(context);
-  const directory = new OwnerDirectory(context);
-  const view = await directory.refresh();
-  assert.ok(view !== null && (await lease.acquire(view)));
-  const state = createState();
-  const job = addJob(state, { id: JOB_ID, steps: [createStep({ taskCount: 2 })] });
   let deposedCount = 0;
-  const writer = new ProgressWriter({
-    context,
-    state,
-    lease,
-    onRunnerRegistered: () => {},
-    onDeposed: () => {
-      deposedCount += 1;
-    },
-    onStored: () => {},
-  });
+  const onDeposed = (): void => {
+    deposedCount += 1;
+  };
+  const { context, state, writer } = await createWriterFixture({ clock, store, onDeposed });
+  const job = addJob(state, { id: JOB_ID, steps: [createStep({ taskCount: 2 })] });
   /** The VM reports that the task has ended as done. */
   const reportDone = (vm: VmRecord, sequence: number, index: number): void => {
     const end = { sequence, taskId: `${JOB_ID}.0.0.${index}`, run: 1 };
--- a/packages/scheduler/src/refused-rows.test.ts
+++ b/packages/scheduler/src/refused-rows.test.ts
@@ -5,25 +5,16 @@
 import { test } from 'node:test';
 import { ErrorCode } from '@figjunction/errors';
 import type { OccurrenceRecord, VmRecord } from '@figjunction/scheduling';
-import {
-  addJob,
-  addVm,
-  createState,
-  createStep,
-  sendReport,
-} from '@figjunction/scheduling/cell-fixture';
+import { addJob, addVm, createStep, sendReport } from '@figjunction/scheduling/cell-fixture';
 import { PlatformError } from '@figjunction/store';
 import type { ConditionalWrite, RowWrite, WriteResult } from '@figjunction/store';
 import { ManualClock } from '@figjunction/time';
 import { RunEnding } from '@figjunction/types';
 import type { ProgressRow } from '@figjunction/types';
-import { createCellContext } from './cell-context-fixture.js';
 import { CELL_PARTITION, CellCollection } from './cell-collections.js';
-import { CellLease } from './cell-lease.js';
 import { loadCell } from './cell-loader.js';
 import { MemoryFeedStore, StoreFault } from './memory-feed-store.js';
-import { OwnerDirectory } from './owner-directory.js';
-import { ProgressWriter } from './progress-writer.js';
+import { createWriterFixture } from './progress-writer-fixture.js';
 
 const FLUSH_INTERVAL_MS = 50;
 /** All rows but the refused ones have to be stored by then. */
@@ -61,19 +52,12 @@
 async function createScene() {
   const clock = new ManualClock(1_000);
   const store = new ChoosyFeedStore(clock);
-  const context = createCellContext(clock, { store });
-  const lease = new CellLease(context);
-  const view = await new OwnerDirectory(context).refresh();
-  assert.ok(view !== null && (await lease.acquire(view)));
-  const state = createState();
   const registered: string[] = [];
-  const writer = new ProgressWriter({
-    context,
-    state,
-    lease,
-    onRunnerRegistered: (id) => registered.push(id),
-    onDeposed: () => assert.fail('deposed'),
-    onStored: () => {},
+  const onRunnerRegistered = (id: string): number => registered.push(id);
+  const { context, state, writer } = await createWriterFixture({
+    clock,
+    store,
+    onRunnerRegistered,
   });
   const addDirtyJob = (index: number, taskCount = 1): OccurrenceRecord => {
     const id = String(index).padStart(16, '0');
--- a/packages/scheduler/src/removed-jobs.test.ts
+++ b/packages/scheduler/src/removed-jobs.test.ts
@@ -21,14 +21,11 @@
 import { ManualClock, sleep } from '@figjunction/time';
 import { RunEnding } from '@figjunction/types';
 import type { JobRow } from '@figjunction/types';
-import { createCellContext } from './cell-context-fixture.js';
 import { CellCollection, jobPartition } from './cell-collections.js';
-import { CellLease } from './cell-lease.js';
 import { JobIntake } from './job-intake.js';
 import { createJobWatches } from './job-watches.js';
 import { MemoryFeedStore } from './memory-feed-store.js';
-import { OwnerDirectory } from './owner-directory.js';
-import { ProgressWriter } from './progress-writer.js';
+import { createWriterFixture } from './progress-writer-fixture.js';
 
 const JOB_ID = '00000000000000aa';
 const FLUSH_INTERVAL_MS = 50;
@@ -66,21 +63,9 @@
 async function createScene() {
   const clock = new ManualClock(1_000);
   const store = new SlowReadStore(clock);
-  const context = createCellContext(clock, { store });
-  const lease = new CellLease(context);
-  const view = await new OwnerDirectory(context).refresh();
-  assert.ok(view !== null && (await lease.acquire(view)));
-  const state = createState();
+  const { context, state, writer } = await createWriterFixture({ clock, store });
   const intake = new JobIntake({ context, state, epoch: 1 });
   const nothing = (): void => {};
-  const writer = new ProgressWriter({
-    context,
-    state,
-    lease,
-    onRunnerRegistered: nothing,
-    onDeposed: () => assert.fail('deposed'),
-    onStored: nothing,
-  });
   const loaded = { jobsVersion: 0, cancellationsVersion: 0 };
   const freshness = { confirm: nothing };
   const watches = createJobWatches({ context, loaded, intake, freshness, wake: nothing });
--- a/packages/scheduler/src/unstored-ends.test.ts
+++ b/packages/scheduler/src/unstored-ends.test.ts
@@ -16,12 +16,9 @@
 import { ManualClock } from '@figjunction/time';
 import { RunEnding } from '@figjunction/types';
 import type { JobId, ProgressRow } from '@figjunction/types';
-import { createCellContext } from './cell-context-fixture.js';
 import { CELL_PARTITION, CellCollection, progressKey } from './cell-collections.js';
-import { CellLease } from './cell-lease.js';
 import { MemoryFeedStore, StoreFault } from './memory-feed-store.js';
-import { OwnerDirectory } from './owner-directory.js';
-import { ProgressWriter } from './progress-writer.js';
+import { createWriterFixture } from './progress-writer-fixture.js';
 
 const JOB_ID = '00000000000000aa';
 const OTHER_JOB_ID = '00000000000000bb';
@@ -31,19 +28,7 @@
 async function createScene() {
   const clock = new ManualClock(1_000);
   const store = new MemoryFeedStore(clock);
-  const context = createCellContext(clock, { store });
-  const lease = new CellLease(context);
-  const view = await new OwnerDirectory(context).refresh();
-  assert.ok(view !== null && (await lease.acquire(view)));
-  const state = createState();
-  const writer = new ProgressWriter({
-    context,
-    state,
-    lease,
-    onRunnerRegistered: () => {},
-    onDeposed: () => assert.fail('deposed'),
-    onStored: () => {},
-  });
+  const { state, writer } = await createWriterFixture({ clock, store });
   const flushFor = async (milliseconds: number, check: () => void): Promise<void> => {
     for (let passedMs = 0; passedMs < milliseconds; passedMs += FLUSH_INTERVAL_MS) {
       clock.advance(FLUSH_INTERVAL_MS);
