--- a/packages/scheduler/src/job-intake.ts
+++ b/packages/scheduler/src/job-intake.ts
@@ -6,6 +6,7 @@
   createJob,
   createOccurrence,
   findJobLimitViolation,
+  holdOccurrence,
   isFinished,
   countOccurrences,
   restoreProgress,
@@ -229,7 +230,7 @@
     }
     if (this.occurrencesOnHold.get(job.id)?.has(index) === true) {
       this.options.context.events.write('occurrence-on-hold', { job: job.id, occurrence: index });
-      Object.assign(occurrence, { hasBegun: true, isHeld: true, storedChange: Infinity });
+      holdOccurrence(occurrence);
       return;
     }
     if (dueAt > now) {
--- a/packages/scheduling/src/job-table.ts
+++ b/packages/scheduling/src/job-table.ts
@@ -93,6 +93,13 @@
   };
 }
 
+/** Marks an occurrence whose stored row can't be read: none of its tasks starts, under any scheduler. */
+export function holdOccurrence(occurrence: OccurrenceRecord): void {
+  occurrence.hasBegun = true;
+  occurrence.isHeld = true;
+  occurrence.storedChange = Number.POSITIVE_INFINITY;
+}
+
 export function isFinished(state: JobState): boolean {
   return state === JobState.Completed || state === JobState.Failed || state === JobState.Cancelled;
 }
--- a/packages/scheduling/src/work-estimates.test.ts
+++ b/packages/scheduling/src/work-estimates.test.ts
@@ -11,7 +11,7 @@
 import type { StepRecord } from './records.js';
 
 const SEEDS = [1, 2, 3, 4, 5];
-/** The estimates of the users' jobs were off by up to 7 and 11 times. */
+/** Estimates that come with jobs may be off by this factor, either way. */
 const ESTIMATE_FACTOR_MAXIMUM = 6;
 const SHARE_OF_EXACT_MINIMUM = 0.8;
 const CAPACITY = { processorMillicores: 0, memoryMegabytes: 64_000, accelerators: 0 };
