Count the ends of a VM also after its lease has expired

Cause: an expiry of the lease was taken to undo the ends that the VM had listed before. The runner discarded them (ends-void), the scheduler skipped them (ends-unapplied, lease-expired), both acknowledged them, and their tasks started elsewhere the moment the lease expired. An expiry that the system lets happen itself, because a report is not handled or answered in time, does not undo an end for the users: they count it as done once it is acknowledged.

Change: what a VM lists has happened, and counts whenever it is told. The detection of expiries in the runner, the skipping of ends in the scheduler, and the wait of a new runner process for one lease are gone. A task that has started elsewhere is stopped when its earlier run turns out to be done, also the members of a gang, and a late end does not set back the checkpoint of a later run.

--- a/packages/runner/src/report-builder.ts
+++ b/packages/runner/src/report-builder.ts
@@ -76,8 +76,7 @@
       pressureAllowance: vmSession?.pressureAllowance ?? null,
     };
     const isOpening = offeredSession !== 0;
-    const isListed =
-      vmSession !== null && vmSession.listedEpoch === epoch && !vmSession.lease.isExpired;
+    const isListed = vmSession !== null && vmSession.listedEpoch === epoch;
     if (!isListed || (session === 0 && !isOpening)) {
       const nothing = { running: null, crashed: [], ended: [], vanished: [] };
       // Without a list, nothing is known about the ends.
--- a/packages/runner/src/reporter.ts
+++ b/packages/runner/src/reporter.ts
@@ -168,9 +168,6 @@
       // A VM that answers again wakes this process.
       return vmSession?.answers.isUnanswered === true ? REPORT_INTERVAL_MS : OWNER_RETRY_DELAY_MS;
     }
-    if (vmSession?.lease.checkExpiry() === true) {
-      this.session.drop();
-    }
     const { generation } = this.session;
     const sentAt = this.options.clock.now();
     const vmMs = vmSession?.vmClockLowerBoundMs() ?? null;
--- a/packages/runner/src/run-table.ts
+++ b/packages/runner/src/run-table.ts
@@ -29,12 +29,9 @@
 export class RunTable {
   readonly entries = new Map<string, RunEntry>();
 
-  /** Valid ends in the VM's last list; the VM drops an end once the scheduler has acknowledged it. */
+  /** The ends in the VM's last list; the VM drops an end once the scheduler has acknowledged it. */
   unacknowledged: EndedRun[] = [];
 
-  /** Ends up to this sequence number precede an expiry of the VM's lease and are invalid. */
-  private invalidThrough = 0;
-
   private lastEndSequence = 0;
 
   private hasListLeftOutEnds = false;
@@ -83,7 +80,7 @@
     const newEnds = ended.filter(({ sequence }) => sequence > this.lastEndSequence);
     ended.forEach((end) => this.remove(keyOf(end)));
     this.lastEndSequence = Math.max(this.lastEndSequence, ...ended.map(({ sequence }) => sequence));
-    this.unacknowledged = ended.filter(({ sequence }) => sequence > this.invalidThrough);
+    this.unacknowledged = ended;
     this.hasListLeftOutEnds = mayLeaveOutEnds(ended);
     const vanished: RunReference[] = [];
     for (const [key, entry] of this.entries) {
@@ -95,15 +92,7 @@
     return { ended: newEnds, vanished, unexpected };
   }
 
-  /** Drops the ends up to a sequence number. Returns their runs, whose tasks have to be started again. */
-  discardEnds(through: number): RunReference[] {
-    const discarded = this.unacknowledged.filter(({ sequence }) => sequence <= through);
-    this.invalidThrough = Math.max(this.invalidThrough, through);
-    this.unacknowledged = this.unacknowledged.filter(({ sequence }) => sequence > through);
-    return discarded.map(({ taskId, run }) => ({ taskId, run }));
-  }
-
-  /** True if the run is on the VM, has a valid listed end, or may be among the ends that the VM has not listed. */
+  /** True if the run is on the VM, has a listed end, or may be among the ends that the VM has not listed. */
   isListed(reference: RunReference): boolean {
     const key = keyOf(reference);
     return (
--- a/packages/runner/src/runner.ts
+++ b/packages/runner/src/runner.ts
@@ -7,7 +7,7 @@
 import { toError } from '@figjunction/errors';
 import type { RpcClient, RpcHandlers } from '@figjunction/rpc';
 import type { OwnerDirectory, OwnerView } from '@figjunction/scheduler';
-import type { Clock, Instant, RandomSource } from '@figjunction/time';
+import type { Clock, RandomSource } from '@figjunction/time';
 import { RpcMethod, StartRefusal, VmState } from '@figjunction/types';
 import type {
   CrashedRun,
@@ -32,14 +32,9 @@
   address: string;
   processId: string;
   random: RandomSource;
-  /** How long the scheduler extends the VM's lease after a report. */
-  grantMs: number;
   takeOver: (view: OwnerView, reason: string) => Promise<void>;
 }
 
-/** The VM's clock may run slower, which makes its lease last longer on this process's clock. */
-const CLOCK_RATE_MARGIN = 1.05;
-
 export class Runner {
   private readonly reporter: Reporter;
 
@@ -47,10 +42,7 @@
 
   private session: VmSession | null = null;
 
-  private readonly inheritedLeaseUntil: Instant;
-
   constructor(private readonly options: RunnerOptions) {
-    this.inheritedLeaseUntil = options.clock.now() + CLOCK_RATE_MARGIN * options.grantMs;
     this.reporter = new Reporter({ ...options, session: () => this.session });
     this.orderExecutor = new OrderExecutor({
       ...options,
@@ -155,7 +147,6 @@
       clock,
       events,
       announcement,
-      inheritedLeaseUntil: this.inheritedLeaseUntil,
       epoch: () => this.reporter.epoch,
       onChange: () => this.reporter.wake(),
     });
--- a/packages/runner/src/start-caller.ts
+++ b/packages/runner/src/start-caller.ts
@@ -71,7 +71,8 @@
   }: StartInProgress): StartRequest | StartRefusal {
     const { orders, session, isCurrent } = execution;
     const leaseUntilVmMs = session.lease.untilVmMs;
-    if (leaseUntilVmMs === null || session.isStopped || !isCurrent()) {
+    const hasLease = leaseUntilVmMs !== null && !session.lease.isExpired;
+    if (!hasLease || session.isStopped || !isCurrent()) {
       return StartRefusal.NoSession;
     }
     if (session.announcement.state === VmState.Draining) {
--- a/packages/runner/src/vm-lease.ts
+++ b/packages/runner/src/vm-lease.ts
@@ -1,10 +1,8 @@
 /**
- * The lease of a VM: the end that the scheduler has granted, the end that the VM has confirmed, and whether the
- * lease has expired. After an expiry, the runner must not extend the lease, start runs or report until a new list
- * shows which ends precede the expiry.
+ * The lease of a VM: the end that the scheduler has granted, and the end that the VM has confirmed. The VM ends its runs
+ * when the lease expires. Its ends of runs from before stay true: they are reported like any others.
  */
 import type { VmClock } from './vm-clock.js';
-import type { HoldResult } from './vm-host.js';
 
 /**
  * A VM with less than this left of its confirmed lease is told of a grant at once. The next poll may be sent only
@@ -16,25 +14,11 @@
 /** A poll ends this long before the confirmed lease does, so that another one can extend it. */
 const POLL_MARGIN_MS = 200;
 const POLL_WAIT_MINIMUM_MS = 100;
-/**
- * A VM under load may end its runs this much later than the lease does. Ends that it lists before then may still be
- * acknowledged under a lease that it extends in time by its own account.
- */
-const EXPIRY_MARGIN_MS = 200;
 
 export class VmLease {
   /** End of the lease on the VM's clock; null while nothing is granted. */
   untilVmMs: number | null = null;
 
-  /** The lease has expired and no list requested since then has been applied. */
-  isExpired = false;
-
-  /** Number of expiries so far, which tells them apart. */
-  expiryCount = 0;
-
-  /** End on the VM's clock of the lease that has expired last. */
-  expiredUntilVmMs = 0;
-
   /** The latest end in a request to which the VM has responded. */
   private confirmedUntilVmMs = 0;
 
@@ -71,35 +55,9 @@
     return restMs > 0 ? Math.min(waitMs, limitMs) : waitMs;
   }
 
-  /**
-   * Marks the lease as expired if the lower bound of the VM's clock is past its end.
-   * Returns true until `clearExpiry` is called.
-   */
-  checkExpiry(): boolean {
+  /** True from the end of the granted lease, by the lower bound of the VM's clock, to the next grant. */
+  get isExpired(): boolean {
     const vmMs = this.clock.lowerBoundMs();
-    if (vmMs !== null && this.untilVmMs !== null && vmMs > this.untilVmMs) {
-      this.expiredUntilVmMs = this.untilVmMs;
-      this.expiryCount += 1;
-      this.isExpired = true;
-      this.untilVmMs = null;
-    }
-    return this.isExpired;
-  }
-
-  /**
-   * True if a list that was requested after this expiry shows it by the VM's own account: nothing has extended the
-   * lease, the VM's clock is past its end, and nothing runs any more.
-   */
-  isExpiryShownBy(
-    { vmClockMs, running }: Pick<HoldResult, 'vmClockMs' | 'running'>,
-    expiryCount: number | null,
-  ): boolean {
-    const isPastEnd = vmClockMs >= this.expiredUntilVmMs + EXPIRY_MARGIN_MS;
-    return this.isExpired && this.expiryCount === expiryCount && isPastEnd && running.length === 0;
-  }
-
-  /** Call after applying a list that was requested after the expiry and shows it. */
-  clearExpiry(): void {
-    this.isExpired = false;
+    return vmMs !== null && this.untilVmMs !== null && vmMs > this.untilVmMs;
   }
 }
--- a/packages/runner/src/vm-session-log.ts
+++ b/packages/runner/src/vm-session-log.ts
@@ -4,14 +4,12 @@
 import { Outage } from '@figjunction/logger';
 import type { EventLog } from '@figjunction/logger';
 import { RunEnding } from '@figjunction/types';
-import type { RunReference } from '@figjunction/types';
+import type { EndedRun, RunReference } from '@figjunction/types';
 import type { HoldRefusal, HoldResult } from './vm-host.js';
 
 export class VmSessionLog {
   private readonly outage = new Outage();
 
-  private readonly outlivedLease = new Outage();
-
   constructor(
     private readonly events: EventLog,
     private readonly instance: string,
@@ -52,24 +50,20 @@
     }
   }
 
-  /** The list that shows the expiry of the lease, which ended at `untilVmMs`. */
-  recordExpiry(untilVmMs: number, { vmClockMs, ended }: HoldResult): void {
-    const lapsed = ended.filter(({ ending }) => ending === RunEnding.Lapsed).length;
-    const counts = { lapsed, otherEnds: ended.length - lapsed };
-    const fields = { instance: this.instance, untilVmMs, vmClockMs, ...counts };
-    this.outlivedLease.end(() => {});
-    this.events.write('vm-lease-expired', fields);
-  }
-
-  /** Logs the first list with running tasks after the end of the lease. */
-  recordOutlivedLease(untilVmMs: number, { vmClockMs, running }: HoldResult): void {
-    if (vmClockMs > untilVmMs && running.length > 0) {
-      const fields = { instance: this.instance, untilVmMs, vmClockMs, running: running.length };
-      this.outlivedLease.begin(() => this.events.write('vm-lease-outlived', fields));
+  /**
+   * Logs runs that have ended with the lease since the last list. `unacknowledged` counts the other ends in the list,
+   * which wait for the scheduler.
+   */
+  recordExpiry(
+    newEnds: EndedRun[],
+    { vmClockMs, ended }: HoldResult,
+    untilVmMs: number | null,
+  ): void {
+    const lapsed = newEnds.filter(({ ending }) => ending === RunEnding.Lapsed).length;
+    if (lapsed > 0) {
+      const unacknowledged = ended.length - lapsed;
+      const fields = { instance: this.instance, untilVmMs, vmClockMs, lapsed, unacknowledged };
+      this.events.write('vm-lease-expired', fields);
     }
   }
-
-  recordDiscardedEnds(through: number, discarded: RunReference[]): void {
-    this.events.write('ends-void', { instance: this.instance, through, discarded });
-  }
 }
--- a/packages/runner/src/vm-session-options.ts
+++ b/packages/runner/src/vm-session-options.ts
@@ -13,8 +13,6 @@
   announcement: VmAnnouncement;
   /** Epoch of the scheduler that this process follows; 0 while none is known. */
   epoch: () => number;
-  /** Until when an earlier process may have extended the lease of the VM, on this process's clock. */
-  inheritedLeaseUntil: Instant;
   /** Called when a report is due: new ends, vanished runs, the first list of an epoch or a refusal. */
   onChange: () => void;
 }
@@ -23,15 +21,10 @@
 export interface ListRequest {
   requestedAt: Instant;
   requestedEpoch: number;
-  /**
-   * Number of the expiry that was marked then, whose preceding ends the list contains; null if none was marked. The
-   * list clears it unless another list has done so since: later ends are valid again.
-   */
-  expiryCount: number | null;
 }
 
 export enum ListOutcome {
-  /** The VM refused the request, or its list does not count. */
+  /** The VM refused the request, or its list is of another incarnation or out of date. */
   NotApplied = 'not-applied',
   Unchanged = 'unchanged',
   /** The list contained new ends. */
--- a/packages/runner/src/vm-session.ts
+++ b/packages/runner/src/vm-session.ts
@@ -8,8 +8,6 @@
 import type { RunReference, VmAnnouncement } from '@figjunction/types';
 import { FillerPacer } from './filler-pacer.js';
 import { IncarnationGuard } from './incarnation-guard.js';
-import { LeaseExpiryDetector, lastEndSequence } from './lease-expiry-detector.js';
-import type { EndValidity } from './lease-expiry-detector.js';
 import { PollPause } from './poll-pause.js';
 import { RunTable } from './run-table.js';
 import { VmAnswers } from './vm-answers.js';
@@ -33,7 +31,7 @@
   /** Vanished runs that the scheduler has not yet received. */
   vanished: RunReference[] = [];
 
-  /** Sequence number of the last end that is acknowledged or discarded. */
+  /** Sequence number of the last end that is acknowledged. */
   settledThrough = 0;
 
   /** Highest epoch under which a list was requested and applied; 0 before the first list. */
@@ -47,8 +45,6 @@
 
   private readonly pacer: FillerPacer;
 
-  private readonly leaseExpiryDetector: LeaseExpiryDetector;
-
   readonly lease: VmLease;
 
   readonly incarnation: IncarnationGuard;
@@ -66,7 +62,6 @@
     this.lease = new VmLease(this.vmClock);
     this.incarnation = new IncarnationGuard(options);
     this.pacer = new FillerPacer(options.host, options.events, options.clock);
-    this.leaseExpiryDetector = new LeaseExpiryDetector(options.clock, options.inheritedLeaseUntil);
   }
 
   get pressureAllowance(): number | null {
@@ -132,8 +127,8 @@
   }
 
   /**
-   * Requests a list without waiting for an end. The list clears a marked expiry of the lease. Returns false if
-   * the VM refused the request or its list could not be applied.
+   * Requests a list without waiting for an end. Returns false if the VM refused the request or its list could not
+   * be applied.
    */
   async refresh(): Promise<boolean> {
     return (await this.requestList(0)) !== ListOutcome.NotApplied;
@@ -162,7 +157,6 @@
     }
     const requestedAt = this.options.clock.now();
     const requestedEpoch = this.options.epoch();
-    const expiryCount = this.lease.isExpired ? this.lease.expiryCount : null;
     const untilVmMs = this.incarnation.isConfirmed ? this.lease.untilVmMs : null;
     const result = await this.callHold(waitMs, requestedAt, requestedEpoch);
     if (result === HoldRefusal.Fenced || result === HoldRefusal.OtherInstance) {
@@ -176,12 +170,11 @@
       this.stop();
       return ListOutcome.NotApplied;
     }
-    const validity = this.leaseExpiryDetector.validateEnds(result);
-    if (!validity.isConclusive || this.isOvertaken(result)) {
+    if (this.isOvertaken(result)) {
       return ListOutcome.NotApplied;
     }
     this.lease.confirm(untilVmMs);
-    return this.applyList(result, validity, { requestedAt, requestedEpoch, expiryCount });
+    return this.applyList(result, { requestedAt, requestedEpoch });
   }
 
   private async callHold(waitMs: number, requestedAt: Instant, epoch: number) {
@@ -199,25 +192,13 @@
     }
   }
 
-  private applyList(
-    result: HoldResult,
-    { invalidThrough }: EndValidity,
-    { requestedAt, requestedEpoch, expiryCount }: ListRequest,
-  ): ListOutcome {
+  private applyList(result: HoldResult, { requestedAt, requestedEpoch }: ListRequest): ListOutcome {
     const { clock, announcement, epoch } = this.options;
     const now = clock.now();
-    const clearsExpiry = this.lease.isExpiryShownBy(result, expiryCount);
     const { ended, vanished, unexpected } = this.runs.apply(result, requestedAt, now);
     this.vanished.push(...vanished);
     this.log.recordUnexpectedRuns(unexpected, requestedEpoch, now - requestedAt);
-    this.discardEnds(Math.max(invalidThrough, clearsExpiry ? lastEndSequence(result) : 0));
-    // Ends that the list has left out precede the expiry as well.
-    if (clearsExpiry && !this.runs.hasUnlistedEnds) {
-      this.log.recordExpiry(this.lease.expiredUntilVmMs, result);
-      this.lease.clearExpiry();
-    } else if (this.lease.isExpired) {
-      this.log.recordOutlivedLease(this.lease.expiredUntilVmMs, result);
-    }
+    this.log.recordExpiry(ended, result, this.lease.untilVmMs);
     const wasSilent = this.answers.recordList(requestedAt, now);
     const isFirstOfEpoch = this.listedEpoch !== requestedEpoch;
     this.listedEpoch = Math.max(this.listedEpoch, requestedEpoch);
@@ -237,13 +218,4 @@
     this.log.recordOvertakenList(vmClockMs, lastMs);
     return true;
   }
-
-  private discardEnds(through: number): void {
-    if (through > this.settledThrough) {
-      const discarded = this.runs.discardEnds(through);
-      this.vanished.push(...discarded);
-      this.settledThrough = through;
-      this.log.recordDiscardedEnds(through, discarded);
-    }
-  }
 }
--- a/packages/scheduler/src/runner-session-log.ts
+++ b/packages/scheduler/src/runner-session-log.ts
@@ -6,12 +6,11 @@
   OrphanRun,
   RunRecord,
   TaskEnd,
-  UnappliedEnds,
   VmRecord,
 } from '@figjunction/scheduling';
 import type { Instant } from '@figjunction/time';
 import { RunEnding } from '@figjunction/types';
-import type { ReportParameters } from '@figjunction/types';
+import type { EndedRun, ReportParameters } from '@figjunction/types';
 import type { CellContext } from './cell-context.js';
 import type { QueueActivity } from './queue-activity.js';
 
@@ -43,8 +42,10 @@
     this.context.events.write(isSilent ? 'vm-silent' : 'vm-answers', fields);
   }
 
-  recordLapse({ id, reportedAt, isSilent }: VmRecord, now: Instant): void {
-    const fields = { vm: id, silentMs: Math.round(now - reportedAt), vmSilent: isSilent };
+  /** `runs` counts those that wait for the list of the VM. */
+  recordLapse({ id, reportedAt, isSilent, runs }: VmRecord, now: Instant): void {
+    const silentMs = Math.round(now - reportedAt);
+    const fields = { vm: id, silentMs, vmSilent: isSilent, runs: runs.size };
     this.context.events.write('vm-lapsed', fields);
   }
 
@@ -64,23 +65,20 @@
     });
   }
 
-  /**
-   * `done` lists the runs with a result, which is lost unless it was applied before; `decidedMs` is the age of the
-   * expiry that decided.
-   */
+  /** Logs ends of tasks that are not in the tables. `done` lists the runs with a result, which is lost. */
   recordUnappliedEnds(
     { agentId: vm, epoch, session, listAgeMs }: ReportParameters,
-    { reason, decidedAt, ends }: UnappliedEnds,
-    now: Instant,
+    ends: EndedRun[],
   ): void {
+    if (ends.length === 0) {
+      return;
+    }
     const { events, metrics } = this.context;
-    metrics.count('ends_unapplied_total', { reason }, ends.length);
+    metrics.count('ends_unapplied_total', {}, ends.length);
     events.write('ends-unapplied', {
       vm,
       epoch,
       session,
-      reason,
-      decidedMs: Math.round(now - decidedAt),
       listAgeMs,
       ends: ends.length,
       firstSequence: ends[0]?.sequence,
--- a/packages/scheduler/src/runner-sessions.ts
+++ b/packages/scheduler/src/runner-sessions.ts
@@ -94,7 +94,7 @@
       this.log.recordCrash(report, crash);
     }
     ended.forEach((end) => this.log.recordEnd(report.agentId, end, now));
-    unapplied.forEach((ends) => this.log.recordUnappliedEnds(report, ends, now));
+    this.log.recordUnappliedEnds(report, unapplied);
     withdrawn.forEach((run) => this.log.recordWithdrawal(run));
     orphaned.forEach((orphan) => this.log.recordOrphan(report, orphan));
     const isNew = vm.session !== sessionBefore;
--- a/packages/scheduling/src/ends.ts
+++ b/packages/scheduling/src/ends.ts
@@ -1,6 +1,6 @@
 /**
- * Applies the ended and vanished runs of a report, each end once. Ends that are acknowledged without being applied
- * are returned with the reason, because their tasks may run again.
+ * Applies the ended and vanished runs of a report, each end once. An end counts however late it is told, also after the
+ * lease of the VM has expired and its task has started elsewhere: the run did end so.
  */
 import type { Instant } from '@figjunction/time';
 import { RunEnding } from '@figjunction/types';
@@ -12,26 +12,10 @@
 import type { VmRecord } from './records.js';
 import { recordFailure, recordSuccess } from './vm-health.js';
 
-/** Why an end was acknowledged without being applied. */
-export enum UnappliedReason {
-  /** The task is not in the tables. */
-  UnknownTask = 'unknown-task',
-  /** The lease of the VM had expired before the report that opened the session. */
-  LeaseExpired = 'lease-expired',
-}
-
-/** At least one end, in the order of the report. */
-export interface UnappliedEnds {
-  reason: UnappliedReason;
-  /** When the lease had expired or, for an unknown task, when the end was looked up. */
-  decidedAt: Instant;
-  ends: EndedRun[];
-}
-
 export interface EndsOutcome {
   applied: TaskEnd[];
-  /** Ends of tasks that are not in the tables. */
-  unknown: UnappliedEnds[];
+  /** Ends of tasks that are not in the tables. They are acknowledged as well. */
+  unknown: EndedRun[];
 }
 
 /** The next incarnation of the VM numbers its ends anew. */
@@ -41,13 +25,6 @@
   vm.unsettledEnds = [];
 }
 
-/** Skips the ends of a report after an expiry of the lease: their tasks may have been started elsewhere since. */
-export function skipEnds(vm: VmRecord, { ended }: ReportParameters): UnappliedEnds[] {
-  const skipped = ended.filter(({ sequence }) => sequence > vm.lastEndSequence);
-  vm.lastEndSequence = Math.max(vm.lastEndSequence, ...ended.map(({ sequence }) => sequence));
-  return describeUnapplied(UnappliedReason.LeaseExpired, vm.lapsedAt, skipped);
-}
-
 /** Applies the ends that have not been applied yet, and removes the vanished runs. */
 export function applyEnds(
   state: CellState,
@@ -79,15 +56,7 @@
     }
   }
   report.vanished.forEach((reference) => removeVanishedRun(state, vm, reference, now));
-  return { applied, unknown: describeUnapplied(UnappliedReason.UnknownTask, now, unknown) };
-}
-
-function describeUnapplied(
-  reason: UnappliedReason,
-  decidedAt: Instant,
-  ends: EndedRun[],
-): UnappliedEnds[] {
-  return ends.length > 0 ? [{ reason, decidedAt, ends }] : [];
+  return { applied, unknown };
 }
 
 function recordHealth(vm: VmRecord, { task, record, ending }: TaskEnd, now: Instant): void {
--- a/packages/scheduling/src/placement-rules.ts
+++ b/packages/scheduling/src/placement-rules.ts
@@ -42,14 +42,14 @@
   return free;
 }
 
-/** Checks everything but capacity and tickets: session, VM state, silence, ends to skip, health, label, and the limit on tasks per VM. */
+/** Checks everything but capacity and tickets: session, VM state, silence, health, label, and the limit on tasks per VM. */
 export function isEligibleVm(vm: VmRecord, step: StepRecord, now: Instant): boolean {
   const { announcement } = vm;
   const { specification } = step;
   if (vm.session === 0 || announcement === null || announcement.state !== VmState.Ready) {
     return false;
   }
-  if (vm.isSilent || vm.skipsEnds || !isAvailableForRuns(vm, step, now)) {
+  if (vm.isSilent || !isAvailableForRuns(vm, step, now)) {
     return false;
   }
   if (
--- a/packages/scheduling/src/progress.ts
+++ b/packages/scheduling/src/progress.ts
@@ -45,8 +45,9 @@
 
 /** Applies the end of a run to its task, step and occurrence. */
 export function applyEnd(state: CellState, end: TaskEnd, now: Instant): void {
-  const { task, record, ending, checkpoint } = end;
-  if (checkpoint !== '') {
+  const { task, record, run, ending, checkpoint } = end;
+  // The end of an earlier run may be told while a later one works on from a later checkpoint.
+  if (checkpoint !== '' && run === task.highestRunNumber) {
     setCheckpoint(task, checkpoint);
   }
   if (record !== null) {
@@ -64,9 +65,9 @@
     delayRestart(task, ending, now);
   } else if (ending === RunEnding.Done) {
     if (specification.gang) {
-      task.step.tasks.forEach((member) => completeTask(state, member, now));
+      task.step.tasks.forEach((member) => completeTask(state, member, run, now));
     } else {
-      completeTask(state, task, now);
+      completeTask(state, task, run, now);
     }
     advanceOccurrence(state, occurrence, now);
   } else if (ending === RunEnding.Failed) {
@@ -91,16 +92,15 @@
   }
 }
 
-function completeTask(state: CellState, task: TaskRecord, now: Instant): void {
+/** Marks the task as done by this run, and stops its others. The other members of a gang run end by themselves. */
+function completeTask(state: CellState, task: TaskRecord, doneRun: number, now: Instant): void {
   if (task.done) {
     return;
   }
   task.done = true;
   task.step.doneCount += 1;
   task.step.waiting.delete(task);
-  if (!task.step.specification.gang) {
-    task.runs.forEach((run) => state.orderStop(run, now));
-  }
+  task.runs.filter(({ run }) => run !== doneRun).forEach((record) => state.orderStop(record, now));
   state.markDirty(task.step.occurrence);
 }
 
--- a/packages/scheduling/src/records.ts
+++ b/packages/scheduling/src/records.ts
@@ -212,10 +212,8 @@
   reservations: Map<TaskRecord, Instant>;
   /** Reported runs that belong to no task that may run. The runner is ordered to stop them. */
   orphans: Map<string, OrphanRun>;
-  /** True when the lease has expired since the last report. */
-  isLeaseExpired: boolean;
-  /** When this scheduler last found that the lease had expired. */
-  lapsedAt: Instant;
+  /** Until when its runs are kept for its list, although its lease has expired; null if it has not. */
+  listAwaitedUntil: Instant | null;
   /** The runs that the expiry of the lease has removed. If the VM has crashed, it was under these. */
   lapsedRuns: RunRecord[];
   /** Upper bound on the expiry of the VM's lease, allowing for a slow VM clock. Reports extend it while the VM answers. */
@@ -227,8 +225,6 @@
   listedAt: Instant;
   /** Runs that the list at the start of the session left out, but whose ends the VM may not have listed yet. */
   unlistedRuns: Set<RunRecord>;
-  /** True while the VM may hold ends that precede the last expiry of its lease. They are skipped. */
-  skipsEnds: boolean;
   /** Sequence number of the last end that was applied. */
   lastEndSequence: number;
   /** Applied ends that are not acknowledged yet, in the order of their sequence numbers. */
--- a/packages/scheduling/src/reports.ts
+++ b/packages/scheduling/src/reports.ts
@@ -3,12 +3,11 @@
  */
 import type { Instant } from '@figjunction/time';
 import { StartRefusal } from '@figjunction/types';
-import type { ReportParameters, RunningTask } from '@figjunction/types';
+import type { EndedRun, ReportParameters, RunningTask } from '@figjunction/types';
 import type { CellState } from './cell-state.js';
 import { clearProvenTask, isCrash, recordCrash } from './crashes.js';
 import type { CrashOutcome } from './crashes.js';
-import { applyEnds, forgetEnds, skipEnds } from './ends.js';
-import type { UnappliedEnds } from './ends.js';
+import { applyEnds, forgetEnds } from './ends.js';
 import { removeAllRuns } from './lease-expiry.js';
 import { adoptRun, listNewOrphans, removeUnlistedOrphans } from './orphans.js';
 import type { TaskEnd } from './progress.js';
@@ -39,8 +38,8 @@
   accepted: boolean;
   /** Ends that were applied for the first time. */
   ended: TaskEnd[];
-  /** Ends that are acknowledged although they were not applied. */
-  unapplied: UnappliedEnds[];
+  /** Ends that are acknowledged although they were not applied: their tasks are not in the tables. */
+  unapplied: EndedRun[];
   /** Null if the report shows no crash of the VM. */
   crash: CrashOutcome | null;
   /** Runs whose start orders the capacity of the VM no longer holds. */
@@ -76,9 +75,8 @@
   if (isOpening) {
     openSession(vm, report, openedSession);
   }
-  const skipped = skipEndsBeforeExpiry(vm, report);
   const knownOrphans = new Set(vm.orphans.keys());
-  const { applied, unknown } = applyEnds(state, vm, report, now);
+  const { applied, unknown: unapplied } = applyEnds(state, vm, report, now);
   if (report.running !== null) {
     excludeSilence(vm, state.listIntervalMs, now);
     removeUnlistedOrphans(vm, report.running);
@@ -91,14 +89,13 @@
   settleUnlistedRuns(state, vm, report, now);
   settleEnds(vm);
   const withdrawn = withdrawExcessOrders(state, vm, now);
-  const unapplied = [...skipped, ...unknown];
   const orphaned = listNewOrphans(vm, knownOrphans);
   return { accepted: true, ended: applied, unapplied, crash, withdrawn, orphaned };
 }
 
 /** A runner process that reported its VM and now reports none has seen the VM leave, which ends all its runs. */
 function clearDepartedVm({ state, vm, report, now }: ReportOptions): void {
-  if (report.vm === null && vm.session !== 0 && report.processId === vm.processId) {
+  if (report.vm === null && report.processId === vm.processId) {
     vm.session = 0;
     vm.announcement = null;
     forgetEnds(vm);
@@ -127,7 +124,6 @@
   // A new incarnation of the VM has none of the runs of the previous one.
   removeAllRuns(state, vm, now);
   forgetEnds(vm);
-  vm.skipsEnds = false;
   vm.health = createVmHealth();
   return crash;
 }
@@ -135,20 +131,8 @@
 function openSession(vm: VmRecord, report: ReportParameters, session: number): void {
   vm.session = session;
   vm.processId = report.processId;
-  vm.skipsEnds ||= vm.isLeaseExpired;
-  if (vm.isLeaseExpired) {
-    vm.isLeaseExpired = false;
-    vm.lapsedRuns = [];
-  }
-}
-
-/** Returns the ends that are skipped because the lease has expired since. */
-function skipEndsBeforeExpiry(vm: VmRecord, report: ReportParameters): UnappliedEnds[] {
-  if (!vm.skipsEnds) {
-    return [];
-  }
-  vm.skipsEnds = report.hasUnlistedEnds;
-  return skipEnds(vm, report);
+  vm.listAwaitedUntil = null;
+  vm.lapsedRuns = [];
 }
 
 /**
