Ask for the list of a VM whose lease has expired before its tasks start

Cause: the scheduler decides on a VM whose lease has expired by the reports that reach it, and an overloaded scheduler is what keeps them from reaching it. After a take-over of a large cell many VMs get no session for longer than the lease.

Change: the scheduler calls the runner (runner.list), which asks its VM for a list and returns it. VMs of an earlier scheduler that have not reported to this one are asked as well when their lease has expired.

--- a/packages/runner/src/ends-before-expiry.test.ts
+++ b/packages/runner/src/ends-before-expiry.test.ts
@@ -54,6 +54,20 @@
   assert.equal(isDone(LAPSED_TASK), false);
 });
 
+test('counts an end that the runner lists when it is asked, while its reports do not get through', async () => {
+  const { host, rpc, vm, scheduler, schedulerRpc } = fixture;
+  rpc.isCutOff = true;
+  host.end(DONE_TASK, RunEnding.Done);
+  await passCutOff(GRANT_MS + 1_000);
+  host.end(LAPSED_TASK, RunEnding.Lapsed);
+  schedulerRpc.isConnected = true;
+  scheduler.sessions.expireLeases(scheduler.clock.now());
+  await fixture.waitUntil(() => vm.runs.size === 0);
+  assert.equal(vm.session, 0);
+  assert.ok(isDone(DONE_TASK), 'the task would start again');
+  assert.equal(isDone(LAPSED_TASK), false);
+});
+
 test('counts an end before an expiry of the lease that only the runner notices', async () => {
   const { host, rpc, vm, scheduler } = fixture;
   rpc.isCutOff = true;
--- a/packages/runner/src/runner-fixture.ts
+++ b/packages/runner/src/runner-fixture.ts
@@ -48,6 +48,24 @@
   }
 }
 
+/** Passes the calls of the scheduler to the runner in this process. */
+class RunnerRpcClient extends RpcClient {
+  /** While false, calls get no response. */
+  isConnected = false;
+
+  constructor(private readonly runner: () => Runner) {
+    super({ sharedToken: 'token' });
+  }
+
+  override async call<Result>(_address: string, method: RpcMethod, parameters: unknown) {
+    const handler = this.runner().handlers()[method];
+    if (!this.isConnected || handler === undefined) {
+      throw new RunnerError('no answer', { code: ErrorCode.TimedOut });
+    }
+    return (await handler(parameters as never, { headers: {} })) as Result;
+  }
+}
+
 /** Delays each list, as long polling does. */
 class PollingVmHost extends FakeVmHost {
   override async hold(request: HoldRequest): Promise<HoldResult | HoldRefusal> {
@@ -57,7 +75,9 @@
 }
 
 export class RunnerFixture {
-  readonly scheduler = createRunnerSessions();
+  readonly schedulerRpc = new RunnerRpcClient(() => this.runner);
+
+  readonly scheduler = createRunnerSessions({ rpc: this.schedulerRpc });
 
   readonly vm = this.scheduler.state.vms.get('vm-1') as VmRecord;
 
@@ -68,7 +88,7 @@
   /** Events of the runner. */
   readonly events = new RecordingEventLog();
 
-  readonly runner = this.createRunner();
+  readonly runner: Runner = this.createRunner();
 
   /** Moves the clocks of the scheduler, the runner and the VM. */
   advance(milliseconds: number): void {
--- a/packages/runner/src/runner.ts
+++ b/packages/runner/src/runner.ts
@@ -14,6 +14,7 @@
   OrdersParameters,
   OrdersResult,
   RunAnswer,
+  RunnerListResult,
   VmAnnouncement,
 } from '@figjunction/types';
 import { OrderExecutor } from './order-executor.js';
@@ -104,6 +105,7 @@
         this.reporter.follow(epoch);
         return {};
       },
+      [RpcMethod.RunnerList]: ({ epoch }) => this.listRuns(epoch),
     };
   }
 
@@ -124,6 +126,22 @@
     return { answers: await this.orderExecutor.execute(execution) };
   }
 
+  /** Lists the runs without a session. Throws if the VM does not answer. */
+  private async listRuns(epoch: number): Promise<RunnerListResult> {
+    const { session } = this;
+    const isListed = epoch === this.epoch && (await session?.refresh()) === true;
+    if (!isListed || session === null || session !== this.session) {
+      return { vm: null, running: [], ended: [], hasUnlistedEnds: true };
+    }
+    const { runs, announcement } = session;
+    return {
+      vm: announcement,
+      running: runs.toRunningTasks().map(({ taskId, run }) => ({ taskId, run })),
+      ended: runs.unacknowledged,
+      hasUnlistedEnds: runs.hasUnlistedEnds,
+    };
+  }
+
   /** A repeated order gets no answer: an earlier process of this runner may have started its run. */
   private refuseOrders({ epoch, session, starts }: OrdersParameters): RunAnswer[] {
     const refusal = StartRefusal.NoSession;
--- a/packages/scheduler/src/runner-sessions-fixture.ts
+++ b/packages/scheduler/src/runner-sessions-fixture.ts
@@ -6,6 +6,7 @@
 import { addJob, createState, createStep } from '@figjunction/scheduling/cell-fixture';
 import { Metrics } from '@figjunction/telemetry';
 import { ManualClock } from '@figjunction/time';
+import type { CellContext } from './cell-context.js';
 import { createCellContext } from './cell-context-fixture.js';
 import { RunnerSessions } from './runner-sessions.js';
 
@@ -22,7 +23,7 @@
 }
 
 /** The runner of the VM is `vm-1`; the job has two tasks. */
-export function createRunnerSessions(): RunnerSessionsFixture {
+export function createRunnerSessions(changes: Partial<CellContext> = {}): RunnerSessionsFixture {
   const clock = new ManualClock(1_000);
   const events = new RecordingEventLog();
   const metrics = new Metrics();
@@ -31,7 +32,7 @@
   state.unreportedVms.set('vm-1', 10_000);
   addJob(state, { id: FIXTURE_JOB, steps: [createStep({ taskCount: 2 })], storedVms: ['vm-1'] });
   const sessions = new RunnerSessions({
-    context: createCellContext(clock, { events, metrics }),
+    context: createCellContext(clock, { events, metrics, ...changes }),
     state,
     lease: { epoch: FIXTURE_EPOCH, isHeld: () => true },
     writer: { registerRunner: () => {} },
--- a/packages/scheduler/src/runner-sessions.ts
+++ b/packages/scheduler/src/runner-sessions.ts
@@ -2,11 +2,12 @@
  * Handles the reports of runners, opens their sessions and expires the leases of their VMs.
  */
 import { applyReport, computeReportPace, expireVmLeases } from '@figjunction/scheduling';
-import type { CellState, VmRecord } from '@figjunction/scheduling';
+import type { CellState, TaskEnd, VmRecord } from '@figjunction/scheduling';
 import type { Instant } from '@figjunction/time';
 import type { ReportParameters, ReportResult, RunAttributes } from '@figjunction/types';
 import type { CellContext } from './cell-context.js';
 import type { CellLease } from './cell-lease.js';
+import { ExpiredVmLists } from './expired-vm-lists.js';
 import type { ProgressWriter } from './progress-writer.js';
 import { QueueActivity } from './queue-activity.js';
 import { ReportSequences } from './report-sequences.js';
@@ -54,8 +55,13 @@
 
   private readonly log: RunnerSessionLog;
 
+  private readonly expiredVmLists: ExpiredVmLists;
+
   constructor(private readonly options: RunnerSessionsOptions) {
     this.log = new RunnerSessionLog(options.context, options.activity ?? new QueueActivity());
+    const onEnded = (vm: VmRecord, end: TaskEnd, now: Instant): void =>
+      this.log.recordEnd(vm.id, end, now);
+    this.expiredVmLists = new ExpiredVmLists({ ...options, onEnded });
   }
 
   /**
@@ -139,12 +145,14 @@
     return grantMs;
   }
 
-  /** Removes the runs from VMs whose lease must have expired by the slowest VM clock. */
+  /** Gives up the runs of VMs whose lease must have expired by the slowest VM clock, and asks for their lists before. */
   expireLeases(now: Instant): void {
-    for (const vm of expireVmLeases(this.options.state, now)) {
+    const { closed, awaited } = expireVmLeases(this.options.state, now);
+    for (const vm of closed) {
       this.offers.withdraw(vm.id);
       this.log.recordLapse(vm, now);
     }
+    awaited.forEach((vm) => this.expiredVmLists.request(vm));
   }
 
   /** True for a report that was overtaken or repeated, which is logged and counted. */
--- a/packages/scheduling/src/ends.ts
+++ b/packages/scheduling/src/ends.ts
@@ -29,7 +29,7 @@
 export function applyEnds(
   state: CellState,
   vm: VmRecord,
-  report: ReportParameters,
+  report: Pick<ReportParameters, 'ended' | 'vanished'>,
   now: Instant,
 ): EndsOutcome {
   const applied: TaskEnd[] = [];
--- a/packages/scheduling/src/lease-expiry.test.ts
+++ b/packages/scheduling/src/lease-expiry.test.ts
@@ -5,8 +5,15 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { RunEnding } from '@figjunction/types';
-import { addJob, addVm, createState, createStep, sendReport } from './cell-fixture.js';
-import { expireVmLeases } from './lease-expiry.js';
+import {
+  addJob,
+  addVm,
+  createAnnouncement,
+  createState,
+  createStep,
+  sendReport,
+} from './cell-fixture.js';
+import { applyAwaitedList, expireVmLeases } from './lease-expiry.js';
 import { placeTasks } from './place.js';
 import { RunPhase } from './records.js';
 
@@ -31,6 +38,22 @@
   return { state, vm, job, task: run.task, startsAt };
 }
 
+/** A task of an earlier scheduler that may be on a VM which has not reported to this one. */
+function createInheritedTask() {
+  const state = createState();
+  addVm(state, 'vm-2');
+  const vm = state.addVm('vm-1', 'http://127.0.0.1:1');
+  state.unreportedVms.set(vm.id, EXPIRED_AT);
+  const job = addJob(state, { steps: [createStep()], storedVms: [vm.id], runNumberBase: 1_000 });
+  const task = job.occurrences.get(0)?.steps[0]?.tasks[0];
+  assert.ok(task !== undefined);
+  const startsAt = (now: number): string[] => {
+    expireVmLeases(state, now);
+    return placeTasks(state, now).started.map((started) => started.vm.id);
+  };
+  return { state, vm, task, startsAt };
+}
+
 test('starts no task elsewhere while the list of its VM may come, which shows that it is done', () => {
   const { state, vm, task, startsAt } = createRunningTask();
   assert.deepEqual(startsAt(EXPIRED_AT), []);
@@ -84,14 +107,46 @@
 });
 
 test('holds the tasks of a VM that has not reported to this scheduler for as long', () => {
-  const state = createState();
-  addVm(state, 'vm-2');
-  state.unreportedVms.set('vm-1', EXPIRED_AT);
-  addJob(state, { steps: [createStep()], storedVms: ['vm-1'], runNumberBase: 1_000 });
-  const startsAt = (now: number): number => {
-    expireVmLeases(state, now);
-    return placeTasks(state, now).started.length;
-  };
-  assert.equal(startsAt(EXPIRED_AT), 0);
-  assert.equal(startsAt(GIVEN_UP_BY), 1);
+  const { vm, startsAt } = createInheritedTask();
+  assert.equal(startsAt(EXPIRED_AT).length, 0);
+  assert.notEqual(vm.listAwaitedUntil, null);
+  assert.equal(startsAt(GIVEN_UP_BY).length, 1);
+});
+
+test('applies the list of a VM that has not reported to this scheduler, and waits no more', () => {
+  const { state, vm, task, startsAt } = createInheritedTask();
+  assert.equal(startsAt(EXPIRED_AT).length, 0);
+  const ended = [{ sequence: 7, taskId: task.id, run: 1, ending: RunEnding.Done, checkpoint: '' }];
+  const list = { vm: createAnnouncement(), running: [], ended, hasUnlistedEnds: false };
+  assert.equal(applyAwaitedList(state, vm, list, EXPIRED_AT + 100).length, 1);
+  assert.ok(task.done);
+  assert.equal(state.unreportedVms.size, 0);
+  assert.equal(vm.lastEndSequence, 7);
+});
+
+test('starts a task elsewhere once the list of its VM shows that its run is gone, also without a session', () => {
+  const { state, vm, startsAt } = createRunningTask();
+  assert.deepEqual(startsAt(EXPIRED_AT), []);
+  const list = { vm: vm.announcement, running: [], ended: [], hasUnlistedEnds: false };
+  assert.deepEqual(applyAwaitedList(state, vm, { ...list, hasUnlistedEnds: true }, EXPIRED_AT), []);
+  assert.deepEqual(startsAt(EXPIRED_AT + 50), []);
+  applyAwaitedList(state, vm, list, EXPIRED_AT + 100);
+  assert.deepEqual(startsAt(EXPIRED_AT + 100), ['vm-2']);
+});
+
+test('applies no list of another incarnation, or of a VM that has a session again', () => {
+  const { state, vm, task, startsAt } = createRunningTask();
+  assert.deepEqual(startsAt(EXPIRED_AT), []);
+  const ended = [{ sequence: 1, taskId: task.id, run: 1, ending: RunEnding.Done, checkpoint: '' }];
+  const announcement = createAnnouncement({ ...vm.announcement, bornWallMs: 9_000 });
+  const list = { vm: announcement, running: [], ended, hasUnlistedEnds: false };
+  assert.deepEqual(applyAwaitedList(state, vm, list, EXPIRED_AT + 100), []);
+  assert.equal(vm.runs.size, 1);
+  const running = [{ taskId: task.id, run: 1, checkpoint: '', percent: 0, reading: 0 }];
+  sendReport(state, vm, { running }, EXPIRED_AT + 200);
+  assert.deepEqual(
+    applyAwaitedList(state, vm, { ...list, vm: vm.announcement }, EXPIRED_AT + 300),
+    [],
+  );
+  assert.equal(task.done, false);
 });
--- a/packages/types/src/cell/cell-messages.ts
+++ b/packages/types/src/cell/cell-messages.ts
@@ -167,6 +167,21 @@
   address: string;
 }
 
+export interface RunnerListParameters {
+  /** Epoch of the scheduler that asks. */
+  epoch: number;
+}
+
+/** What the VM has listed since it was asked, for a scheduler whose session with the runner has expired. */
+export interface RunnerListResult {
+  /** Null if there is no VM, it has given no list, or the runner follows another scheduler. */
+  vm: VmAnnouncement | null;
+  running: RunReference[];
+  ended: EndedRun[];
+  /** True if the VM may hold further ends, which its list left out. */
+  hasUnlistedEnds: boolean;
+}
+
 export interface JobStatesParameters {
   jobIds: JobId[];
 }
--- a/packages/types/src/rpc-methods.ts
+++ b/packages/types/src/rpc-methods.ts
@@ -10,6 +10,8 @@
   PendingCountsResult,
   ReportParameters,
   ReportResult,
+  RunnerListParameters,
+  RunnerListResult,
 } from './cell/cell-messages.js';
 import type { HeartbeatParameters, HeartbeatResult } from './heartbeat-messages.js';
 import type {
@@ -54,6 +56,7 @@
   RunnerReport = 'runner.report',
   RunnerOrders = 'runner.orders',
   RunnerAdopt = 'runner.adopt',
+  RunnerList = 'runner.list',
   JobStates = 'job.states',
   PendingCounts = 'queue.pending',
 }
@@ -80,6 +83,7 @@
   [RpcMethod.RunnerReport]: { parameters: ReportParameters; result: ReportResult };
   [RpcMethod.RunnerOrders]: { parameters: OrdersParameters; result: OrdersResult };
   [RpcMethod.RunnerAdopt]: { parameters: AdoptParameters; result: Record<string, never> };
+  [RpcMethod.RunnerList]: { parameters: RunnerListParameters; result: RunnerListResult };
   [RpcMethod.JobStates]: { parameters: JobStatesParameters; result: JobStatesResult };
   [RpcMethod.PendingCounts]: { parameters: Record<string, never>; result: PendingCountsResult };
 }
