--- a/packages/scheduler/src/expired-vm-lists.ts
+++ b/packages/scheduler/src/expired-vm-lists.ts
@@ -4,22 +4,18 @@
  */
 import PQueue from 'p-queue';
 import { toError } from '@figjunction/errors';
-import { applyAwaitedList } from '@figjunction/scheduling';
-import type { CellState, TaskEnd, VmRecord } from '@figjunction/scheduling';
+import type { VmRecord } from '@figjunction/scheduling';
 import { sleep } from '@figjunction/time';
-import type { Instant } from '@figjunction/time';
 import { RpcMethod } from '@figjunction/types';
+import type { RunnerListResult } from '@figjunction/types';
 import type { CellContext } from './cell-context.js';
 import type { CellLease } from './cell-lease.js';
 
 export interface ExpiredVmListsOptions {
-  context: Pick<CellContext, 'clock' | 'rpc' | 'events'>;
-  state: CellState;
+  context: Pick<CellContext, 'rpc' | 'events'>;
   lease: Pick<CellLease, 'epoch' | 'isHeld'>;
-  /** Called for each end that a list has told first. */
-  onEnded: (vm: VmRecord, end: TaskEnd, now: Instant) => void;
-  /** Requests a tick after a change of the tables. */
-  wake: () => void;
+  /** Called with the list of a VM that is still waited for. */
+  onList: (vm: VmRecord, list: RunnerListResult) => void;
 }
 
 const CONCURRENT_CALLS_MAXIMUM = 8;
@@ -57,21 +53,14 @@
   }
 
   private async call(isAwaited: () => boolean, vm: VmRecord): Promise<void> {
-    const { context, lease, state, onEnded, wake } = this.options;
+    const { context, lease, onList } = this.options;
     const options = { timeoutMs: CALL_TIMEOUT_MS, newConnection: true };
     try {
       const parameters = { epoch: lease.epoch };
       const list = await context.rpc.call(vm.address, RpcMethod.RunnerList, parameters, options);
-      if (list.vm === null || !isAwaited()) {
-        return;
+      if (list.vm !== null && isAwaited()) {
+        onList(vm, list);
       }
-      const now = context.clock.now();
-      const applied = applyAwaitedList(state, vm, list, now);
-      applied.forEach((end) => onEnded(vm, end, now));
-      const { hasUnlistedEnds, running } = list;
-      const counts = { running: running.length, ended: applied.length, hasUnlistedEnds };
-      context.events.write('list-applied', { vm: vm.id, ...counts });
-      wake();
     } catch (error) {
       const { message } = toError(error);
       context.events.write('list-unanswered', { vm: vm.id, error: message });
--- a/packages/scheduler/src/runner-session-log.ts
+++ b/packages/scheduler/src/runner-session-log.ts
@@ -10,7 +10,7 @@
 } from '@figjunction/scheduling';
 import type { Instant } from '@figjunction/time';
 import { RunEnding } from '@figjunction/types';
-import type { EndedRun, ReportParameters } from '@figjunction/types';
+import type { EndedRun, ReportParameters, RunnerListResult } from '@figjunction/types';
 import type { CellContext } from './cell-context.js';
 import type { QueueActivity } from './queue-activity.js';
 
@@ -49,6 +49,16 @@
     this.context.events.write('vm-lapsed', fields);
   }
 
+  /** `newEnds` counts the ends that were not known. */
+  recordAwaitedList(
+    { id }: VmRecord,
+    { running, hasUnlistedEnds }: RunnerListResult,
+    newEnds: number,
+  ): void {
+    const fields = { vm: id, running: running.length, ended: newEnds, hasUnlistedEnds };
+    this.context.events.write('list-applied', fields);
+  }
+
   recordSession(report: ReportParameters, session: number, previousSession: number): void {
     const { agentId, processId, sequence, listAgeMs, vm, running, ended } = report;
     this.context.events.write('runner-session', {
@@ -67,7 +77,12 @@
 
   /** Logs ends of tasks that are not in the tables. `done` lists the runs with a result, which is lost. */
   recordUnappliedEnds(
-    { agentId: vm, epoch, session, listAgeMs }: ReportParameters,
+    {
+      agentId: vm,
+      epoch,
+      session,
+      listAgeMs,
+    }: Pick<ReportParameters, 'agentId' | 'epoch' | 'session' | 'listAgeMs'>,
     ends: EndedRun[],
   ): void {
     if (ends.length === 0) {
--- a/packages/scheduler/src/runner-sessions.ts
+++ b/packages/scheduler/src/runner-sessions.ts
@@ -1,10 +1,20 @@
 /**
  * Handles the reports of runners, opens their sessions and expires the leases of their VMs.
  */
-import { applyReport, computeReportPace, expireVmLeases } from '@figjunction/scheduling';
-import type { CellState, TaskEnd, VmRecord } from '@figjunction/scheduling';
+import {
+  applyAwaitedList,
+  applyReport,
+  computeReportPace,
+  expireVmLeases,
+} from '@figjunction/scheduling';
+import type { CellState, VmRecord } from '@figjunction/scheduling';
 import type { Instant } from '@figjunction/time';
-import type { ReportParameters, ReportResult, RunAttributes } from '@figjunction/types';
+import type {
+  ReportParameters,
+  ReportResult,
+  RunAttributes,
+  RunnerListResult,
+} from '@figjunction/types';
 import type { CellContext } from './cell-context.js';
 import type { CellLease } from './cell-lease.js';
 import { ExpiredVmLists } from './expired-vm-lists.js';
@@ -59,9 +69,8 @@
 
   constructor(private readonly options: RunnerSessionsOptions) {
     this.log = new RunnerSessionLog(options.context, options.activity ?? new QueueActivity());
-    const onEnded = (vm: VmRecord, end: TaskEnd, now: Instant): void =>
-      this.log.recordEnd(vm.id, end, now);
-    this.expiredVmLists = new ExpiredVmLists({ ...options, onEnded });
+    const onList = (vm: VmRecord, list: RunnerListResult): void => this.applyList(vm, list);
+    this.expiredVmLists = new ExpiredVmLists({ ...options, onList });
   }
 
   /**
@@ -155,6 +164,18 @@
     awaited.forEach((vm) => this.expiredVmLists.request(vm));
   }
 
+  /** Applies the list of a VM that has no session and whose lease has expired. */
+  private applyList(vm: VmRecord, list: RunnerListResult): void {
+    const { context, state, lease, wake } = this.options;
+    const now = context.clock.now();
+    const { applied, unknown } = applyAwaitedList(state, vm, list, now);
+    this.log.recordAwaitedList(vm, list, applied.length);
+    applied.forEach((end) => this.log.recordEnd(vm.id, end, now));
+    const source = { agentId: vm.id, epoch: lease.epoch, session: vm.session, listAgeMs: 0 };
+    this.log.recordUnappliedEnds(source, unknown);
+    wake();
+  }
+
   /** True for a report that was overtaken or repeated, which is logged and counted. */
   private isOvertaken(report: ReportParameters, vm: VmRecord): boolean {
     const highestSequence = this.reportSequences.observe(report);
--- a/packages/scheduling/src/lease-expiry.test.ts
+++ b/packages/scheduling/src/lease-expiry.test.ts
@@ -118,7 +118,7 @@
   assert.equal(startsAt(EXPIRED_AT).length, 0);
   const ended = [{ sequence: 7, taskId: task.id, run: 1, ending: RunEnding.Done, checkpoint: '' }];
   const list = { vm: createAnnouncement(), running: [], ended, hasUnlistedEnds: false };
-  assert.equal(applyAwaitedList(state, vm, list, EXPIRED_AT + 100).length, 1);
+  assert.equal(applyAwaitedList(state, vm, list, EXPIRED_AT + 100).applied.length, 1);
   assert.ok(task.done);
   assert.equal(state.unreportedVms.size, 0);
   assert.equal(vm.lastEndSequence, 7);
@@ -128,7 +128,7 @@
   const { state, vm, startsAt } = createRunningTask();
   assert.deepEqual(startsAt(EXPIRED_AT), []);
   const list = { vm: vm.announcement, running: [], ended: [], hasUnlistedEnds: false };
-  assert.deepEqual(applyAwaitedList(state, vm, { ...list, hasUnlistedEnds: true }, EXPIRED_AT), []);
+  applyAwaitedList(state, vm, { ...list, hasUnlistedEnds: true }, EXPIRED_AT);
   assert.deepEqual(startsAt(EXPIRED_AT + 50), []);
   applyAwaitedList(state, vm, list, EXPIRED_AT + 100);
   assert.deepEqual(startsAt(EXPIRED_AT + 100), ['vm-2']);
@@ -140,13 +140,11 @@
   const ended = [{ sequence: 1, taskId: task.id, run: 1, ending: RunEnding.Done, checkpoint: '' }];
   const announcement = createAnnouncement({ ...vm.announcement, bornWallMs: 9_000 });
   const list = { vm: announcement, running: [], ended, hasUnlistedEnds: false };
-  assert.deepEqual(applyAwaitedList(state, vm, list, EXPIRED_AT + 100), []);
+  assert.deepEqual(applyAwaitedList(state, vm, list, EXPIRED_AT + 100).applied, []);
   assert.equal(vm.runs.size, 1);
   const running = [{ taskId: task.id, run: 1, checkpoint: '', percent: 0, reading: 0 }];
   sendReport(state, vm, { running }, EXPIRED_AT + 200);
-  assert.deepEqual(
-    applyAwaitedList(state, vm, { ...list, vm: vm.announcement }, EXPIRED_AT + 300),
-    [],
-  );
+  const late = applyAwaitedList(state, vm, { ...list, vm: vm.announcement }, EXPIRED_AT + 300);
+  assert.deepEqual(late.applied, []);
   assert.equal(task.done, false);
 });
--- a/packages/scheduling/src/lease-expiry.ts
+++ b/packages/scheduling/src/lease-expiry.ts
@@ -6,7 +6,7 @@
 import type { RunnerListResult } from '@figjunction/types';
 import type { CellState } from './cell-state.js';
 import { applyEnds } from './ends.js';
-import type { TaskEnd } from './progress.js';
+import type { EndsOutcome } from './ends.js';
 import { RunPhase, buildInstanceKey, buildRunKey } from './records.js';
 import type { RunRecord, VmRecord } from './records.js';
 import { settleEnds } from './settlement.js';
@@ -82,28 +82,28 @@
 
 /**
  * Applies the list of a VM that has no session and whose lease has expired: its ends, and that the runs in neither list
- * are gone. Returns the ends that were applied. The list of another incarnation is left to its session.
+ * are gone. The list of another incarnation is left to its session.
  */
 export function applyAwaitedList(
   state: CellState,
   vm: VmRecord,
   list: RunnerListResult,
   now: Instant,
-): TaskEnd[] {
+): EndsOutcome {
   const { announcement } = vm;
   const isOther =
     list.vm === null ||
     (announcement !== null && buildInstanceKey(announcement) !== buildInstanceKey(list.vm));
   if (vm.listAwaitedUntil === null || vm.session !== 0 || isOther) {
-    return [];
+    return { applied: [], unknown: [] };
   }
   vm.announcement = list.vm;
-  const { applied } = applyEnds(state, vm, { ended: list.ended, vanished: [] }, now);
+  const outcome = applyEnds(state, vm, { ended: list.ended, vanished: [] }, now);
   settleEnds(vm);
   if (!list.hasUnlistedEnds) {
     removeUnlistedRuns(state, vm, list, now);
   }
-  return applied;
+  return outcome;
 }
 
 function removeUnlistedRuns(
