Ask all VMs with expired leases in time, and wait for runs that they list

Found on reading the change afresh. A list that shows a run at work after the expiry of its lease ended the wait 1.2 s after the expiry all the same, and its task could start beside it; the list is the better evidence, so the wait begins anew. Runners that are cut off take the whole timeout of a call: with eight at a time, 30 of them kept others from being asked within the wait.

--- a/packages/scheduler/src/expired-vm-lists.ts
+++ b/packages/scheduler/src/expired-vm-lists.ts
@@ -18,7 +18,8 @@
   onList: (vm: VmRecord, list: RunnerListResult) => void;
 }
 
-const CONCURRENT_CALLS_MAXIMUM = 8;
+/** Calls to runners that are cut off take their whole timeout, and must not keep others from being asked in time. */
+const CONCURRENT_CALLS_MAXIMUM = 64;
 /** A VM answers its runner within 400 ms, if at all; the rest is for the calls. */
 const CALL_TIMEOUT_MS = 1_000;
 /** Delay after a call without a list, which may have met a runner that is starting. */
--- a/packages/scheduling/src/lease-expiry.test.ts
+++ b/packages/scheduling/src/lease-expiry.test.ts
@@ -21,14 +21,15 @@
 /** The users count a task that could run as lost 7 s after its VM is gone; the lease takes up to 5.3 s of them. */
 const GIVEN_UP_BY = EXPIRED_AT + 1_600;
 
-/** A task whose run is on a VM, and a second VM with room for it. */
+/** A task whose run is on a VM, as are those of the other tasks of its step, and a second VM with room for them. */
 function createRunningTask(changes = {}) {
   const state = createState();
   const vm = addVm(state, 'vm-1');
   const job = addJob(state, { steps: [createStep(changes)], storedVms: [vm.id] });
-  const [run] = placeTasks(state, 0).started;
+  const { started: runs } = placeTasks(state, 0);
+  runs.forEach((run) => Object.assign(run, { isSent: true, phase: RunPhase.Running }));
+  const [run] = runs;
   assert.ok(run !== undefined);
-  Object.assign(run, { isSent: true, phase: RunPhase.Running });
   addVm(state, 'vm-2');
   vm.leaseExpiresAt = EXPIRED_AT;
   const startsAt = (now: number): string[] => {
@@ -134,6 +135,19 @@
   assert.deepEqual(startsAt(EXPIRED_AT + 100), ['vm-2']);
 });
 
+test('starts no task elsewhere that its VM still lists as running, beside one that is gone', () => {
+  const { state, vm, task, startsAt } = createRunningTask({ taskCount: 2 });
+  assert.deepEqual(startsAt(EXPIRED_AT), []);
+  const list = { vm: vm.announcement, running: [], ended: [], hasUnlistedEnds: false };
+  const running = [{ taskId: task.id, run: 1 }];
+  applyAwaitedList(state, vm, { ...list, running }, EXPIRED_AT + 1_000);
+  assert.equal(vm.runs.size, 1);
+  assert.deepEqual(startsAt(EXPIRED_AT + 2_000), ['vm-2']);
+  assert.equal(task.runs[0]?.vm, vm);
+  applyAwaitedList(state, vm, list, EXPIRED_AT + 2_100);
+  assert.deepEqual(startsAt(EXPIRED_AT + 2_100), ['vm-2']);
+});
+
 test('applies no list of another incarnation, or of a VM that has a session again', () => {
   const { state, vm, task, startsAt } = createRunningTask();
   assert.deepEqual(startsAt(EXPIRED_AT), []);
--- a/packages/scheduling/src/lease-expiry.ts
+++ b/packages/scheduling/src/lease-expiry.ts
@@ -82,7 +82,7 @@
 
 /**
  * Applies the list of a VM that has no session and whose lease has expired: its ends, and that the runs in neither list
- * are gone. The list of another incarnation is left to its session.
+ * are gone. Runs that go on all the same are waited for again. The list of another incarnation is left to its session.
  */
 export function applyAwaitedList(
   state: CellState,
@@ -120,4 +120,5 @@
   const listed = new Set(running.map(({ taskId, run }) => buildRunKey(taskId, run)));
   const gone = [...vm.runs].filter(([key]) => !listed.has(key));
   gone.forEach(([, record]) => state.removeRun(record, now));
+  vm.listAwaitedUntil = now + LIST_WAIT_MS;
 }
