--- a/packages/runner/src/ends-before-expiry.test.ts
+++ b/packages/runner/src/ends-before-expiry.test.ts
@@ -4,12 +4,9 @@
  */
 import assert from 'node:assert/strict';
 import { afterEach, beforeEach, test } from 'node:test';
-import { createAnnouncement } from '@figjunction/scheduling/cell-fixture';
-import { ManualClock } from '@figjunction/time';
 import { RunEnding } from '@figjunction/types';
-import { FakeVmHost } from './fake-vm-host.js';
 import { GRANT_MS, RunnerFixture } from './runner-fixture.js';
-import { createVmSession } from './vm-session-fixture.js';
+import { createManualSession, runTask } from './vm-session-fixture.js';
 
 const DONE_TASK = '00000000000000aa.0.0.0';
 const LAPSED_TASK = '00000000000000aa.0.0.1';
@@ -17,10 +14,7 @@
 let fixture: RunnerFixture;
 
 beforeEach(async () => {
-  fixture = new RunnerFixture();
-  fixture.runner.start();
-  fixture.runner.handleAnnouncement(createAnnouncement());
-  assert.equal(await fixture.startTasks(), 2);
+  fixture = await RunnerFixture.startWithTasks();
 });
 
 afterEach(() => fixture.runner.stop());
@@ -86,10 +80,9 @@
 });
 
 test('reports the ends of an idle VM at once after a restart of the runner', async () => {
-  const host = new FakeVmHost();
-  host.running.push({ taskId: DONE_TASK, run: 1, checkpoint: '', percent: 0, reading: 0 });
+  const { host, session } = createManualSession();
+  runTask(host, DONE_TASK);
   host.end(DONE_TASK, RunEnding.Done);
-  const { session } = createVmSession(new ManualClock(1_000), { host });
   assert.ok(await session.refresh());
   assert.equal(session.listedEpoch, 1);
   assert.deepEqual(
--- a/packages/runner/src/expired-lease.test.ts
+++ b/packages/runner/src/expired-lease.test.ts
@@ -4,27 +4,11 @@
  */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { ManualClock } from '@figjunction/time';
 import { RunEnding } from '@figjunction/types';
-import type { FakeVmHost } from './fake-vm-host.js';
-import { createVmSession } from './vm-session-fixture.js';
-
-function createSession() {
-  const clock = new ManualClock(1_000);
-  const { host, session, events } = createVmSession(clock);
-  const advance = (milliseconds: number): void => {
-    clock.advance(milliseconds);
-    host.vmClockMs += milliseconds;
-  };
-  return { host, session, events, clock, advance };
-}
-
-function runTask(host: FakeVmHost, taskId: string): void {
-  host.running.push({ taskId, run: 1, checkpoint: '', percent: 0, reading: 0 });
-}
+import { createManualSession, runTask } from './vm-session-fixture.js';
 
 test('acknowledges no end by itself, whether or not the clock of the VM is past the end of its lease', async () => {
-  const { host, session, clock } = createSession();
+  const { host, session, clock } = createManualSession();
   await session.refresh();
   session.lease.grantUntil(host.vmClockMs + 5_000);
   runTask(host, 'a.0.0.0');
@@ -41,7 +25,7 @@
 });
 
 test('gives up no run while the VM still runs it after the end of its lease', async () => {
-  const { host, session, advance } = createSession();
+  const { host, session, advance } = createManualSession();
   await session.refresh();
   session.lease.grantUntil(host.vmClockMs + 5_000);
   ['a.0.0.0', 'a.0.0.1'].forEach((taskId) => runTask(host, taskId));
@@ -59,7 +43,7 @@
 });
 
 test('logs once which runs have ended with the lease, and how many other ends wait', async () => {
-  const { host, session, events, advance } = createSession();
+  const { host, session, events, advance } = createManualSession();
   await session.refresh();
   session.lease.grantUntil(15_000);
   advance(6_000);
--- a/packages/runner/src/runner-fixture.ts
+++ b/packages/runner/src/runner-fixture.ts
@@ -14,6 +14,7 @@
 } from '@figjunction/scheduler/runner-sessions-fixture';
 import type { RunnerSessionsFixture } from '@figjunction/scheduler/runner-sessions-fixture';
 import { applyOrderResponses, placeTasks } from '@figjunction/scheduling';
+import { createAnnouncement } from '@figjunction/scheduling/cell-fixture';
 import type { VmRecord } from '@figjunction/scheduling';
 import { RandomSource, sleep } from '@figjunction/time';
 import { RpcMethod } from '@figjunction/types';
@@ -90,6 +91,15 @@
 
   readonly runner: Runner = this.createRunner();
 
+  /** Starts the runner beside its VM, with a run of each of the two tasks on it. */
+  static async startWithTasks(): Promise<RunnerFixture> {
+    const fixture = new RunnerFixture();
+    fixture.runner.start();
+    fixture.runner.handleAnnouncement(createAnnouncement());
+    assert.equal(await fixture.startTasks(), 2);
+    return fixture;
+  }
+
   /** Moves the clocks of the scheduler, the runner and the VM. */
   advance(milliseconds: number): void {
     this.scheduler.clock.advance(milliseconds);
--- a/packages/runner/src/silent-vm.test.ts
+++ b/packages/runner/src/silent-vm.test.ts
@@ -5,7 +5,6 @@
 import assert from 'node:assert/strict';
 import { afterEach, beforeEach, test } from 'node:test';
 import { placeTasks } from '@figjunction/scheduling';
-import { createAnnouncement } from '@figjunction/scheduling/cell-fixture';
 import { RunEnding } from '@figjunction/types';
 import { FakeResponse } from './fake-vm-host.js';
 import { GRANT_MS, RunnerFixture } from './runner-fixture.js';
@@ -18,10 +17,7 @@
 let fixture: RunnerFixture;
 
 beforeEach(async () => {
-  fixture = new RunnerFixture();
-  fixture.runner.start();
-  fixture.runner.handleAnnouncement(createAnnouncement());
-  assert.equal(await fixture.startTasks(), 2);
+  fixture = await RunnerFixture.startWithTasks();
 });
 
 afterEach(() => fixture.runner.stop());
--- a/packages/runner/src/vm-session.test.ts
+++ b/packages/runner/src/vm-session.test.ts
@@ -4,11 +4,11 @@
  */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { ManualClock, sleep } from '@figjunction/time';
+import { sleep } from '@figjunction/time';
 import { RunEnding } from '@figjunction/types';
 import { FakeResponse, FakeVmHost } from './fake-vm-host.js';
 import type { HoldRefusal, HoldRequest, HoldResult } from './vm-host.js';
-import { createVmSession } from './vm-session-fixture.js';
+import { createManualSession, runTask } from './vm-session-fixture.js';
 
 /** Responds to a call once the poll ends that was set when the call was made. */
 class PollingVmHost extends FakeVmHost {
@@ -28,22 +28,8 @@
   }
 }
 
-function createSession(host = new FakeVmHost()) {
-  const clock = new ManualClock(1_000);
-  const { session, events } = createVmSession(clock, { host });
-  const advance = (milliseconds: number): void => {
-    clock.advance(milliseconds);
-    host.vmClockMs += milliseconds;
-  };
-  return { host, session, events, advance };
-}
-
-function runTask(host: FakeVmHost, taskId: string): void {
-  host.running.push({ taskId, run: 1, checkpoint: '', percent: 0, reading: 0 });
-}
-
 test('keeps ends that were not acknowledged when the lease expired', async () => {
-  const { host, session, advance } = createSession();
+  const { host, session, advance } = createManualSession();
   await session.refresh();
   session.lease.grantUntil(host.vmClockMs + 5_000);
   runTask(host, 'a.0.0.0');
@@ -58,7 +44,7 @@
 });
 
 test('keeps ends that occur after the lease was granted again', async () => {
-  const { host, session, advance } = createSession();
+  const { host, session, advance } = createManualSession();
   await session.refresh();
   session.lease.grantUntil(host.vmClockMs + 5_000);
   advance(6_000);
@@ -74,7 +60,7 @@
 
 test('keeps ends of a list that was requested before the lease was granted again', async () => {
   const host = new PollingVmHost();
-  const { session, advance } = createSession(host);
+  const { session, advance } = createManualSession(host);
   await session.refresh();
   session.lease.grantUntil(host.vmClockMs + 5_000);
   advance(6_000);
@@ -96,7 +82,7 @@
 });
 
 test('keeps ends through calls without an answer after the expiry of the lease', async () => {
-  const { host, session, advance } = createSession();
+  const { host, session, advance } = createManualSession();
   await session.refresh();
   session.lease.grantUntil(host.vmClockMs + 5_000);
   runTask(host, 'a.0.0.0');
@@ -116,7 +102,7 @@
 });
 
 test('keeps ends from before a runner restart while other runs are still running', async () => {
-  const { host, session } = createSession();
+  const { host, session } = createManualSession();
   runTask(host, 'a.0.0.0');
   runTask(host, 'a.0.0.1');
   host.end('a.0.0.0', RunEnding.Done);
@@ -126,7 +112,7 @@
 });
 
 test('keeps the ends up to one caused by the expiry of the lease', async () => {
-  const { host, session } = createSession();
+  const { host, session } = createManualSession();
   runTask(host, 'a.0.0.0');
   runTask(host, 'a.0.0.1');
   host.end('a.0.0.0', RunEnding.Done);
@@ -137,7 +123,7 @@
 });
 
 test('keeps the ends that precede an expiry of the lease which only the VM has noticed', async () => {
-  const { host, session } = createSession();
+  const { host, session } = createManualSession();
   await session.refresh();
   session.lease.grantUntil(host.vmClockMs + 5_000);
   ['a.0.0.0', 'a.0.0.1', 'a.0.0.2'].forEach((taskId) => runTask(host, taskId));
@@ -156,13 +142,13 @@
 });
 
 test('ignores a list of another incarnation of the VM', async () => {
-  const { session } = createSession(new FakeVmHost(2_000));
+  const { session } = createManualSession(new FakeVmHost(2_000));
   await session.refresh();
   assert.equal(session.listedEpoch, 0);
 });
 
 test('ignores a list that is older than the last applied one, and logs it', async () => {
-  const { host, session, events } = createSession();
+  const { host, session, events } = createManualSession();
   await session.refresh();
   assert.deepEqual(events.fieldsOf('list-overtaken'), []);
   host.vmClockMs -= 300;
@@ -180,7 +166,7 @@
 
 test('pauses between lists while their ends wait for an acknowledgement', async () => {
   const host = new QuickVmHost();
-  const { session } = createSession(host);
+  const { session } = createManualSession(host);
   runTask(host, 'a.0.0.0');
   host.end('a.0.0.0', RunEnding.Done);
   const running = session.run();
