Keep the checkpoint with which a run of an earlier scheduler ends

What callers saw: after a take-over, work of a stopped or expired run could be done again from an earlier checkpoint.

Cause: the checkpoint of an end counted only if its run had the highest number of its task.

Change: the checkpoint is left out only while a later run of the task is in the tables. "keeps the checkpoint with which a run of an earlier scheduler ends" fails before, and passes now, as does the case that the rule is for.

--- a/packages/scheduling/src/late-ends.test.ts
+++ b/packages/scheduling/src/late-ends.test.ts
@@ -70,6 +70,17 @@
   assert.equal(job.occurrences.get(0)?.state, 'failed');
 });
 
+test('keeps the checkpoint with which a run of an earlier scheduler ends', () => {
+  const state = createState();
+  const vm = addVm(state, 'vm-1');
+  const job = addJob(state, { steps: [createStep({ checkpoints: true })], runNumberBase: 1_000 });
+  const [task] = job.occurrences.get(0)?.steps[0]?.tasks ?? [];
+  assert.ok(task !== undefined);
+  const ended = [createEnd(1, task, 3, RunEnding.Stopped)];
+  sendReport(state, vm, { session: vm.session, ended });
+  assert.equal(task.checkpoint, 'of run 3');
+});
+
 test('keeps the checkpoint of a later run when the end of an earlier one is told', () => {
   const { vm, task, tell } = createRestartedJob({ checkpoints: true });
   task.checkpoint = 'of run 2';
--- a/packages/scheduling/src/progress.ts
+++ b/packages/scheduling/src/progress.ts
@@ -47,7 +47,8 @@
 export function applyEnd(state: CellState, end: TaskEnd, now: Instant): void {
   const { task, record, run, ending, checkpoint } = end;
   // The end of an earlier run may be told while a later one works on from a later checkpoint.
-  if (checkpoint !== '' && run === task.highestRunNumber) {
+  const isLatest = task.runs.every((other) => other.run <= run);
+  if (checkpoint !== '' && isLatest) {
     setCheckpoint(task, checkpoint);
   }
   if (record !== null) {
