--- a/packages/scheduling/src/gang.ts
+++ b/packages/scheduling/src/gang.ts
@@ -3,7 +3,7 @@
  */
 import type { Instant } from '@figjunction/time';
 import type { CellState } from './cell-state.js';
-import type { Placement } from './place.js';
+import type { Placement } from './place-step.js';
 import type { StepRecord, VmRecord } from './records.js';
 import { computeFreeCapacity, computePlacementCost } from './placement-rules.js';
 
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -9,6 +9,7 @@
 export * from './job-table.js';
 export * from './lease-expiry.js';
 export * from './place.js';
+export * from './place-step.js';
 export * from './placement-obstacle.js';
 export * from './preempt.js';
 export * from './progress.js';
--- /dev/null
+++ b/packages/scheduling/src/place-step.ts
@@ -0,0 +1,160 @@
+/**
+ * Assigns the waiting tasks of one step to VMs.
+ */
+import type { Instant } from '@figjunction/time';
+import type { CellState } from './cell-state.js';
+import { planGang } from './gang.js';
+import { findStartableTasks } from './progress.js';
+import { RunPhase } from './records.js';
+import type { RunRecord, StepRecord, TaskRecord, VmRecord } from './records.js';
+import { PlacementCandidates } from './placement-candidates.js';
+import { listEligibleVms } from './placement-rules.js';
+import {
+  endReservation,
+  findKeptVm,
+  findVmWithFewestRuns,
+  isKeptFromTask,
+  isReadyForTrial,
+  keepForTrial,
+  mayKeepVm,
+  mayStartWithoutTrial,
+  needsTrial,
+} from './trials.js';
+import type { UnmetDemands } from './unmet-demands.js';
+
+export interface Placement {
+  task: TaskRecord;
+  vm: VmRecord;
+  isOnTrial?: boolean;
+}
+
+export interface PlacementResult {
+  started: RunRecord[];
+  /** Steps with startable tasks that fit on no VM. */
+  unplaced: StepRecord[];
+}
+
+export interface StepPlacement {
+  state: CellState;
+  step: StepRecord;
+  unmetDemands: UnmetDemands;
+  now: Instant;
+  result: PlacementResult;
+}
+
+export function placeStep({ state, step, unmetDemands, now, result }: StepPlacement): void {
+  const tasks = findStartableTasks(step, now);
+  const vms = findEligibleVms(state, step, now);
+  if (step.specification.gang) {
+    const freeVms = vms.filter((vm) => !isKeptFromTask(vm, null, now));
+    const plan = tasks.length === step.tasks.length ? planGang(state, step, freeVms, now) : null;
+    plan?.forEach((placement) => result.started.push(startRun(state, placement, now)));
+    if (plan === null && tasks.length > 0) {
+      result.unplaced.push(step);
+    }
+    return;
+  }
+  const candidates = new PlacementCandidates(state, vms, now);
+  let unclaimedMillicores = computeLimit(state, step);
+  const { processorMillicores } = step.specification.resources;
+  for (const task of tasks) {
+    if (needsTrial(task)) {
+      placeSuspect({ state, candidates, task, now, result });
+    } else {
+      const vm = candidates.findCheapest(task);
+      if (vm === null) {
+        unmetDemands.record(step);
+        addUnplaced(result, step);
+        return;
+      }
+      if (processorMillicores > unclaimedMillicores && !mayTakeClaimedRoom(task, vm)) {
+        return;
+      }
+      unclaimedMillicores -= processorMillicores;
+      result.started.push(startRun(state, { task, vm }, now));
+      candidates.update(vm, task);
+    }
+  }
+}
+
+/** The millicores that tasks of the step may take: all for batch tasks, and what these leave for long-running ones. */
+function computeLimit(state: CellState, { occurrence, specification }: StepRecord): number {
+  return specification.longRunning && !specification.fills
+    ? state.batchClaims.computeUnclaimed(state, state.getPolicy(occurrence.job))
+    : Number.POSITIVE_INFINITY;
+}
+
+/** A restart takes back the room that the task has left. */
+function mayTakeClaimedRoom(task: TaskRecord, vm: VmRecord): boolean {
+  return task.hasRun || vm.reservations.has(task);
+}
+
+interface SuspectPlacement {
+  state: CellState;
+  candidates: PlacementCandidates;
+  task: TaskRecord;
+  now: Instant;
+  result: PlacementResult;
+}
+
+/** Starts the task alone on a VM that is kept for it, or beside others if it has waited too long for one. */
+function placeSuspect({ state, candidates, task, now, result }: SuspectPlacement): void {
+  const { vms } = candidates;
+  const usableVms = vms.filter((vm) => candidates.isUsable(vm, task));
+  const keptVm = findKeptVm(usableVms, task, now);
+  const vm = keptVm ?? findVmWithFewestRuns(usableVms);
+  if (vm === null) {
+    addUnplaced(result, task.step);
+    return;
+  }
+  const { service } = state.getPolicy(task.step.occurrence.job);
+  if (keptVm === null && mayKeepVm(state, service, now)) {
+    keepForTrial(vm, task, now);
+  }
+  const isOnTrial = isReadyForTrial(vm, task, now);
+  if (isOnTrial || mayStartWithoutTrial(task, now)) {
+    endReservation(vms, task);
+    result.started.push(startRun(state, { task, vm, isOnTrial }, now));
+  }
+  candidates.invalidate();
+}
+
+function addUnplaced({ unplaced }: PlacementResult, step: StepRecord): void {
+  if (!unplaced.includes(step)) {
+    unplaced.push(step);
+  }
+}
+
+function findEligibleVms(state: CellState, step: StepRecord, now: Instant): VmRecord[] {
+  const { advice } = state.getPolicy(step.occurrence.job);
+  const vms = listEligibleVms(state, step, now);
+  return advice === null ? vms : vms.filter((vm) => hasTicket(step, vm, now));
+}
+
+function hasTicket(step: StepRecord, vm: VmRecord, now: Instant): boolean {
+  const ticket = step.tickets.get(vm.announcement?.instanceId ?? '');
+  return ticket !== undefined && ticket.value !== '' && ticket.expiresAt > now;
+}
+
+function startRun(state: CellState, placement: Placement, now: Instant): RunRecord {
+  const { task, vm, isOnTrial = false } = placement;
+  vm.reservations.delete(task);
+  const { step } = task;
+  // All members of a gang have the same run number.
+  const latestRunNumber = step.specification.gang
+    ? Math.max(...step.tasks.map(({ highestRunNumber }) => highestRunNumber))
+    : task.highestRunNumber;
+  if (!step.occurrence.storedVms.has(vm.id)) {
+    state.markDirty(step.occurrence);
+  }
+  const isGangMember = step.specification.gang && step.tasks.some(({ runs }) => runs.length > 0);
+  return state.addRun({
+    task,
+    vm,
+    run: isGangMember ? latestRunNumber : latestRunNumber + 1,
+    phase: RunPhase.Ordered,
+    now,
+    ticket: step.tickets.get(vm.announcement?.instanceId ?? '')?.value ?? null,
+    isOnTrial,
+  });
+}
