--- a/packages/scheduling/src/job-table.ts
+++ b/packages/scheduling/src/job-table.ts
@@ -56,6 +56,7 @@
       observed: { tasks: 0, durationMs: 0 },
       criticalPathMs: 0,
       tickets: new Map(),
+      searchedAt: Number.NEGATIVE_INFINITY,
     };
     step.tasks = Array.from({ length: specification.taskCount }, (_, taskIndex) =>
       createTask(step, taskIndex, dueAt, runNumberBase),
--- a/packages/scheduling/src/records.ts
+++ b/packages/scheduling/src/records.ts
@@ -104,6 +104,8 @@
   criticalPathMs: number;
   /** The adviser's tickets by the VM's instance id; used only for queues with advice. */
   tickets: Map<string, Ticket>;
+  /** When a placement last searched for VMs for it. */
+  searchedAt: Instant;
 }
 
 export interface OccurrenceRecord {
--- a/packages/scheduling/src/unmet-demands.ts
+++ b/packages/scheduling/src/unmet-demands.ts
@@ -13,38 +13,41 @@
   constructor(private readonly state: CellState) {}
 
   /**
-   * Records that a task of the step fits on no VM. Ignores steps that may use only some of the VMs, since their
+   * Records that a task of the step fits on no VM. Ignores steps that may use VMs of their own choice only, since their
    * failure does not show that others would not fit.
    */
   record(step: StepRecord): void {
     const { requiredLabel, tasksPerVmMaximum, resources } = step.specification;
     const { advice } = this.state.getPolicy(step.occurrence.job);
-    const isRestricted = requiredLabel !== null || tasksPerVmMaximum !== null || advice !== null;
+    const isRestricted = tasksPerVmMaximum !== null || advice !== null;
     if (!isRestricted && isComparable(step)) {
-      const key = this.buildKey(step);
+      const key = this.buildKey(step, requiredLabel);
       this.demands.set(key, [...(this.demands.get(key) ?? []), resources]);
     }
   }
 
   /** True when the step cannot fit, because its demand is at least as large as a recorded one. */
   rulesOut(step: StepRecord): boolean {
-    const { resources } = step.specification;
-    const demands = isComparable(step) ? this.demands.get(this.buildKey(step)) : undefined;
-    return (
-      demands?.some(
-        ({ processorMillicores, memoryMegabytes, accelerators }) =>
-          processorMillicores <= resources.processorMillicores &&
-          memoryMegabytes <= resources.memoryMegabytes &&
-          accelerators <= resources.accelerators,
-      ) ?? false
+    if (this.demands.size === 0 || !isComparable(step)) {
+      return false;
+    }
+    const { resources, requiredLabel } = step.specification;
+    // What fits on no VM fits on none with the label either.
+    const keys = [this.buildKey(step, null), this.buildKey(step, requiredLabel)];
+    const demands = keys.flatMap((key) => this.demands.get(key) ?? []);
+    return demands.some(
+      ({ processorMillicores, memoryMegabytes, accelerators }) =>
+        processorMillicores <= resources.processorMillicores &&
+        memoryMegabytes <= resources.memoryMegabytes &&
+        accelerators <= resources.accelerators,
     );
   }
 
   /** Filler steps are compared only with the same image, because images differ in pressure on serving tasks. */
-  private buildKey({ specification, occurrence }: StepRecord): string {
+  private buildKey({ specification, occurrence }: StepRecord, label: string | null): string {
     const { service } = this.state.getPolicy(occurrence.job);
     const { fills, image } = specification;
-    return fills ? `${service} fills ${image}` : service;
+    return [service, label ?? '', fills ? `fills ${image}` : ''].join('\n');
   }
 }
 
