Go on to tasks with room of their own when others of their step find none

A step's tasks were tried in order up to the first that fitted nowhere. A task behind it for which a VM was kept or capacity reserved never got its turn as long as that one waited: the room was kept and used by nobody until it expired, and was then kept again.

Now the first task without room rules out only those that have none of their own. The set of tasks with reservations is made once for a step, so a step with many tasks costs no more than before.

trials.test.ts, "starts a suspect on its kept VM although another task of its step finds no VM", failed before.

--- a/packages/scheduling/src/place-step.ts
+++ b/packages/scheduling/src/place-step.ts
@@ -13,7 +13,6 @@
   endReservation,
   findKeptVm,
   findVmWithFewestRuns,
-  isKeptFromTask,
   isReadyForTrial,
   keepForTrial,
   mayKeepVm,
@@ -42,37 +41,52 @@
   result: PlacementResult;
 }
 
-export function placeStep({ state, step, unmetDemands, now, result }: StepPlacement): void {
-  const tasks = findStartableTasks(step, now);
+export function placeStep(placement: StepPlacement): void {
+  const { state, step, now } = placement;
   const vms = findEligibleVms(state, step, now);
+  const candidates = new PlacementCandidates(state, vms, now);
   if (step.specification.gang) {
-    const freeVms = vms.filter((vm) => !isKeptFromTask(vm, null, now));
-    const plan = tasks.length === step.tasks.length ? planGang(state, step, freeVms, now) : null;
-    plan?.forEach((placement) => result.started.push(startRun(state, placement, now)));
-    if (plan === null && tasks.length > 0) {
-      result.unplaced.push(step);
-    }
-    return;
+    placeGang(placement, candidates);
+  } else {
+    placeTasksOfStep(placement, candidates);
   }
-  const candidates = new PlacementCandidates(state, vms, now);
+}
+
+function placeGang(
+  { state, step, now, result }: StepPlacement,
+  candidates: PlacementCandidates,
+): void {
+  const tasks = findStartableTasks(step, now);
+  const isComplete = tasks.length === step.tasks.length;
+  const plan = isComplete ? planGang(state, step, candidates.listUnkept(), now) : null;
+  plan?.forEach((placement) => result.started.push(startRun(state, placement, now)));
+  if (plan === null && tasks.length > 0) {
+    result.unplaced.push(step);
+  }
+}
+
+function placeTasksOfStep(placement: StepPlacement, candidates: PlacementCandidates): void {
+  const { state, step, unmetDemands, now, result } = placement;
   let unclaimedMillicores = computeLimit(state, step);
   const { processorMillicores } = step.specification.resources;
-  for (const task of tasks) {
+  let isFull = false;
+  for (const task of findStartableTasks(step, now)) {
     if (needsTrial(task)) {
       placeSuspect({ state, candidates, task, now, result });
-    } else {
+    } else if (!isFull || candidates.hasReservation(task)) {
       const vm = candidates.findCheapest(task);
       if (vm === null) {
+        // Its other tasks find none either, but for those with room of their own.
+        isFull = true;
         unmetDemands.record(step);
         addUnplaced(result, step);
-        return;
-      }
-      if (processorMillicores > unclaimedMillicores && !mayTakeClaimedRoom(task, vm)) {
-        return;
+      } else if (processorMillicores > unclaimedMillicores && !mayTakeClaimedRoom(task, vm)) {
+        isFull = true;
+      } else {
+        unclaimedMillicores -= processorMillicores;
+        result.started.push(startRun(state, { task, vm }, now));
+        candidates.update(vm, task);
       }
-      unclaimedMillicores -= processorMillicores;
-      result.started.push(startRun(state, { task, vm }, now));
-      candidates.update(vm, task);
     }
   }
 }
--- a/packages/scheduling/src/placement-candidates.ts
+++ b/packages/scheduling/src/placement-candidates.ts
@@ -14,21 +14,35 @@
   /** Cost of each VM for a task without failures, in the order of `vms`; null until it is needed. */
   private costs: number[] | null = null;
 
+  private readonly tasksWithReservation: ReadonlySet<TaskRecord>;
+
   constructor(
     private readonly state: CellState,
     readonly vms: VmRecord[],
     private readonly now: Instant,
-  ) {}
+  ) {
+    this.tasksWithReservation = new Set(vms.flatMap((vm) => [...vm.reservations.keys()]));
+  }
 
   /** Returns the VM with the lowest cost; null if the task fits on none. */
   findCheapest(task: TaskRecord): VmRecord | null {
-    if (hasHistory(task) || this.vms.some(({ reservations }) => reservations.has(task))) {
+    if (hasHistory(task) || this.hasReservation(task)) {
       return this.findLowest(this.vms.map((vm) => this.computeCost(vm, task)));
     }
     this.costs ??= this.vms.map((vm) => this.computeCost(vm, task));
     return this.findLowest(this.costs);
   }
 
+  /** True if capacity of any of the VMs was reserved for the task when the placement began. */
+  hasReservation(task: TaskRecord): boolean {
+    return this.tasksWithReservation.has(task);
+  }
+
+  /** The VMs that are kept for no task. */
+  listUnkept(): VmRecord[] {
+    return this.vms.filter((vm) => !isKeptFromTask(vm, null, this.now));
+  }
+
   /** Computes the cost of a VM again, on which the task has been placed. */
   update(vm: VmRecord, task: TaskRecord): void {
     if (hasOnlyRun(task)) {
--- a/packages/scheduling/src/trials.test.ts
+++ b/packages/scheduling/src/trials.test.ts
@@ -8,6 +8,7 @@
 import type { CellState } from './cell-state.js';
 import { placeTasks } from './place.js';
 import type { RunRecord, TaskRecord, VmRecord } from './records.js';
+import { keepForTrial } from './trials.js';
 
 /** A trial begins after this time beside runs that have shown progress. */
 const EMPTYING_MAXIMUM_MS = 1_500;
@@ -97,3 +98,19 @@
   addTasks(12);
   assert.equal(placeAt(100).length, 12);
 });
+
+test('starts a suspect on its kept VM although another task of its step finds no VM', () => {
+  vms.slice(1).forEach((vm) => state.vms.delete(vm.id));
+  const job = addJob(state, { steps: [createStep({ taskCount: 2 })] });
+  const [other, suspect] = job.occurrences.get(0)?.steps[0]?.tasks ?? [];
+  assert.ok(other !== undefined && suspect !== undefined);
+  [other, suspect].forEach((task) => {
+    task.hasRun = true;
+  });
+  suspect.crashes = [1, 2];
+  vms.slice(0, 1).forEach((vm) => keepForTrial(vm, suspect, 0));
+  assert.deepEqual(
+    placeAt(1).map(({ task, isOnTrial }) => [task, isOnTrial]),
+    [[suspect, true]],
+  );
+});
