Delay a task that VMs refuse each time

A task whose start is refused was placed again at the next tick. For most reasons the VM gets a pause, but not for an invalid request, an invalid ticket or another incarnation. Such a task took a call of its VM, room and a transaction each 20 ms without end.

After two refusals in a row the next start waits 100 ms, and each time twice as long up to 1 s, until a VM confirms a start. Two are free, since another VM may have room at once.

--- a/packages/scheduling/src/job-table.ts
+++ b/packages/scheduling/src/job-table.ts
@@ -87,6 +87,7 @@
     hasRun: false,
     highestRunNumber: runNumberBase,
     runs: [],
+    refusals: 0,
     eligibleAt,
     waitingSince: eligibleAt,
     relocatedAt: Number.NEGATIVE_INFINITY,
--- a/packages/scheduling/src/progress.ts
+++ b/packages/scheduling/src/progress.ts
@@ -14,6 +14,12 @@
 /** Earlier failures of a long-running task make no difference to the delay, and the stored row must stay small. */
 const REMEMBERED_FAILURES_MAXIMUM = RESTART_DELAY_MAXIMUM_MS / RESTART_DELAY_MS;
 
+/** A task that VMs refuse more often in a row than this starts again after a delay, which grows. */
+const UNDELAYED_REFUSALS = 2;
+const REFUSED_DELAY_MS = 100;
+const REFUSED_DELAY_FACTOR = 2;
+const REFUSED_DELAY_MAXIMUM_MS = 1_000;
+
 /** The reported end of a run. */
 export interface TaskEnd {
   /** Number of the end on its VM. */
@@ -93,6 +99,16 @@
   }
 }
 
+/** Delays a task that VM after VM refuses, so that it takes no room and calls from others meanwhile. */
+export function delayAfterRefusal(task: TaskRecord, now: Instant): void {
+  task.refusals += 1;
+  const delayed = task.refusals - UNDELAYED_REFUSALS;
+  if (delayed > 0) {
+    const delayMs = REFUSED_DELAY_MS * REFUSED_DELAY_FACTOR ** (delayed - 1);
+    task.eligibleAt = now + Math.min(REFUSED_DELAY_MAXIMUM_MS, delayMs);
+  }
+}
+
 /** Marks the task as done by this run, and stops its others. The other members of a gang run end by themselves. */
 function completeTask(state: CellState, task: TaskRecord, doneRun: number, now: Instant): void {
   if (task.done) {
--- a/packages/scheduling/src/records.ts
+++ b/packages/scheduling/src/records.ts
@@ -70,6 +70,8 @@
   /** The highest run number assigned so far. */
   highestRunNumber: number;
   runs: RunRecord[];
+  /** Number of its starts in a row that VMs have refused. */
+  refusals: number;
   /** The task is not started before this time. */
   eligibleAt: Instant;
   /** When the task began to wait for a VM. */
--- a/packages/scheduling/src/reports.ts
+++ b/packages/scheduling/src/reports.ts
@@ -10,6 +10,7 @@
 import { applyEnds, forgetEnds } from './ends.js';
 import { removeAllRuns } from './lease-expiry.js';
 import { adoptRun, listNewOrphans, removeUnlistedOrphans } from './orphans.js';
+import { delayAfterRefusal } from './progress.js';
 import type { TaskEnd } from './progress.js';
 import { RunPhase, buildInstanceKey, buildRunKey } from './records.js';
 import type { OrphanRun, RunRecord, VmRecord } from './records.js';
@@ -156,6 +157,7 @@
         record.task.step.tickets.delete(vm.announcement?.instanceId ?? '');
       }
       recordRefusal(vm, answer.refusal, now);
+      delayAfterRefusal(record.task, now);
       state.removeRun(record, now);
     }
   }
@@ -173,6 +175,7 @@
 }
 
 function confirmRunning(record: RunRecord, now: Instant): void {
+  record.task.refusals = 0;
   record.task.step.occurrence.hasBegun = true;
   if (record.phase === RunPhase.Ordered) {
     record.phase = RunPhase.Running;
