Give calls of the adviser in turn, to steps that tickets let start

Tickets are valid for 3 s and a call took 0.17 s, so the first 15 steps had to be asked for again before the 16th had its turn. Ruled out: refused starts (none in the log), a busy adviser (no advice-failed).

The same loop kept others waiting wherever its head didn't move: a step without room, one whose calls fail or are refused each time, and VMs beyond the hundred that one call named, as refusals ran out like tickets.

Change: placement names the steps that it has looked at and left waiting. A call goes to one of which a task would start now with a ticket: VMs that are eligible, have room and are kept for no other task. Each second call goes to the queue, and in it the step, that has waited longest for one, the others to the step with the fewest calls. Answers are kept for an incarnation of a VM; a refusal lasts 10 s, and refused VMs are named last. A call names 30 VMs at most, as the objectives of jobs allow for, and fewer where the validity of the tickets leaves less time. With nothing to start, waiting steps get tickets in advance as before. queue-summary tells a missing ticket from other waits.

--- a/packages/scheduler/src/advice-requester.ts
+++ b/packages/scheduler/src/advice-requester.ts
@@ -1,79 +1,155 @@
 /**
- * Requests tickets from the adviser for steps with waiting tasks, one call at a time.
+ * Requests tickets from the adviser for steps with waiting tasks, one call at a time. Calls are scarce, so they go to
+ * steps that tickets would let start now. Each second one goes to the queue that has waited longest for a call, and in
+ * it to the step that has; the others to the step with the fewest calls, in the order of placement. So neither a step
+ * whose calls lead to nothing nor a queue with many steps keeps the others from their turn.
  */
 import { toError } from '@figjunction/errors';
-import type { CellState, StepRecord } from '@figjunction/scheduling';
+import { buildInstanceKey, findAdviceDemand, recordAdvice } from '@figjunction/scheduling';
+import type { AdviceDemand, CellState, StepRecord, VmRecord } from '@figjunction/scheduling';
 import type { Instant } from '@figjunction/time';
+import type { AdvicePolicy } from '@figjunction/types';
 import type { CellContext } from './cell-context.js';
 
-/** Tickets expire this long before their validity ends, and are renewed this long before they expire. */
+/** Tickets expire this long before their validity ends, or after half of it if that is sooner. */
 const TICKET_EXPIRY_MARGIN_MS = 300;
+const VALIDITY_SHARE_MINIMUM = 0.5;
+/** The adviser's policy on a step doesn't change, but a new VM may be unknown to it at first. */
+const REFUSAL_VALID_MS = 10_000;
 const RETRY_DELAY_MS = 200;
-const MAXIMUM_VMS_PER_CALL = 100;
+/** A call takes time for each VM that it names; the objectives of jobs allow for this many. */
+const VMS_PER_CALL_MAXIMUM = 30;
 
 export class AdviceRequester {
   private isRequesting = false;
 
   private retryAt: Instant = 0;
 
+  private isTurnOfLongestWaiting = false;
+
+  /** When the last call about a step of each queue began. */
+  private readonly queuesCalledAt = new Map<string, Instant>();
+
   constructor(
-    private readonly context: CellContext,
+    private readonly context: Pick<CellContext, 'adviser' | 'clock' | 'events'>,
     private readonly state: CellState,
     private readonly onTicketsReceived: () => void,
   ) {}
 
-  requestForWaitingSteps(now: Instant): void {
+  /** Calls the adviser about one of the steps, in the order of placement, unless a call is open. */
+  requestForSteps(steps: StepRecord[], now: Instant): void {
     if (this.isRequesting || now < this.retryAt) {
       return;
     }
-    for (const { steps, job } of this.state.active) {
-      const { advice } = this.state.getPolicy(job);
-      const step = steps.find(({ ready, waiting }) => ready && waiting.size > 0);
-      if (advice !== null && step !== undefined) {
-        const instanceIds = this.instancesWithoutTicket(step, now);
-        if (instanceIds.length > 0) {
-          this.requestTickets(step, instanceIds, advice.validMs);
-          return;
-        }
-      }
+    const demand = this.selectDemand(steps, now);
+    const advice = demand && this.state.getPolicy(demand.step.occurrence.job).advice;
+    if (demand !== null && advice !== null) {
+      this.queuesCalledAt.set(queueOf(demand), now);
+      const vms = demand.vms.slice(0, computeVmsPerCall(advice));
+      this.requestTickets(demand.step, vms, advice);
+    }
+  }
+
+  /** While no step could start now, steps get tickets for the time when there is room for them. */
+  private selectDemand(steps: StepRecord[], now: Instant): AdviceDemand | null {
+    const demands = steps.flatMap((step) => findAdviceDemand(this.state, step, now) ?? []);
+    const startable = demands.filter(({ hasRoom }) => hasRoom);
+    if (startable.length === 0) {
+      return findLowest(demands, countCalls);
     }
+    this.isTurnOfLongestWaiting = !this.isTurnOfLongestWaiting;
+    return this.isTurnOfLongestWaiting
+      ? this.findLongestWaiting(startable)
+      : findLowest(startable, countCalls);
   }
 
-  private instancesWithoutTicket(step: StepRecord, now: Instant): string[] {
-    const { service } = this.state.getPolicy(step.occurrence.job);
-    return [...this.state.vms.values()]
-      .filter((vm) => vm.session !== 0 && vm.announcement?.service === service)
-      .map((vm) => vm.announcement?.instanceId ?? '')
-      .filter((id) => (step.tickets.get(id)?.expiresAt ?? 0) < now + TICKET_EXPIRY_MARGIN_MS)
-      .slice(0, MAXIMUM_VMS_PER_CALL);
+  private findLongestWaiting(demands: AdviceDemand[]): AdviceDemand | null {
+    const calledAt = (demand: AdviceDemand): Instant =>
+      this.queuesCalledAt.get(queueOf(demand)) ?? Number.NEGATIVE_INFINITY;
+    const first = findLowest(demands, calledAt);
+    const ofQueue = demands.filter((demand) => first && queueOf(demand) === queueOf(first));
+    return findLowest(ofQueue, waitsForCallSince);
   }
 
-  private requestTickets(step: StepRecord, instanceIds: string[], validMs: number): void {
+  private requestTickets(step: StepRecord, vms: VmRecord[], { validMs }: AdvicePolicy): void {
     const { context } = this;
-    const { occurrence } = step;
-    const stepName = `${occurrence.job.id}.${occurrence.index}.${step.index}`;
     const requestedAt = context.clock.now();
+    const ticketsExpireAt =
+      requestedAt + Math.max(validMs - TICKET_EXPIRY_MARGIN_MS, validMs * VALIDITY_SHARE_MINIMUM);
     this.isRequesting = true;
-    context.adviser
-      .advise(stepName, instanceIds)
-      .then((granted) => {
-        const expiresAt = requestedAt + validMs - TICKET_EXPIRY_MARGIN_MS;
-        const tickets = new Map(granted.map(({ instanceId, ticket }) => [instanceId, ticket]));
-        for (const instanceId of instanceIds) {
-          // An empty ticket records the refusal, so that the VM is not requested again until it expires.
-          const value = tickets.get(instanceId) ?? '';
-          step.tickets.set(instanceId, { value, expiresAt });
-        }
-        const fields = { step: stepName, asked: instanceIds.length, granted: granted.length };
-        context.events.write('advice-received', fields);
-        this.onTicketsReceived();
-      })
+    step.advice.calls += 1;
+    step.advice.calledAt = requestedAt;
+    this.callAdviser(step, vms, ticketsExpireAt)
+      .then(this.onTicketsReceived)
       .catch((error: unknown) => {
         this.retryAt = context.clock.now() + RETRY_DELAY_MS;
-        context.events.write('advice-failed', { step: stepName, error: toError(error).message });
+        const fields = { step: nameOf(step), calls: step.advice.calls };
+        context.events.write('advice-failed', { ...fields, error: toError(error).message });
       })
       .finally(() => {
         this.isRequesting = false;
       });
   }
+
+  private async callAdviser(
+    step: StepRecord,
+    vms: VmRecord[],
+    ticketsExpireAt: Instant,
+  ): Promise<void> {
+    const { adviser, clock, events } = this.context;
+    const instances = vms.flatMap(({ announcement }) => announcement ?? []);
+    const granted = await adviser.advise(
+      nameOf(step),
+      instances.map(({ instanceId }) => instanceId),
+    );
+    const ticketsById = new Map(granted.map(({ instanceId, ticket }) => [instanceId, ticket]));
+    const tickets = new Map<string, string>();
+    for (const announcement of instances) {
+      const ticket = ticketsById.get(announcement.instanceId);
+      if (ticket !== undefined) {
+        tickets.set(buildInstanceKey(announcement), ticket);
+      }
+    }
+    const refusalsExpireAt = clock.now() + REFUSAL_VALID_MS;
+    const instanceKeys = instances.map(buildInstanceKey);
+    recordAdvice({ step, instanceKeys, tickets, ticketsExpireAt, refusalsExpireAt });
+    const fields = { step: nameOf(step), calls: step.advice.calls };
+    events.write('advice-received', { ...fields, asked: vms.length, granted: tickets.size });
+  }
+}
+
+function nameOf({ occurrence, index }: StepRecord): string {
+  return `${occurrence.job.id}.${occurrence.index}.${index}`;
+}
+
+/** A call must not take most of the time for which its tickets are valid. */
+function computeVmsPerCall({ decideMs, eachVmMs, validMs }: AdvicePolicy): number {
+  if (eachVmMs === 0) {
+    return VMS_PER_CALL_MAXIMUM;
+  }
+  const affordable = (validMs * VALIDITY_SHARE_MINIMUM - decideMs) / eachVmMs;
+  return Math.max(1, Math.min(VMS_PER_CALL_MAXIMUM, Math.floor(affordable)));
+}
+
+function queueOf({ step }: AdviceDemand): string {
+  return step.occurrence.job.policy.name;
+}
+
+function countCalls({ step }: AdviceDemand): number {
+  return step.advice.calls;
+}
+
+function waitsForCallSince({ step }: AdviceDemand): Instant {
+  return step.advice.calledAt ?? step.occurrence.dueAt;
+}
+
+/** Returns the first of the demands with the lowest value; null if there are none. */
+function findLowest(
+  demands: AdviceDemand[],
+  valueOf: (demand: AdviceDemand) => number,
+): AdviceDemand | null {
+  return demands.reduce<AdviceDemand | null>(
+    (lowest, demand) => (lowest === null || valueOf(demand) < valueOf(lowest) ? demand : lowest),
+    null,
+  );
 }
--- a/packages/scheduler/src/scheduling-term.ts
+++ b/packages/scheduler/src/scheduling-term.ts
@@ -12,6 +12,7 @@
   stopStalledRuns,
   deriveVisibleState,
 } from '@figjunction/scheduling';
+import type { PlacementResult } from '@figjunction/scheduling';
 import { toError } from '@figjunction/errors';
 import { WakeLoop } from '@figjunction/time';
 import type { Instant } from '@figjunction/time';
@@ -207,24 +208,26 @@
     tickTimes.measure(TickPhase.Housekeeping, () => this.runDueHousekeeping(now));
     tickTimes.measure(TickPhase.Summary, () => log.summarize(now));
     if (this.freshness.isRecent(now)) {
-      this.placeAndPreempt(now);
+      const { lackingAdvice } = this.placeAndPreempt(now);
+      tickTimes.measure(TickPhase.Advise, () =>
+        this.adviceRequester.requestForSteps(lackingAdvice, now),
+      );
     }
-    tickTimes.measure(TickPhase.Advise, () => this.adviceRequester.requestForWaitingSteps(now));
     tickTimes.measure(TickPhase.Send, () => this.sender.sendDueOrders(now));
     tickTimes.measure(TickPhase.Store, () => this.writer.flush(now));
     tickTimes.endTick();
   }
 
-  private placeAndPreempt(now: Instant): void {
+  private placeAndPreempt(now: Instant): PlacementResult {
     const { state, log } = this;
-    const unplaced = log.tickTimes.measure(TickPhase.Place, () => {
-      const placement = placeTasks(state, now);
-      placement.started.forEach((run) => log.recordStart(run, now));
-      return placement.unplaced;
-    });
+    const placement = log.tickTimes.measure(TickPhase.Place, () => placeTasks(state, now));
+    placement.started.forEach((run) => log.recordStart(run, now));
     log.tickTimes.measure(TickPhase.Preempt, () => {
-      preemptBatchRuns(state, unplaced, now).forEach((run) => log.recordStop(run, 'preempted'));
+      preemptBatchRuns(state, placement.unplaced, now).forEach((run) =>
+        log.recordStop(run, 'preempted'),
+      );
     });
+    return placement;
   }
 
   private runDueHousekeeping(now: Instant): void {
--- a/packages/scheduling/src/batch-claims.ts
+++ b/packages/scheduling/src/batch-claims.ts
@@ -7,7 +7,7 @@
 import type { QueuePolicy, ServiceName } from '@figjunction/types';
 import type { CellState } from './cell-state.js';
 import { Timeliness, computeTimeliness } from './rank.js';
-import type { StepRecord } from './records.js';
+import type { StepRecord, TaskRecord } from './records.js';
 import { computeUnusedCapacity } from './room.js';
 import { SlidingMaximum } from './sliding-maximum.js';
 
@@ -59,6 +59,19 @@
     return unclaimed;
   }
 
+  /** The millicores that tasks of the step may take: all for batch tasks, and what these leave for long-running ones. */
+  computeLimit(state: CellState, { occurrence, specification }: StepRecord): number {
+    return specification.longRunning && !specification.fills
+      ? this.computeUnclaimed(state, state.getPolicy(occurrence.job))
+      : Number.POSITIVE_INFINITY;
+  }
+
+  /** True if the room that batch jobs claim leaves enough for the task. A restart takes back the room it has left. */
+  mayTakeRoom(state: CellState, { hasRun, step }: TaskRecord): boolean {
+    const { processorMillicores } = step.specification.resources;
+    return hasRun || processorMillicores <= this.computeLimit(state, step);
+  }
+
   private claimOf({ service, priority }: QueuePolicy): Claim {
     const key = `${service} ${priority}`;
     let claim = this.claims.get(key);
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -1,6 +1,7 @@
 /**
  * Tables and systems of a cell, without I/O: jobs, VMs, runs, placement and recovery.
  */
+export * from './advice.js';
 export * from './cell-state.js';
 export * from './crashes.js';
 export * from './ends.js';
--- a/packages/scheduling/src/job-table.ts
+++ b/packages/scheduling/src/job-table.ts
@@ -55,7 +55,7 @@
       taskMs: specification.estimateMs,
       observed: { tasks: 0, durationMs: 0 },
       criticalPathMs: 0,
-      tickets: new Map(),
+      advice: { answers: new Map(), calls: 0, calledAt: null },
       searchedAt: Number.NEGATIVE_INFINITY,
     };
     step.tasks = Array.from({ length: specification.taskCount }, (_, taskIndex) =>
--- a/packages/scheduling/src/place-step.ts
+++ b/packages/scheduling/src/place-step.ts
@@ -2,6 +2,7 @@
  * Assigns the waiting tasks of one step to VMs.
  */
 import type { Instant } from '@figjunction/time';
+import { findTicket, isPermitted } from './advice.js';
 import type { CellState } from './cell-state.js';
 import { planGang } from './gang.js';
 import { findStartableTasks } from './progress.js';
@@ -31,6 +32,8 @@
   started: RunRecord[];
   /** Steps with startable tasks that fit on no VM. */
   unplaced: StepRecord[];
+  /** Steps of queues with advice that have waiting tasks left. */
+  lackingAdvice: StepRecord[];
 }
 
 export interface StepPlacement {
@@ -43,7 +46,7 @@
 
 export function placeStep(placement: StepPlacement): void {
   const { state, step, now } = placement;
-  const vms = findEligibleVms(state, step, now);
+  const vms = listEligibleVms(state, step, now).filter((vm) => isPermitted(state, step, vm, now));
   const candidates = new PlacementCandidates(state, vms, now);
   if (step.specification.gang) {
     placeGang(placement, candidates);
@@ -67,7 +70,7 @@
 
 function placeTasksOfStep(placement: StepPlacement, candidates: PlacementCandidates): void {
   const { state, step, unmetDemands, now, result } = placement;
-  let unclaimedMillicores = computeLimit(state, step);
+  let unclaimedMillicores = state.batchClaims.computeLimit(state, step);
   const { processorMillicores } = step.specification.resources;
   let isFull = false;
   for (const task of findStartableTasks(step, now)) {
@@ -91,13 +94,6 @@
   }
 }
 
-/** The millicores that tasks of the step may take: all for batch tasks, and what these leave for long-running ones. */
-function computeLimit(state: CellState, { occurrence, specification }: StepRecord): number {
-  return specification.longRunning && !specification.fills
-    ? state.batchClaims.computeUnclaimed(state, state.getPolicy(occurrence.job))
-    : Number.POSITIVE_INFINITY;
-}
-
 /** A restart takes back the room that the task has left. */
 function mayTakeClaimedRoom(task: TaskRecord, vm: VmRecord): boolean {
   return task.hasRun || vm.reservations.has(task);
@@ -139,17 +135,6 @@
   }
 }
 
-function findEligibleVms(state: CellState, step: StepRecord, now: Instant): VmRecord[] {
-  const { advice } = state.getPolicy(step.occurrence.job);
-  const vms = listEligibleVms(state, step, now);
-  return advice === null ? vms : vms.filter((vm) => hasTicket(step, vm, now));
-}
-
-function hasTicket(step: StepRecord, vm: VmRecord, now: Instant): boolean {
-  const ticket = step.tickets.get(vm.announcement?.instanceId ?? '');
-  return ticket !== undefined && ticket.value !== '' && ticket.expiresAt > now;
-}
-
 function startRun(state: CellState, placement: Placement, now: Instant): RunRecord {
   const { task, vm, isOnTrial = false } = placement;
   vm.reservations.delete(task);
@@ -168,7 +153,7 @@
     run: isGangMember ? latestRunNumber : latestRunNumber + 1,
     phase: RunPhase.Ordered,
     now,
-    ticket: step.tickets.get(vm.announcement?.instanceId ?? '')?.value ?? null,
+    ticket: findTicket(step, vm),
     isOnTrial,
   });
 }
--- a/packages/scheduling/src/place.test.ts
+++ b/packages/scheduling/src/place.test.ts
@@ -6,6 +6,7 @@
 import { test } from 'node:test';
 import fc from 'fast-check';
 import { RunEnding, VmState } from '@figjunction/types';
+import { recordAdvice } from './advice.js';
 import {
   LESS_URGENT_POLICY,
   addJob,
@@ -145,7 +146,10 @@
   const job = addJob(state, { steps: [createStep({ taskCount: 2 })], policy });
   assert.equal(started(state).length, 0);
   const step = job.occurrences.get(0)?.steps[0];
-  step?.tickets.set('instance-of-vm-1', { value: 'ticket-1', expiresAt: 100 });
+  assert.ok(step !== undefined);
+  const instanceKeys = ['instance-of-vm-1@1000'];
+  const tickets = new Map([['instance-of-vm-1@1000', 'ticket-1']]);
+  recordAdvice({ step, instanceKeys, tickets, ticketsExpireAt: 100, refusalsExpireAt: 100 });
   assert.equal(started(state, 101).length, 0);
   assert.deepEqual(
     started(state, 99).map(({ ticket }) => ticket),
--- a/packages/scheduling/src/place.ts
+++ b/packages/scheduling/src/place.ts
@@ -4,6 +4,7 @@
  * that have waited longest for one.
  */
 import type { Instant } from '@figjunction/time';
+import { needsAdvice } from './advice.js';
 import type { CellState } from './cell-state.js';
 import { placeStep } from './place-step.js';
 import type { PlacementResult } from './place-step.js';
@@ -17,19 +18,8 @@
 /** Searches of one pass for those of the other steps that have waited longest for one. */
 const OVERDUE_SEARCHES_MAXIMUM = 100;
 
-/** Creates a run for each waiting task that fits on a VM. The scheduler sends the start orders afterwards. */
-export function placeTasks(state: CellState, now: Instant): PlacementResult {
-  const pass = new PlacementPass(state, now);
-  const steps = rankSteps(state, now).map(({ step }) => step);
-  const others = pass.placeSteps(steps, RANKED_SEARCHES_MAXIMUM);
-  others.sort((left, right) => left.searchedAt - right.searchedAt);
-  pass.placeSteps(others, OVERDUE_SEARCHES_MAXIMUM);
-  pass.observeClaims();
-  return pass.result;
-}
-
 class PlacementPass {
-  readonly result: PlacementResult = { started: [], unplaced: [] };
+  readonly result: PlacementResult = { started: [], unplaced: [], lackingAdvice: [] };
 
   private readonly unmetDemands: UnmetDemands;
 
@@ -77,9 +67,23 @@
     }
     step.searchedAt = now;
     placeStep({ state, step, unmetDemands, now, result });
+    if (step.waiting.size > 0 && needsAdvice(state, step)) {
+      result.lackingAdvice.push(step);
+    }
   }
 }
 
+/** Creates a run for each waiting task that fits on a VM. The scheduler sends the start orders afterwards. */
+export function placeTasks(state: CellState, now: Instant): PlacementResult {
+  const pass = new PlacementPass(state, now);
+  const steps = rankSteps(state, now).map(({ step }) => step);
+  const others = pass.placeSteps(steps, RANKED_SEARCHES_MAXIMUM);
+  others.sort((left, right) => left.searchedAt - right.searchedAt);
+  pass.placeSteps(others, OVERDUE_SEARCHES_MAXIMUM);
+  pass.observeClaims();
+  return pass.result;
+}
+
 /** True when a VM that has not reported to this scheduler yet may still run tasks of the occurrence. */
 function mayRunOnUnreportedVms({ unreportedVms }: CellState, { occurrence }: StepRecord): boolean {
   return unreportedVms.size > 0 && [...occurrence.storedVms].some((id) => unreportedVms.has(id));
--- a/packages/scheduling/src/placement-obstacle.test.ts
+++ b/packages/scheduling/src/placement-obstacle.test.ts
@@ -3,7 +3,7 @@
  */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { addJob, addVm, createState, createStep } from './cell-fixture.js';
+import { POLICY, addJob, addVm, createState, createStep } from './cell-fixture.js';
 import { placeTasks } from './place.js';
 import { PlacementObstacle, findPlacementObstacle } from './placement-obstacle.js';
 
@@ -34,3 +34,13 @@
 test('names the pressure where processor time is unused but serving tasks bear no more', () => {
   assert.equal(findObstacle(1_000, 1_000), PlacementObstacle.FillerPressure);
 });
+
+test('names the ticket where a task would fit on a VM', () => {
+  const state = createState();
+  addVm(state);
+  const policy = { ...POLICY, advice: { decideMs: 1, eachVmMs: 1, validMs: 1_000 } };
+  const [step] = addJob(state, { steps: [createStep()], policy }).occurrences.get(0)?.steps ?? [];
+  const [task] = step?.tasks ?? [];
+  assert.ok(task !== undefined);
+  assert.equal(findPlacementObstacle(state, task, 0), PlacementObstacle.Ticket);
+});
--- a/packages/scheduling/src/placement-obstacle.ts
+++ b/packages/scheduling/src/placement-obstacle.ts
@@ -2,6 +2,7 @@
  * Tells why a waiting task is placed on no VM, for the log of a cell.
  */
 import type { Instant } from '@figjunction/time';
+import { isPermitted } from './advice.js';
 import type { CellState } from './cell-state.js';
 import {
   computeFreeCapacity,
@@ -23,7 +24,9 @@
   FillerProcessor = 'fillerProcessor',
   /** Some VMs have, but the filler task would slow their serving tasks. */
   FillerPressure = 'fillerPressure',
-  /** The task fits on a VM: it waits for the next placement, a trial or a ticket of the adviser. */
+  /** The task fits on VMs for none of which it has a ticket of the adviser. */
+  Ticket = 'ticket',
+  /** The task fits on a VM: it waits for the next placement or for a trial. */
   None = 'none',
 }
 
@@ -37,8 +40,10 @@
   if (vms.length === 0) {
     return PlacementObstacle.NoEligibleVm;
   }
-  if (vms.some((vm) => fitsOnVm(state, vm, task))) {
-    return PlacementObstacle.None;
+  const fitting = vms.filter((vm) => fitsOnVm(state, vm, task));
+  if (fitting.length > 0) {
+    const hasTicket = fitting.some((vm) => isPermitted(state, task.step, vm, now));
+    return hasTicket ? PlacementObstacle.None : PlacementObstacle.Ticket;
   }
   return findMissingResource(vms, task);
 }
--- a/packages/scheduling/src/records.ts
+++ b/packages/scheduling/src/records.ts
@@ -82,12 +82,23 @@
   failedVms: Set<AgentId>;
 }
 
-/** A permission of the adviser to start tasks of a step on one VM. */
-export interface Ticket {
-  value: string;
+/** What the adviser has last answered about a step and one incarnation of a VM. */
+export interface AdviceAnswer {
+  /** Null if the adviser has refused. */
+  ticket: string | null;
   expiresAt: Instant;
 }
 
+/** What the adviser has answered about a step, which is used only for queues with advice. */
+export interface StepAdvice {
+  /** By the instance keys of VMs. */
+  answers: Map<string, AdviceAnswer>;
+  /** Number of calls about the step. */
+  calls: number;
+  /** When the last call about the step began; null before the first one. */
+  calledAt: Instant | null;
+}
+
 export interface StepRecord {
   index: number;
   occurrence: OccurrenceRecord;
@@ -104,8 +115,7 @@
   observed: { tasks: number; durationMs: number };
   /** Estimated time from the start of this step to the end of the job, along the critical path. */
   criticalPathMs: number;
-  /** The adviser's tickets by the VM's instance id; used only for queues with advice. */
-  tickets: Map<string, Ticket>;
+  advice: StepAdvice;
   /** When a placement last searched for VMs for it. */
   searchedAt: Instant;
 }
--- a/packages/scheduling/src/reports.ts
+++ b/packages/scheduling/src/reports.ts
@@ -4,6 +4,7 @@
 import type { Instant } from '@figjunction/time';
 import { StartRefusal } from '@figjunction/types';
 import type { EndedRun, ReportParameters, RunningTask } from '@figjunction/types';
+import { forgetAdvice } from './advice.js';
 import type { CellState } from './cell-state.js';
 import { clearProvenTask, isCrash, recordCrash } from './crashes.js';
 import type { CrashOutcome } from './crashes.js';
@@ -154,7 +155,7 @@
       confirmRunning(record, now);
     } else if (answer.refusal !== null && record?.attempt === answer.attempt) {
       if (answer.refusal === StartRefusal.InvalidTicket) {
-        record.task.step.tickets.delete(vm.announcement?.instanceId ?? '');
+        forgetAdvice(record.task.step, vm);
       }
       recordRefusal(vm, answer.refusal, now);
       delayAfterRefusal(record.task, now);
--- a/packages/scheduling/src/unmet-demands.ts
+++ b/packages/scheduling/src/unmet-demands.ts
@@ -3,6 +3,7 @@
  * demand is skipped without a search, which keeps a pass over a long queue cheap while the VMs are full.
  */
 import type { Resources } from '@figjunction/types';
+import { needsAdvice } from './advice.js';
 import type { CellState } from './cell-state.js';
 import type { StepRecord } from './records.js';
 import { hasActiveRun } from './placement-rules.js';
@@ -18,8 +19,7 @@
    */
   record(step: StepRecord): void {
     const { requiredLabel, tasksPerVmMaximum, resources } = step.specification;
-    const { advice } = this.state.getPolicy(step.occurrence.job);
-    const isRestricted = tasksPerVmMaximum !== null || advice !== null;
+    const isRestricted = tasksPerVmMaximum !== null || needsAdvice(this.state, step);
     if (!isRestricted && isComparable(step)) {
       const key = this.buildKey(step, requiredLabel);
       this.demands.set(key, [...(this.demands.get(key) ?? []), resources]);
