Stop no runs for a long-running task that could not use the room

For a long-running task without a place, batch runs were stopped and their room was kept for 1.5 s, also on VMs for which the task had no ticket, that were kept for the trial of another task, or whose serving tasks would not bear it as filling work. The task could not start there, so runs were stopped and room was kept again and again, and other work lost both.

--- a/packages/scheduling/src/preempt.ts
+++ b/packages/scheduling/src/preempt.ts
@@ -4,11 +4,13 @@
  */
 import type { Instant } from '@figjunction/time';
 import type { Resources } from '@figjunction/types';
+import { isPermitted } from './advice.js';
 import type { CellState } from './cell-state.js';
 import { findStartableTasks } from './progress.js';
 import { RunPhase } from './records.js';
 import type { RunRecord, StepRecord, TaskRecord, VmRecord } from './records.js';
-import { computeFreeCapacity, isEligibleVm } from './placement-rules.js';
+import { computeFreeCapacity, isEligibleVm, isWithinPressureAllowance } from './placement-rules.js';
+import { isKeptFromTask } from './trials.js';
 
 /** A task waits this long before runs are stopped for it. */
 const PREEMPTION_DELAY_MS = 300;
@@ -67,7 +69,7 @@
     task.hasRun || state.getPolicy(run.task.step.occurrence.job).priority > priority;
   let best: { vm: VmRecord; victims: RunRecord[]; loss: number } | null = null;
   for (const vm of state.vms.values()) {
-    if (vm.announcement?.service === service && isEligibleVm(vm, task.step, now)) {
+    if (vm.announcement?.service === service && mayStartOn(state, vm, task, now)) {
       const victims = chooseVictims(vm, task, mayStop);
       if (victims !== null) {
         const loss = victims.reduce((sum, victim) => sum + estimateLostWork(victim), 0);
@@ -85,6 +87,21 @@
   return best.victims;
 }
 
+/** True if nothing but a lack of room keeps the task from starting there. */
+function mayStartOn(state: CellState, vm: VmRecord, task: TaskRecord, now: Instant): boolean {
+  const { step } = task;
+  const isBearable =
+    !step.specification.fills ||
+    vm.servingCount === 0 ||
+    isWithinPressureAllowance(state, vm, task);
+  return (
+    isEligibleVm(vm, step, now) &&
+    isPermitted(state, step, vm, now) &&
+    !isKeptFromTask(vm, task, now) &&
+    isBearable
+  );
+}
+
 /** The runs to stop, least lost work first; null when stopping all candidates would not free enough. */
 function chooseVictims(
   vm: VmRecord,
