Let removals of finished jobs go on when those of others fail each time

At most 16 finished jobs are in removal at a time, in the order of the table. A job whose removal failed was tried again first, so 16 whose rows the store never removes kept all others in the table and in the store. A job whose removal has failed now goes to the end of the table.

job-removals.test.ts, "removes a job although the rows of 40 that ended before it can never be removed", failed before.

--- a/packages/scheduler/src/job-removals.test.ts
+++ b/packages/scheduler/src/job-removals.test.ts
@@ -43,3 +43,24 @@
   const { rows } = await store.readRange({ collection: CellCollection.Jobs, partition });
   assert.deepEqual(rows, []);
 });
+
+test('removes a job although the rows of 40 that ended before it can never be removed', async () => {
+  const clock = new ManualClock(START_MS);
+  const store = new MemoryFeedStore(clock);
+  const context = createCellContext(clock, { store });
+  const state = createState();
+  const write = store.write.bind(store);
+  store.write = (transaction) =>
+    transaction.removals?.some(({ key }) => key.startsWith('kept')) === true
+      ? Promise.reject(new Error('refused'))
+      : write(transaction);
+  Array.from({ length: 40 }, (_, index) => addJob(state, { id: `kept-${index}`, steps: [] }));
+  addJob(state, { id: JOB_ID, steps: [] }).occurrences.clear();
+  const removals = new JobRemovals(context, state);
+  for (let round = 0; round < 4; round += 1) {
+    [...state.jobs.values()].forEach((job) => removals.begin(job));
+    await sleep(1);
+  }
+  assert.equal(state.jobs.has(JOB_ID), false);
+  assert.equal(state.jobs.size, 40);
+});
--- a/packages/scheduler/src/job-removals.ts
+++ b/packages/scheduler/src/job-removals.ts
@@ -57,6 +57,7 @@
       },
       (error: unknown) => {
         this.jobs.delete(job);
+        this.moveToEnd(job);
         events.write('job-not-removed', { job: job.id, error: toError(error).message });
       },
     );
@@ -71,6 +72,14 @@
     }
   }
 
+  /** Lets the other jobs have their turn before this one is tried again. */
+  private moveToEnd(job: JobRecord): void {
+    const { jobs } = this.state;
+    if (jobs.delete(job.id)) {
+      jobs.set(job.id, job);
+    }
+  }
+
   private rememberRemoval(jobId: JobId, version: number): void {
     const { removedJobs } = this.state;
     removedJobs.delete(jobId);
