Store registrations of runners before progress

A VM gets no work before its runner is registered, and registrations came after all rows of progress. While more of these waited all the time than one transaction takes (97), as on a slow store, a new runner was never registered. Registrations are one row for each runner and come first now.

progress-writer.test.ts, "registers a runner while more progress waits all the time than one transaction takes", failed before.

--- a/packages/scheduler/src/progress-batch.ts
+++ b/packages/scheduler/src/progress-batch.ts
@@ -61,19 +61,22 @@
   }));
 }
 
-/** Returns all rows that wait, by a key that is the same as long as they do. Rows of progress come first. */
+/**
+ * Returns all rows that wait, by a key that is the same as long as they do, in the order in which they are stored.
+ * Registrations come first: they are few, and rows of progress may wait all the time, more than one transaction takes.
+ */
 export function listPendingRows(
   occurrences: Iterable<OccurrenceRecord>,
   runners: Iterable<[string, string]>,
   removals: Iterable<RowReference>,
 ): Map<string, PendingRow> {
   const pending = new Map<string, PendingRow>();
-  for (const occurrence of occurrences) {
-    pending.set(`progress ${progressKey(occurrence.job.id, occurrence.index)}`, { occurrence });
-  }
   for (const runner of runners) {
     pending.set(`runner ${runner[0]}`, { runner });
   }
+  for (const occurrence of occurrences) {
+    pending.set(`progress ${progressKey(occurrence.job.id, occurrence.index)}`, { occurrence });
+  }
   for (const removal of removals) {
     pending.set(`removal ${removal.key}`, { removal });
   }
--- a/packages/scheduler/src/progress-writer.test.ts
+++ b/packages/scheduler/src/progress-writer.test.ts
@@ -182,3 +182,16 @@
   await flush();
   assert.deepEqual([...occurrence.storedVms], ['vm-1']);
 });
+
+test('registers a runner while more progress waits all the time than one transaction takes', async () => {
+  const { store, state, writer, flush } = await createWriter();
+  const jobs = Array.from({ length: 150 }, (_, index) =>
+    addJob(state, { id: `job-${index}`, steps: [createStep()] }),
+  );
+  writer.registerRunner('runner-1', 'http://127.0.0.1:2');
+  for (let round = 0; round < 3; round += 1) {
+    jobs.forEach(({ occurrences }) => occurrences.forEach((due) => state.markDirty(due)));
+    await flush();
+  }
+  assert.ok(store.findValue(CellCollection.Runners, CELL_PARTITION, 'runner-1') !== null);
+});
