Start all members of a gang from one checkpoint

Cause: the list of a VM set the checkpoint of the one member that it named, though an end sets that of all, and lists of two VMs are of different times. A start order also took the value of the moment in which it was sent, and the members' orders are sent at different moments.

Change: a checkpoint that a run lists for the first time counts for all members, and each run starts from the checkpoint of its placement, which is one for the gang. A list that repeats an older value changes nothing.

--- a/packages/scheduler/src/order-sender.ts
+++ b/packages/scheduler/src/order-sender.ts
@@ -161,11 +161,11 @@
 
 function createStartOrder(
   state: CellState,
-  { task, run, ticket, attempt }: RunRecord,
+  { task, run, ticket, attempt, startCheckpoint: checkpoint }: RunRecord,
   mayHaveReachedVm: boolean,
 ): StartOrder {
   const { fills, latencyTargetMs } = task.step.specification;
   const attributes = { fills, latencyTargetMs, pressure: state.estimatePressure(task.step) };
-  const { id: taskId, checkpoint } = task;
+  const { id: taskId } = task;
   return { taskId, run, checkpoint, ticket, attempt, mayHaveReachedVm, ...attributes };
 }
--- a/packages/scheduling/src/cell-state.ts
+++ b/packages/scheduling/src/cell-state.ts
@@ -144,6 +144,8 @@
       attempt: 0,
       sendAt: now,
       ticket,
+      startCheckpoint: task.checkpoint,
+      listedCheckpoint: '',
       percent: 0,
       observedAt: null,
       percentChangedAt: now,
--- a/packages/scheduling/src/progress.ts
+++ b/packages/scheduling/src/progress.ts
@@ -82,8 +82,8 @@
   }
 }
 
-function setCheckpoint(task: TaskRecord, checkpoint: string): void {
-  // A checkpoint of any member is valid for the whole gang, and all members must restart from the same one.
+/** A checkpoint of any member is valid for the whole gang, and all members must restart from the same one. */
+export function setCheckpoint(task: TaskRecord, checkpoint: string): void {
   const tasks = task.step.specification.gang ? task.step.tasks : [task];
   for (const member of tasks) {
     member.checkpoint = checkpoint;
--- a/packages/scheduling/src/records.ts
+++ b/packages/scheduling/src/records.ts
@@ -40,6 +40,10 @@
   sendAt: Instant;
   /** The adviser's ticket that is sent with the start order. */
   ticket: string | null;
+  /** The checkpoint that it starts from, the same for all members of a gang; empty if there is none. */
+  startCheckpoint: string;
+  /** The checkpoint that it last listed; empty if there is none. */
+  listedCheckpoint: string;
   /** Progress as last reported, 0 to 100. */
   percent: number;
   /** Up to when its step has learnt from it; null until its progress is known, as for one with a checkpoint. */
--- a/packages/scheduling/src/reports.ts
+++ b/packages/scheduling/src/reports.ts
@@ -11,7 +11,7 @@
 import { applyEnds, forgetEnds } from './ends.js';
 import { removeAllRuns } from './lease-expiry.js';
 import { adoptRun, listNewOrphans, removeUnlistedOrphans } from './orphans.js';
-import { delayAfterRefusal } from './progress.js';
+import { delayAfterRefusal, setCheckpoint } from './progress.js';
 import type { TaskEnd } from './progress.js';
 import { RunPhase, buildInstanceKey, buildRunKey } from './records.js';
 import type { OrphanRun, RunRecord, VmRecord } from './records.js';
@@ -199,7 +199,8 @@
     record.percentChangedAt = now;
     clearProvenTask(state, record.task, running.percent);
   }
-  if (running.checkpoint !== '') {
-    record.task.checkpoint = running.checkpoint;
+  if (running.checkpoint !== '' && running.checkpoint !== record.listedCheckpoint) {
+    record.listedCheckpoint = running.checkpoint;
+    setCheckpoint(record.task, running.checkpoint);
   }
 }
