Try a filler job beside serving tasks that its estimate rules out

Cause, by a run with logs: the slowness was learnt as the pressure of the image (0.136, then 0.132 to the end, in cell-summary). Its tasks were then placed beside no serving task, and only runs beside serving tasks correct the estimate.

Change: while less than half of a service's capacity is in use, where the platform takes a waiting job for lost, a filler job without runs that has waited for 2 s starts one task on a VM without other filling work. The runner slows or suspends it while a serving task would miss its target. Fuller cells place as before.

--- a/packages/scheduling/src/placement-candidates.ts
+++ b/packages/scheduling/src/placement-candidates.ts
@@ -5,6 +5,7 @@
 import type { Instant } from '@figjunction/time';
 import type { CellState } from './cell-state.js';
 import { computePlacementCost, fitsOnVm, isEligibleVm } from './placement-rules.js';
+import { mayTryBesideServing } from './pressure-trials.js';
 import type { TaskRecord, VmRecord } from './records.js';
 import { isKeptFromTask } from './trials.js';
 
@@ -62,7 +63,8 @@
   isUsable(vm: VmRecord, task: TaskRecord): boolean {
     const { state, now } = this;
     const isAvailable = isEligibleVm(vm, task.step, now) && !isKeptFromTask(vm, task, now);
-    return isAvailable && fitsOnVm(state, vm, task);
+    const isFitting = fitsOnVm(state, vm, task) || mayTryBesideServing(state, vm, task, now);
+    return isAvailable && isFitting;
   }
 
   private computeCost(vm: VmRecord, task: TaskRecord): number {
--- a/packages/scheduling/src/placement-rules.ts
+++ b/packages/scheduling/src/placement-rules.ts
@@ -80,8 +80,17 @@
   return count;
 }
 
-/** True when the VM has enough free capacity for the task. */
+/** True when the VM has enough free capacity for the task, and its serving tasks bear it. */
 export function fitsOnVm(state: CellState, vm: VmRecord, task: TaskRecord): boolean {
+  const isBearable =
+    !task.step.specification.fills ||
+    vm.servingCount === 0 ||
+    isWithinPressureAllowance(state, vm, task);
+  return isBearable && fitsBesidePressure(vm, task);
+}
+
+/** True when the VM has enough free capacity for the task, whatever its serving tasks bear. */
+export function fitsBesidePressure(vm: VmRecord, task: TaskRecord): boolean {
   const { resources, fills } = task.step.specification;
   const free = computeFreeCapacity(vm, task);
   if (
@@ -91,7 +100,7 @@
     return false;
   }
   return fills
-    ? fitsAsFiller(state, vm, task, free)
+    ? hasRoomForFiller(vm, task, free)
     : free.processorMillicores >= resources.processorMillicores;
 }
 
@@ -99,13 +108,10 @@
  * Filler tasks share unused processor time. The first run of an occurrence is placed even if none is left, but no
  * start is allowed on a VM whose capacity has shrunk below its runs.
  */
-function fitsAsFiller(state: CellState, vm: VmRecord, task: TaskRecord, free: Resources): boolean {
-  const { processorMillicores } = task.step.specification.resources;
+function hasRoomForFiller(vm: VmRecord, { step }: TaskRecord, free: Resources): boolean {
+  const { processorMillicores } = step.specification.resources;
   const hasUnusedTime = estimateUnusedMillicores(vm, free) >= processorMillicores;
-  if (isOverCapacity(vm) || (!hasUnusedTime && hasActiveRun(task.step))) {
-    return false;
-  }
-  return vm.servingCount === 0 || isWithinPressureAllowance(state, vm, task);
+  return !isOverCapacity(vm) && (hasUnusedTime || !hasActiveRun(step));
 }
 
 /** True when the pressure on the VM's serving tasks stays within the limit after adding the filler task. */
