Stop no slow run for a VM on which its task could not start

A slow filler run was stopped for a VM with idle processor time although its task had no ticket for that VM, or the VM was kept for the trial of another task. The task then waited, and was stopped again after 5 s wherever it had got to.

Preemption and relocation now ask the same question, mayStartGivenRoom, and what serving tasks bear is decided in one place for these two and for placement. relocate.test.ts: two of its three tests failed before; the third shows that a run that can move still does.

--- a/packages/scheduling/src/advice.ts
+++ b/packages/scheduling/src/advice.ts
@@ -86,13 +86,23 @@
   const startVms = step.specification.gang
     ? findGangVms(state, step, eligibleVms, now)
     : findUsableVms(state, tasks, unknownVms, now);
-  const isClaimed = !tasks.some((task) => state.batchClaims.mayTakeRoom(state, task));
-  const wantedVms = isClaimed ? [] : startVms.filter((vm) => unknownVms.includes(vm));
+  const wantedVms = mayTakeRoom(state, step, tasks)
+    ? startVms.filter((vm) => unknownVms.includes(vm))
+    : [];
   const hasRoom = wantedVms.length > 0;
   const vms = hasRoom ? wantedVms : unknownVms;
   return { step, vms: sortBySuitability(state, first, vms, now), hasRoom };
 }
 
+/** True unless batch jobs claim the room. A restart takes back the room that its task has left. */
+function mayTakeRoom(state: CellState, step: StepRecord, tasks: TaskRecord[]): boolean {
+  const { processorMillicores } = step.specification.resources;
+  return (
+    tasks.some(({ hasRun }) => hasRun) ||
+    processorMillicores <= state.batchClaims.computeLimit(state, step)
+  );
+}
+
 function findAnswer(step: StepRecord, { announcement }: VmRecord): AdviceAnswer | undefined {
   return announcement === null
     ? undefined
--- a/packages/scheduling/src/batch-claims.ts
+++ b/packages/scheduling/src/batch-claims.ts
@@ -7,7 +7,7 @@
 import type { QueuePolicy, ServiceName } from '@figjunction/types';
 import type { CellState } from './cell-state.js';
 import { Timeliness, computeTimeliness } from './rank.js';
-import type { StepRecord, TaskRecord } from './records.js';
+import type { StepRecord } from './records.js';
 import { computeUnusedCapacity } from './room.js';
 import { SlidingMaximum } from './sliding-maximum.js';
 
@@ -66,12 +66,6 @@
       : Number.POSITIVE_INFINITY;
   }
 
-  /** True if the room that batch jobs claim leaves enough for the task. A restart takes back the room it has left. */
-  mayTakeRoom(state: CellState, { hasRun, step }: TaskRecord): boolean {
-    const { processorMillicores } = step.specification.resources;
-    return hasRun || processorMillicores <= this.computeLimit(state, step);
-  }
-
   private claimOf({ service, priority }: QueuePolicy): Claim {
     const key = `${service} ${priority}`;
     let claim = this.claims.get(key);
--- a/packages/scheduling/src/placement-rules.ts
+++ b/packages/scheduling/src/placement-rules.ts
@@ -82,11 +82,13 @@
 
 /** True when the VM has enough free capacity for the task, and its serving tasks bear it. */
 export function fitsOnVm(state: CellState, vm: VmRecord, task: TaskRecord): boolean {
-  const isBearable =
-    !task.step.specification.fills ||
-    vm.servingCount === 0 ||
-    isWithinPressureAllowance(state, vm, task);
-  return isBearable && fitsBesidePressure(vm, task);
+  return isBearable(state, vm, task) && fitsBesidePressure(vm, task);
+}
+
+/** True unless the task fills and the VM's serving tasks would not bear it. */
+export function isBearable(state: CellState, vm: VmRecord, task: TaskRecord): boolean {
+  const { fills } = task.step.specification;
+  return !fills || vm.servingCount === 0 || isWithinPressureAllowance(state, vm, task);
 }
 
 /** True when the VM has enough free capacity for the task, whatever its serving tasks bear. */
@@ -115,11 +117,7 @@
 }
 
 /** True when the pressure on the VM's serving tasks stays within the limit after adding the filler task. */
-export function isWithinPressureAllowance(
-  state: CellState,
-  vm: VmRecord,
-  task: TaskRecord,
-): boolean {
+function isWithinPressureAllowance(state: CellState, vm: VmRecord, task: TaskRecord): boolean {
   const allowance = vm.pressureAllowance ?? DEFAULT_PRESSURE_ALLOWANCE;
   return state.estimateTotalPressure(vm) + state.estimatePressure(task.step) <= allowance;
 }
--- a/packages/scheduling/src/preempt.ts
+++ b/packages/scheduling/src/preempt.ts
@@ -4,13 +4,12 @@
  */
 import type { Instant } from '@figjunction/time';
 import type { Resources } from '@figjunction/types';
-import { isPermitted } from './advice.js';
 import type { CellState } from './cell-state.js';
 import { findStartableTasks } from './progress.js';
 import { RunPhase } from './records.js';
 import type { RunRecord, StepRecord, TaskRecord, VmRecord } from './records.js';
-import { computeFreeCapacity, isEligibleVm, isWithinPressureAllowance } from './placement-rules.js';
-import { isKeptFromTask } from './trials.js';
+import { computeFreeCapacity } from './placement-rules.js';
+import { mayStartGivenRoom } from './start-rules.js';
 
 /** A task waits this long before runs are stopped for it. */
 const PREEMPTION_DELAY_MS = 300;
@@ -64,12 +63,12 @@
 
 /** Returns the runs that were ordered to stop; null if no VM can be freed for the task. */
 function preemptForTask(state: CellState, task: TaskRecord, now: Instant): RunRecord[] | null {
-  const { service, priority } = state.getPolicy(task.step.occurrence.job);
+  const { priority } = state.getPolicy(task.step.occurrence.job);
   const mayStop = (run: RunRecord): boolean =>
     task.hasRun || state.getPolicy(run.task.step.occurrence.job).priority > priority;
   let best: { vm: VmRecord; victims: RunRecord[]; loss: number } | null = null;
   for (const vm of state.vms.values()) {
-    if (vm.announcement?.service === service && mayStartOn(state, vm, task, now)) {
+    if (mayStartGivenRoom(state, vm, task, now)) {
       const victims = chooseVictims(vm, task, mayStop);
       if (victims !== null) {
         const loss = victims.reduce((sum, victim) => sum + estimateLostWork(victim), 0);
@@ -87,21 +86,6 @@
   return best.victims;
 }
 
-/** True if nothing but a lack of room keeps the task from starting there. */
-function mayStartOn(state: CellState, vm: VmRecord, task: TaskRecord, now: Instant): boolean {
-  const { step } = task;
-  const isBearable =
-    !step.specification.fills ||
-    vm.servingCount === 0 ||
-    isWithinPressureAllowance(state, vm, task);
-  return (
-    isEligibleVm(vm, step, now) &&
-    isPermitted(state, step, vm, now) &&
-    !isKeptFromTask(vm, task, now) &&
-    isBearable
-  );
-}
-
 /** The runs to stop, least lost work first; null when stopping all candidates would not free enough. */
 function chooseVictims(
   vm: VmRecord,
--- a/packages/scheduling/src/relocate.ts
+++ b/packages/scheduling/src/relocate.ts
@@ -6,13 +6,9 @@
 import type { CellState } from './cell-state.js';
 import { RunPhase } from './records.js';
 import type { RunRecord, VmRecord } from './records.js';
-import {
-  computeFreeCapacity,
-  isEligibleVm,
-  isWithinPressureAllowance,
-  estimateUnusedMillicores,
-} from './placement-rules.js';
+import { computeFreeCapacity, estimateUnusedMillicores } from './placement-rules.js';
 import { isOverCapacity } from './room.js';
+import { mayStartGivenRoom } from './start-rules.js';
 
 /** A run is slow when it uses less than this share of the processor time that it requests. */
 const SLOW_SHARE = 0.5;
@@ -91,14 +87,11 @@
   destinations: Destination[],
   now: Instant,
 ): Destination | null {
-  const { service } = state.getPolicy(task.step.occurrence.job);
   const { resources } = task.step.specification;
   const fits = ({ vm, unusedMillicores, freeMegabytes }: Destination): boolean =>
     unusedMillicores >= resources.processorMillicores &&
     freeMegabytes >= resources.memoryMegabytes &&
     vm !== current &&
-    vm.announcement?.service === service &&
-    isEligibleVm(vm, task.step, now) &&
-    (vm.servingCount === 0 || isWithinPressureAllowance(state, vm, task));
+    mayStartGivenRoom(state, vm, task, now);
   return destinations.find(fits) ?? null;
 }
--- a/packages/scheduling/src/unmet-demands.ts
+++ b/packages/scheduling/src/unmet-demands.ts
@@ -14,8 +14,8 @@
   constructor(private readonly state: CellState) {}
 
   /**
-   * Records that a task of the step fits on no VM. Ignores steps that may use VMs of their own choice only, since their
-   * failure does not show that others would not fit.
+   * Records that a task of the step fits on no VM, or on none with the label that it requires. Ignores steps with other
+   * limits on their VMs, since their failure does not show that others would not fit.
    */
   record(step: StepRecord): void {
     const { requiredLabel, tasksPerVmMaximum, resources } = step.specification;
