Call the adviser again when an answer is late

A call without an answer took its timeout of 3 s, in which no other was made, so that a task with room waited longer than the 3 s that the platform allows, and 0.2 s and a call more each time.

A next call is made 0.5 s after the answer was due, about another step, with four open at most. If the answer is only late, the adviser handles the calls in turn and nothing is lost; a shorter timeout would never be met by a slow adviser. Once the last call is answered, the next follows at once.

advice-requester.test.ts: "starts a task within a second although a call about another step gets no answer" and "leaves no more than four calls open" failed before; "goes on at once after an answer while an earlier call is open" guards the change.

--- a/packages/scheduler/src/advice-requester.test.ts
+++ b/packages/scheduler/src/advice-requester.test.ts
@@ -25,11 +25,17 @@
 
   failingJobs: string[] = [];
 
+  /** Calls about these get no answer. */
+  unansweredJobs: string[] = [];
+
   override async advise(step: string, instanceIds: string[]): Promise<AdviceTicket[]> {
     const [jobId = ''] = step.split('.');
     this.calls.push({ jobId, instanceIds });
     if (this.failingJobs.includes(jobId)) {
-      throw new Error('no answer');
+      throw new Error('refused');
+    }
+    if (this.unansweredJobs.includes(jobId)) {
+      return new Promise(() => {});
     }
     return instanceIds
       .filter((id) => this.permits(jobId, id))
@@ -175,3 +181,36 @@
   await cell.run(1);
   assert.equal(cell.adviser.calls.length, 2);
 });
+
+test('starts a task within a second although a call about another step gets no answer', async () => {
+  const cell = new AdvisedCell();
+  cell.addVms(6);
+  cell.addJob('unanswered');
+  cell.adviser.unansweredJobs.push('unanswered');
+  await cell.run(1);
+  cell.addJob('runnable');
+  assert.deepEqual(await cell.run(6), ['runnable']);
+  const calls = cell.calledJobs.filter((jobId) => jobId === 'unanswered');
+  assert.equal(calls.length, 1, 'an open call is not repeated');
+});
+
+test('leaves no more than four calls open', async () => {
+  const cell = new AdvisedCell();
+  cell.addVms(6);
+  for (let index = 0; index < 10; index += 1) {
+    cell.addJob(`unanswered-${index}`);
+    cell.adviser.unansweredJobs.push(`unanswered-${index}`);
+  }
+  await cell.run(60);
+  assert.equal(cell.adviser.calls.length, 4);
+});
+
+test('goes on at once after an answer while an earlier call is open', async () => {
+  const cell = new AdvisedCell();
+  cell.addVms(6);
+  cell.addJob('unanswered');
+  cell.adviser.unansweredJobs.push('unanswered');
+  await cell.run(6);
+  Array.from({ length: 5 }, (_, index) => cell.addJob(`runnable-${index}`));
+  assert.equal((await cell.run(6)).length, 5);
+});
--- a/packages/scheduler/src/advice-requester.ts
+++ b/packages/scheduler/src/advice-requester.ts
@@ -1,5 +1,6 @@
 /**
- * Requests tickets from the adviser for steps with waiting tasks, one call at a time. Calls are scarce, so they go to
+ * Requests tickets from the adviser for steps with waiting tasks. The adviser handles one call at a time, so the next one
+ * is made when the last is answered, or when its answer is late and may have been lost. Calls are scarce, so they go to
  * steps that tickets would let start now. Each second one goes to the queue that has waited longest for a call, and in
  * it to the step that has; the others to the step with the fewest calls, in the order of placement. So neither a step
  * whose calls lead to nothing nor a queue with many steps keeps the others from their turn.
@@ -19,9 +20,18 @@
 const RETRY_DELAY_MS = 200;
 /** A call takes time for each VM that it names; the objectives of jobs allow for this many. */
 const VMS_PER_CALL_MAXIMUM = 30;
+/** An answer that takes this much longer than the queue's policy says is late. */
+const LATENESS_MS = 500;
+const OPEN_CALLS_MAXIMUM = 4;
 
 export class AdviceRequester {
-  private isRequesting = false;
+  /** The steps that calls without an answer are about. */
+  private readonly openSteps = new Set<StepRecord>();
+
+  /** When the answer of the last call counts as late; the past once it has been answered. */
+  private answerLateAt: Instant = 0;
+
+  private lastStep: StepRecord | null = null;
 
   private retryAt: Instant = 0;
 
@@ -36,12 +46,13 @@
     private readonly onTicketsReceived: () => void,
   ) {}
 
-  /** Calls the adviser about one of the steps, in the order of placement, unless a call is open. */
+  /** Calls the adviser about one of the steps, which come in the order of placement, if a call may be made now. */
   requestForSteps(steps: StepRecord[], now: Instant): void {
-    if (this.isRequesting || now < this.retryAt) {
+    if (!this.mayCall(now)) {
       return;
     }
-    const demand = this.selectDemand(steps, now);
+    const candidates = steps.filter((step) => !this.openSteps.has(step));
+    const demand = this.selectDemand(candidates, now);
     const advice = demand && this.state.getPolicy(demand.step.occurrence.job).advice;
     if (demand !== null && advice !== null) {
       this.queuesCalledAt.set(queueOf(demand), now);
@@ -50,6 +61,12 @@
     }
   }
 
+  private mayCall(now: Instant): boolean {
+    const { size } = this.openSteps;
+    const mayAddCall = size === 0 || (now >= this.answerLateAt && size < OPEN_CALLS_MAXIMUM);
+    return mayAddCall && now >= this.retryAt;
+  }
+
   /** While no step could start now, steps get tickets for the time when there is room for them. */
   private selectDemand(steps: StepRecord[], now: Instant): AdviceDemand | null {
     const demands = steps.flatMap((step) => findAdviceDemand(this.state, step, now) ?? []);
@@ -71,12 +88,15 @@
     return findLowest(ofQueue, waitsForCallSince);
   }
 
-  private requestTickets(step: StepRecord, vms: VmRecord[], { validMs }: AdvicePolicy): void {
+  private requestTickets(step: StepRecord, vms: VmRecord[], advice: AdvicePolicy): void {
     const { context } = this;
+    const { validMs, decideMs, eachVmMs } = advice;
     const requestedAt = context.clock.now();
     const ticketsExpireAt =
       requestedAt + Math.max(validMs - TICKET_EXPIRY_MARGIN_MS, validMs * VALIDITY_SHARE_MINIMUM);
-    this.isRequesting = true;
+    this.openSteps.add(step);
+    this.lastStep = step;
+    this.answerLateAt = requestedAt + decideMs + eachVmMs * vms.length + LATENESS_MS;
     step.advice.calls += 1;
     step.advice.calledAt = requestedAt;
     this.callAdviser(step, vms, ticketsExpireAt)
@@ -87,7 +107,10 @@
         context.events.write('advice-failed', { ...fields, error: toError(error).message });
       })
       .finally(() => {
-        this.isRequesting = false;
+        this.openSteps.delete(step);
+        if (this.lastStep === step) {
+          this.answerLateAt = context.clock.now();
+        }
       });
   }
 
