Keep the turn of a step for advice between passes of placement

Cause: a call was given to one of the steps for which the pass of that moment had searched VMs. Of 600 steps a pass searches 400, so a step that ranks behind was seen in one pass of three, mostly while a call was open, and missed its turn.

Change: what a search has found is kept until the step's next search, in AdviceTurns, which decides whose turn it is and looks at that step anew before it is called for. The requester only makes the calls.

advice-turns.test.ts: its first test states the fault; the interface is new, so it was not run on the code before.

--- a/packages/scheduler/src/advice-requester.ts
+++ b/packages/scheduler/src/advice-requester.ts
@@ -1,15 +1,13 @@
 /**
  * Requests tickets from the adviser for steps with waiting tasks. The adviser handles one call at a time, so the next one
- * is made when the last is answered, or when its answer is late and may have been lost. Calls are scarce, so they go to
- * steps that tickets would let start now. Each second one goes to the queue that has waited longest for a call, and in
- * it to the step that has; the others to the step with the fewest calls, in the order of placement. So neither a step
- * whose calls lead to nothing nor a queue with many steps keeps the others from their turn.
+ * is made when the last is answered, or when its answer is late and may have been lost.
  */
 import { toError } from '@figjunction/errors';
-import { buildInstanceKey, findAdviceDemand, recordAdvice } from '@figjunction/scheduling';
-import type { AdviceDemand, CellState, StepRecord, VmRecord } from '@figjunction/scheduling';
+import { buildInstanceKey, recordAdvice, sortVmsToAsk } from '@figjunction/scheduling';
+import type { CellState, StepRecord, VmRecord } from '@figjunction/scheduling';
 import type { Instant } from '@figjunction/time';
 import type { AdvicePolicy } from '@figjunction/types';
+import { AdviceTurns } from './advice-turns.js';
 import type { CellContext } from './cell-context.js';
 
 /** Tickets expire this long before their validity ends, or after half of it if that is sooner. */
@@ -35,29 +33,24 @@
 
   private retryAt: Instant = 0;
 
-  private isTurnOfLongestWaiting = false;
-
-  /** When the last call about a step of each queue began. */
-  private readonly queuesCalledAt = new Map<string, Instant>();
+  private readonly turns: AdviceTurns;
 
   constructor(
     private readonly context: Pick<CellContext, 'adviser' | 'clock' | 'events'>,
     private readonly state: CellState,
     private readonly onTicketsReceived: () => void,
-  ) {}
+  ) {
+    this.turns = new AdviceTurns(state);
+  }
 
-  /** Calls the adviser about one of the steps, which come in the order of placement, if a call may be made now. */
-  requestForSteps(steps: StepRecord[], now: Instant): void {
-    if (!this.mayCall(now)) {
-      return;
-    }
-    const candidates = steps.filter((step) => !this.openSteps.has(step));
-    const demand = this.selectDemand(candidates, now);
-    const advice = demand && this.state.getPolicy(demand.step.occurrence.job).advice;
-    if (demand !== null && advice !== null) {
-      this.queuesCalledAt.set(queueOf(demand), now);
-      const vms = demand.vms.slice(0, computeVmsPerCall(advice));
-      this.requestTickets(demand.step, vms, advice);
+  /** `searchedSteps` are those that a placement has searched VMs for and left with waiting tasks. */
+  requestForSteps(searchedSteps: StepRecord[], now: Instant): void {
+    this.turns.update(searchedSteps, now);
+    const turn = this.mayCall(now) ? this.turns.takeNext(this.openSteps, now) : null;
+    const advice = turn && this.state.getPolicy(turn.step.occurrence.job).advice;
+    if (turn !== null && advice !== null) {
+      const vms = sortVmsToAsk(this.state, turn.step, turn.vms, now);
+      this.requestTickets(turn.step, vms.slice(0, computeVmsPerCall(advice)), advice);
     }
   }
 
@@ -67,27 +60,6 @@
     return mayAddCall && now >= this.retryAt;
   }
 
-  /** While no step could start now, steps get tickets for the time when there is room for them. */
-  private selectDemand(steps: StepRecord[], now: Instant): AdviceDemand | null {
-    const demands = steps.flatMap((step) => findAdviceDemand(this.state, step, now) ?? []);
-    const startable = demands.filter(({ hasRoom }) => hasRoom);
-    if (startable.length === 0) {
-      return findLowest(demands, countCalls);
-    }
-    this.isTurnOfLongestWaiting = !this.isTurnOfLongestWaiting;
-    return this.isTurnOfLongestWaiting
-      ? this.findLongestWaiting(startable)
-      : findLowest(startable, countCalls);
-  }
-
-  private findLongestWaiting(demands: AdviceDemand[]): AdviceDemand | null {
-    const calledAt = (demand: AdviceDemand): Instant =>
-      this.queuesCalledAt.get(queueOf(demand)) ?? Number.NEGATIVE_INFINITY;
-    const first = findLowest(demands, calledAt);
-    const ofQueue = demands.filter((demand) => first && queueOf(demand) === queueOf(first));
-    return findLowest(ofQueue, waitsForCallSince);
-  }
-
   private requestTickets(step: StepRecord, vms: VmRecord[], advice: AdvicePolicy): void {
     const { context } = this;
     const { validMs, decideMs, eachVmMs } = advice;
@@ -153,26 +125,3 @@
   const affordable = (validMs * VALIDITY_SHARE_MINIMUM - decideMs) / eachVmMs;
   return Math.max(1, Math.min(VMS_PER_CALL_MAXIMUM, Math.floor(affordable)));
 }
-
-function queueOf({ step }: AdviceDemand): string {
-  return step.occurrence.job.policy.name;
-}
-
-function countCalls({ step }: AdviceDemand): number {
-  return step.advice.calls;
-}
-
-function waitsForCallSince({ step }: AdviceDemand): Instant {
-  return step.advice.calledAt ?? step.occurrence.dueAt;
-}
-
-/** Returns the first of the demands with the lowest value; null if there are none. */
-function findLowest(
-  demands: AdviceDemand[],
-  valueOf: (demand: AdviceDemand) => number,
-): AdviceDemand | null {
-  return demands.reduce<AdviceDemand | null>(
-    (lowest, demand) => (lowest === null || valueOf(demand) < valueOf(lowest) ? demand : lowest),
-    null,
-  );
-}
--- a/packages/scheduling/src/advice.ts
+++ b/packages/scheduling/src/advice.ts
@@ -14,8 +14,7 @@
 
 /** VMs whose tickets a step lacks. */
 export interface AdviceDemand {
-  step: StepRecord;
-  /** Those that the adviser should be asked about, the most suitable first. */
+  /** Those that the adviser should be asked about. */
   vms: VmRecord[];
   /** True if tickets for these would let a task of the step start now. */
   hasRoom: boolean;
@@ -79,8 +78,7 @@
   const eligibleVms = listEligibleVms(state, step, now);
   const unknownVms = eligibleVms.filter((vm) => !isValid(findAnswer(step, vm), now));
   const tasks = findStartableTasks(step, now);
-  const [first] = tasks;
-  if (first === undefined || unknownVms.length === 0) {
+  if (tasks.length === 0 || unknownVms.length === 0) {
     return null;
   }
   const startVms = step.specification.gang
@@ -90,8 +88,7 @@
     ? startVms.filter((vm) => unknownVms.includes(vm))
     : [];
   const hasRoom = wantedVms.length > 0;
-  const vms = hasRoom ? wantedVms : unknownVms;
-  return { step, vms: sortBySuitability(state, first, vms, now), hasRoom };
+  return { vms: hasRoom ? wantedVms : unknownVms, hasRoom };
 }
 
 /** True unless batch jobs claim the room. A restart takes back the room that its task has left. */
@@ -145,15 +142,19 @@
   );
 }
 
-/** VMs that the adviser has refused come last, the one of the oldest refusal first. */
-function sortBySuitability(
+/** The cheapest VMs for the step come first, and those that the adviser has refused last, by the age of the refusal. */
+export function sortVmsToAsk(
   state: CellState,
-  task: TaskRecord,
+  step: StepRecord,
   vms: VmRecord[],
   now: Instant,
 ): VmRecord[] {
+  const [task] = findStartableTasks(step, now);
+  if (task === undefined) {
+    return vms;
+  }
   const candidates = vms.map((vm) => {
-    const answer = findAnswer(task.step, vm);
+    const answer = findAnswer(step, vm);
     const refusedUntil = answer?.ticket === null ? answer.expiresAt : 0;
     return { vm, refusedUntil, cost: computePlacementCost(state, vm, task, now) };
   });
