--- a/packages/scheduler/src/scheduling-term.ts
+++ b/packages/scheduler/src/scheduling-term.ts
@@ -4,12 +4,9 @@
  */
 import {
   CellState,
-  evacuateDrainingVms,
   isPending,
   placeTasks,
   preemptBatchRuns,
-  relocateSlowRuns,
-  stopStalledRuns,
   deriveVisibleState,
 } from '@figjunction/scheduling';
 import type { PlacementResult } from '@figjunction/scheduling';
@@ -24,6 +21,7 @@
 import { listRunnersWithRuns } from './cell-loader.js';
 import type { LoadedCell } from './cell-loader.js';
 import type { CollectionWatch } from './collection-watch.js';
+import { Housekeeping } from './housekeeping.js';
 import { JobIntake } from './job-intake.js';
 import { createJobWatches } from './job-watches.js';
 import { OrderSender } from './order-sender.js';
@@ -42,8 +40,6 @@
   onDeposed: () => void;
 }
 
-const HOUSEKEEPING_INTERVAL_MS = 200;
-
 export class SchedulingTerm {
   readonly state = new CellState();
 
@@ -67,7 +63,7 @@
 
   private readonly log: TermLog;
 
-  private housekeepingAt: Instant = 0;
+  private readonly housekeeping: Housekeeping;
 
   constructor(private readonly options: SchedulingTermOptions) {
     const { context, lease, loaded, onDeposed } = options;
@@ -93,6 +89,8 @@
       wake,
       activity,
     });
+    const { intake, writer, log } = this;
+    this.housekeeping = new Housekeeping({ context, state, intake, writer, log });
     this.announcer = new TakeoverAnnouncer({ context, state, lease });
     this.sender = new OrderSender({ context, state, lease, freshness, onCallFinished: wake });
     this.adviceRequester = new AdviceRequester(context, state, wake);
@@ -107,7 +105,6 @@
     });
     this.applyConfiguration(options.configuration);
     this.restore(loaded);
-    const { intake } = this;
     this.watches = createJobWatches({ context, loaded, intake, freshness, wake });
   }
 
@@ -205,7 +202,7 @@
       this.sessions.expireLeases(now);
       this.intake.activateDueOccurrences(now);
     });
-    tickTimes.measure(TickPhase.Housekeeping, () => this.runDueHousekeeping(now));
+    tickTimes.measure(TickPhase.Housekeeping, () => this.housekeeping.runIfDue(now));
     tickTimes.measure(TickPhase.Summary, () => log.summarize(now));
     if (this.freshness.isRecent(now)) {
       const { lackingAdvice } = this.placeAndPreempt(now);
@@ -229,24 +226,4 @@
     });
     return placement;
   }
-
-  private runDueHousekeeping(now: Instant): void {
-    if (now >= this.housekeepingAt) {
-      this.housekeepingAt = now + HOUSEKEEPING_INTERVAL_MS;
-      this.runHousekeeping(now);
-    }
-  }
-
-  private runHousekeeping(now: Instant): void {
-    const { context } = this.options;
-    stopStalledRuns(this.state, now).forEach((run) => this.log.recordStop(run, 'stalled'));
-    evacuateDrainingVms(this.state, now).forEach((run) => this.log.recordStop(run, 'vm-leaves'));
-    relocateSlowRuns(this.state, now).forEach((run) => this.log.recordStop(run, 'slowed-down'));
-    this.intake.removeUnmatchedCancellations(now);
-    for (const job of this.state.jobs.values()) {
-      if (job.finishedAt !== null && now - job.finishedAt > context.finishedJobRetentionMs) {
-        this.writer.removeJob(job);
-      }
-    }
-  }
 }
